--- /dev/null
+++ b/crates/budget/src/decide.rs
@@ -0,0 +1,226 @@
+//! Who gets tokens, who waits, and who is refused with which reason.
+
+use smallvec::smallvec;
+
+use crate::home::{Home, Io};
+use crate::local::{Held, Local, Waiting, Want};
+use crate::msg::{Action, ReserveReply};
+
+/// When to come back for tokens that others hold or have reserved, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+/// When to come back while the platform is out, in milliseconds.
+const OUTAGE_RETRY_MS: u64 = 5_000;
+
+/// Failed calls in a row after which the platform counts as out.
+const OUTAGE_FAILURES: u32 = 3;
+
+/// What to do for one waiting entry.
+enum Verdict {
+    Wait,
+    Read,
+    Recall(u64),
+    Refuse(ReserveReply),
+}
+
+impl Home {
+    pub(crate) fn serve_waiting(&mut self, now: u64, out: &mut Vec<Action>) {
+        let waits = |(n, l): (&String, &Local)| (!l.waiting.is_empty()).then(|| n.clone());
+        let names: Vec<String> = self.locals.iter().filter_map(waits).collect();
+        for name in names {
+            self.hold_what_fits(&name, out);
+            self.judge_rest(now, &name, out);
+        }
+    }
+
+    /// Serves everyone whose request fits into what is held here.
+    fn hold_what_fits(&mut self, name: &str, out: &mut Vec<Action>) {
+        let mut available = self.available(name);
+        let me = self.me.clone();
+        let mut next_hold = self.next_hold;
+        let local = self.locals.get_mut(name).expect("listed by the caller");
+        for waiting in std::mem::take(&mut local.waiting) {
+            if waiting.tokens > available {
+                local.waiting.push_back(waiting);
+                continue;
+            }
+            let ask = waiting.ask;
+            let tokens = waiting.tokens;
+            let reply = match hold(local, waiting, next_hold) {
+                Some(hold) => {
+                    available -= tokens;
+                    next_hold = next_hold.max(hold + 1);
+                    let holder = me.clone();
+                    ReserveReply::Held { holder, hold }
+                }
+                None => ReserveReply::Voided,
+            };
+            out.push(Action::Reserved { ask, reply });
+        }
+        self.next_hold = next_hold;
+    }
+
+    fn judge_rest(&mut self, now: u64, name: &str, out: &mut Vec<Action>) {
+        let local = self.locals.get_mut(name).expect("listed by the caller");
+        for mut waiting in std::mem::take(&mut local.waiting) {
+            match self.judge(now, name, &waiting) {
+                Verdict::Wait => {}
+                Verdict::Read => self.want_read = true,
+                Verdict::Recall(lack) => {
+                    waiting.recalled = true;
+                    self.recall(name, lack, out);
+                }
+                Verdict::Refuse(reply) => {
+                    let ask = waiting.ask;
+                    out.push(Action::Reserved { ask, reply });
+                    continue;
+                }
+            }
+            let local = self.locals.get_mut(name).expect("listed by the caller");
+            local.waiting.push_back(waiting);
+        }
+    }
+
+    fn judge(&self, now: u64, name: &str, waiting: &Waiting) -> Verdict {
+        let retry_ms = if self.failures > 0 {
+            OUTAGE_RETRY_MS
+        } else {
+            RETRY_MS
+        };
+        let refuse = Verdict::Refuse(ReserveReply::OutOfReach { retry_ms });
+        if now >= waiting.deadline {
+            return refuse;
+        }
+        if (1..OUTAGE_FAILURES).contains(&self.failures) {
+            return Verdict::Wait;
+        }
+        let available = self.available(name);
+        let lack = waiting.tokens.saturating_sub(available);
+        let free = self.stored(name).map_or(0, |a| a.free());
+        if self.failures == 0 {
+            if self.known.is_none() {
+                return Verdict::Read;
+            }
+            if free >= lack && self.may_grant(name, lack) {
+                return Verdict::Wait;
+            }
+            if !self.is_fresh(waiting.asked_at) {
+                return Verdict::Read;
+            }
+            let left = self.left(name);
+            if waiting.tokens > left {
+                return Verdict::Refuse(ReserveReply::Exhausted { left });
+            }
+        }
+        let open = self.locals.get(name).map_or(0, |l| l.recalls);
+        let write_open = matches!(self.io, Io::Write { .. });
+        match (waiting.recalled, open) {
+            (false, _) if self.params.recall && !self.donors(name).is_empty() => {
+                let granted = if self.failures == 0 { free } else { 0 };
+                Verdict::Recall(lack.saturating_sub(granted))
+            }
+            (true, 1..) => Verdict::Wait,
+            _ if write_open && self.failures == 0 => Verdict::Wait,
+            _ => refuse,
+        }
+    }
+
+    fn may_grant(&self, name: &str, lack: u64) -> bool {
+        let Some(account) = self.stored(name) else {
+            return false;
+        };
+        let basis = crate::grant::Basis {
+            need: lack,
+            free: account.free(),
+            total: account.total(),
+            granted: self.granted(name),
+            weight: 100,
+            rate: 0.0,
+        };
+        lack == 0 || self.params.sizing.size(basis) > 0
+    }
+
+    /// Returns whether the record was read or written after a time.
+    fn is_fresh(&self, asked_at: u64) -> bool {
+        self.known
+            .as_ref()
+            .is_some_and(|(_, since)| *since >= asked_at)
+    }
+
+    /// Returns the tokens of an account that nobody has spent.
+    fn left(&self, name: &str) -> u64 {
+        let unposted = self.locals.get(name).map_or(0, |l| l.unposted(&self.me));
+        let stored = self.stored(name);
+        let left = stored.map_or(0, |a| a.total().saturating_sub(a.settled()));
+        left.saturating_sub(unposted)
+    }
+
+    /// Returns the largest sum of waiting requests that a grant can serve.
+    pub(crate) fn grantable(&self, name: &str) -> u64 {
+        let Some(account) = self.stored(name) else {
+            return 0;
+        };
+        let free = account.free();
+        let available = self.available(name);
+        let mut sum = 0;
+        for waiting in &self.locals[name].waiting {
+            let lack = (sum + waiting.tokens).saturating_sub(available);
+            if lack <= free {
+                sum += waiting.tokens;
+            }
+        }
+        sum.saturating_sub(available)
+    }
+
+    fn recall(&mut self, name: &str, lack: u64, out: &mut Vec<Action>) {
+        let donors = self.donors(name);
+        let local = self.locals.get_mut(name).expect("listed by the caller");
+        local.recalls += donors.len() as u32;
+        for from in donors {
+            out.push(Action::Recall {
+                account: name.to_string(),
+                from,
+                tokens: lack,
+            });
+        }
+    }
+
+    /// Returns the living holders that may hold unspent tokens.
+    fn donors(&self, name: &str) -> Vec<String> {
+        let Some(account) = self.stored(name) else {
+            return Vec::new();
+        };
+        let peers = self.peers.iter().filter(|p| **p != self.me);
+        peers.filter(|p| account.unspent(p) > 0).cloned().collect()
+    }
+}
+
+/// Opens or widens a hold; none when the hold to widen is gone.
+fn hold(local: &mut Local, waiting: Waiting, next_hold: u64) -> Option<u64> {
+    match waiting.want {
+        Want::New {
+            request,
+            body,
+            entry,
+        } => {
+            local.by_request.insert(request.clone(), next_hold);
+            let held = Held {
+                request,
+                body,
+                entries: smallvec![entry],
+                at: waiting.at,
+                tokens: waiting.tokens,
+                paid: 0,
+                uncertain: false,
+                probe_at: None,
+            };
+            local.held.insert(next_hold, held);
+            Some(next_hold)
+        }
+        Want::More { hold } => {
+            let held = local.held.get_mut(&hold)?;
+            held.tokens += waiting.tokens;
+            held.at = waiting.at;
+            Some(hold)
+        }
+    }
+}
--- /dev/null
+++ b/crates/budget/src/local.rs
@@ -0,0 +1,201 @@
+//! What a home knows of an account besides the record.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::Serialize;
+use smallvec::SmallVec;
+
+use crate::msg::{Act, Post, RunAt};
+
+/// Finished requests remembered for callers that retry.
+const DONE_KEPT: usize = 1024;
+/// How long a finished request is remembered, in milliseconds.
+const DONE_MS: u64 = 600_000;
+/// Requests remembered as given up before they were reserved.
+const VOID_KEPT: usize = 256;
+/// The demand is averaged over about this long, in milliseconds.
+const RATE_MS: f64 = 5_000.0;
+
+/// Tokens held back for one request.
+#[derive(Clone, Debug, Serialize)]
+pub struct Held {
+    /// The request's id.
+    pub request: String,
+    /// Hash of the request's body.
+    pub body: u64,
+    /// The entries that serve it.
+    pub entries: SmallVec<[String; 2]>,
+    /// Where it runs.
+    pub at: RunAt,
+    /// Tokens.
+    pub tokens: u64,
+    /// Tokens of the same run that are settled already.
+    pub paid: u64,
+    /// Set when the bill is made and only an upstream's word on the rest is missing.
+    pub uncertain: bool,
+    /// When to ask the upstream, once no entry is left.
+    pub probe_at: Option<u64>,
+}
+
+/// A finished request.
+#[derive(Clone, Debug, Serialize)]
+pub struct Done {
+    /// The hold's number.
+    pub hold: u64,
+    /// Hash of the request's body.
+    pub body: u64,
+    /// Where it ran.
+    pub at: RunAt,
+    /// Tokens billed.
+    pub tokens: u64,
+    /// When it was forgotten, in milliseconds.
+    pub until: u64,
+}
+
+/// What a waiting entry wants.
+#[derive(Clone, Debug)]
+pub enum Want {
+    /// A new hold.
+    New {
+        /// The request's id.
+        request: String,
+        /// Hash of its body.
+        body: u64,
+        /// The entry.
+        entry: String,
+    },
+    /// More tokens in a hold.
+    More {
+        /// The hold.
+        hold: u64,
+    },
+}
+
+/// An entry that waits for tokens.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Names the reply.
+    pub ask: u64,
+    /// What it wants.
+    pub want: Want,
+    /// Where it will send the request.
+    pub at: RunAt,
+    /// Tokens.
+    pub tokens: u64,
+    /// Percentage of the free budget that one grant may take.
+    pub weight: u8,
+    /// When it came, in milliseconds.
+    pub asked_at: u64,
+    /// When it gives up, in milliseconds.
+    pub deadline: u64,
+    /// Whether the other holders were asked on its behalf.
+    pub recalled: bool,
+}
+
+/// A settlement that is not in the record yet.
+#[derive(Clone, Debug, Serialize)]
+pub struct Pending {
+    /// The settlement.
+    pub post: Post,
+    /// Replies that wait for it.
+    pub asks: SmallVec<[u64; 2]>,
+    /// When to ask for a copy in another zone, while replies wait.
+    pub copy_at: u64,
+}
+
+/// One account at one home.
+#[derive(Clone, Debug, Default)]
+pub struct Local {
+    /// Open holds by number.
+    pub held: BTreeMap<u64, Held>,
+    /// Open holds by request.
+    pub by_request: BTreeMap<String, u64>,
+    /// Finished requests.
+    pub done: BTreeMap<String, Done>,
+    done_order: VecDeque<String>,
+    /// Requests that their entry gave up, as `entry/request`.
+    voided: VecDeque<String>,
+    /// Settlements on their way to the record.
+    pub pending: Vec<Pending>,
+    /// Entries that wait for tokens, first come first.
+    pub waiting: VecDeque<Waiting>,
+    /// Tokens handed to other holders, cumulative.
+    pub sent: BTreeMap<String, u64>,
+    /// Tokens received from other holders, cumulative.
+    pub got: BTreeMap<String, u64>,
+    /// Tokens on their way back to the record: no longer spendable here.
+    pub giving: u64,
+    /// Operators' acts on their way to the record.
+    pub acts: Vec<(u64, Act)>,
+    /// Recalls without an answer.
+    pub recalls: u32,
+    /// When the account was last used, in milliseconds.
+    pub used_at: u64,
+    rate: f64,
+    rate_at: u64,
+}
+
+impl Local {
+    /// Returns tokens held back for open requests.
+    pub fn reserved(&self) -> u64 {
+        self.held.values().map(|h| h.tokens).sum()
+    }
+
+    /// Returns tokens spent by this holder that the record does not show yet.
+    pub fn unposted(&self, me: &str) -> u64 {
+        let mine = self.pending.iter().filter(|p| p.post.holder == me);
+        mine.map(|p| p.post.tokens).sum()
+    }
+
+    /// Remembers a finished request.
+    pub fn finish(&mut self, now: u64, request: String, mut done: Done) {
+        done.until = now + DONE_MS;
+        if self.done.insert(request.clone(), done).is_none() {
+            self.done_order.push_back(request);
+        }
+        while self.done_order.len() > DONE_KEPT || self.oldest_is_stale(now) {
+            if let Some(old) = self.done_order.pop_front() {
+                self.done.remove(&old);
+            }
+        }
+    }
+
+    fn oldest_is_stale(&self, now: u64) -> bool {
+        let oldest = self.done_order.front().and_then(|r| self.done.get(r));
+        oldest.is_some_and(|d| d.until <= now)
+    }
+
+    /// Remembers that an entry will not use a reservation that may still arrive.
+    pub fn void(&mut self, entry: &str, request: &str) {
+        self.voided.push_back(format!("{entry}/{request}"));
+        if self.voided.len() > VOID_KEPT {
+            self.voided.pop_front();
+        }
+    }
+
+    /// Returns whether an entry gave a request up before it was reserved.
+    pub fn is_void(&self, entry: &str, request: &str) -> bool {
+        let name = format!("{entry}/{request}");
+        self.voided.contains(&name)
+    }
+
+    /// Counts demand.
+    pub fn demand(&mut self, now: u64, tokens: u64) {
+        let passed = now.saturating_sub(self.rate_at) as f64;
+        self.rate *= (-passed / RATE_MS).exp();
+        self.rate += tokens as f64 * 1000.0 / RATE_MS;
+        self.rate_at = now;
+        self.used_at = now;
+    }
+
+    /// Returns the demand, in tokens a second.
+    pub fn rate(&self, now: u64) -> f64 {
+        let passed = now.saturating_sub(self.rate_at) as f64;
+        self.rate * (-passed / RATE_MS).exp()
+    }
+
+    /// Returns whether nothing is under way.
+    pub fn is_quiet(&self) -> bool {
+        self.held.is_empty() && self.pending.is_empty() && self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/budget/src/pacer.rs
@@ -0,0 +1,54 @@
+//! Keeps one instance's platform writes within its part of the fleet's share.
+
+/// A token bucket: a write at once while the load is light, spaced writes under load.
+#[derive(Clone, Debug)]
+pub struct Pacer {
+    per_sec: f64,
+    burst: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Pacer {
+    /// Opens a pacer for one of some instances that share a rate.
+    pub fn open(now: u64, fleet_per_sec: u64, instances: usize) -> Pacer {
+        let per_sec = fleet_per_sec as f64 / instances.max(1) as f64;
+        let burst = (per_sec * 2.0).max(2.0);
+        Pacer {
+            per_sec,
+            burst,
+            level: burst,
+            at: now,
+        }
+    }
+
+    /// Adapts to the number of instances.
+    pub fn resize(&mut self, fleet_per_sec: u64, instances: usize) {
+        self.per_sec = fleet_per_sec as f64 / instances.max(1) as f64;
+        self.burst = (self.per_sec * 2.0).max(2.0);
+        self.level = self.level.min(self.burst);
+    }
+
+    /// Takes a write; returns whether it may go now.
+    pub fn take(&mut self, now: u64) -> bool {
+        self.refill(now);
+        let may = self.level >= 1.0;
+        if may {
+            self.level -= 1.0;
+        }
+        may
+    }
+
+    /// Returns the milliseconds until the next write may go.
+    pub fn wait_ms(&mut self, now: u64) -> u64 {
+        self.refill(now);
+        let lack = (1.0 - self.level).max(0.0);
+        (lack * 1000.0 / self.per_sec).ceil() as u64
+    }
+
+    fn refill(&mut self, now: u64) {
+        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.level = (self.level + passed * self.per_sec).min(self.burst);
+        self.at = now.max(self.at);
+    }
+}
--- /dev/null
+++ b/crates/budget/src/propose.rs
@@ -0,0 +1,365 @@
+//! How a home gets its part into the record: what it reads, writes and adopts.
+
+use std::collections::BTreeMap;
+
+use crate::grant::Basis;
+use crate::home::{act_reply, Home, Io, Proposal, Role};
+use crate::msg::{Act, Action, Settled, Stored};
+use crate::pacer::Pacer;
+use crate::record::{Account, Record};
+
+/// Bills in a record above which the older half moves to a segment.
+const ROLL_BILLS: usize = 512;
+/// Read again when a write waits for the pacer no longer than this, in milliseconds.
+const IDLE_USE_MS: u64 = 300_000;
+
+impl Home {
+    /// Serves who waits, then starts the platform call that is due.
+    pub(crate) fn pump(&mut self, now: u64, pacer: &mut Pacer, out: &mut Vec<Action>) {
+        self.serve_waiting(now, out);
+        if self.io != Io::Idle || now < self.retry_at {
+            return;
+        }
+        if self.want_read || (self.known.is_none() && self.has_work(now)) {
+            self.want_read = false;
+            self.io = Io::Read { since: now };
+            out.push(Action::Read);
+        } else if self.known.is_some() && self.must_roll() {
+            self.write_segment(pacer, now, out);
+        } else if self.known.is_some() && self.has_work(now) && pacer.take(now) {
+            self.write(now, out);
+        }
+    }
+
+    /// Returns whether the record lacks something that only a write can bring.
+    fn has_work(&self, now: u64) -> bool {
+        let any = |(name, l): (&String, &crate::local::Local)| {
+            !l.pending.is_empty() || !l.acts.is_empty() || l.giving > 0 || self.wants(now, name) > 0
+        };
+        self.rolled.is_some() || self.locals.iter().any(any) || self.standby_lacks()
+    }
+
+    /// Returns the tokens to take for an account: for who waits here, or as a standby.
+    fn wants(&self, now: u64, name: &str) -> u64 {
+        let need = self.grantable(name);
+        if need == 0 {
+            return 0;
+        }
+        let Some(account) = self.stored(name) else {
+            return 0;
+        };
+        let local = &self.locals[name];
+        let weight = local.waiting.iter().map(|w| w.weight).max().unwrap_or(100);
+        self.params.sizing.size(Basis {
+            need,
+            free: account.free(),
+            total: account.total(),
+            granted: self.granted(name),
+            weight,
+            rate: local.rate(now),
+        })
+    }
+
+    /// Returns what a standby should add to its own grant of an account.
+    fn standby_adds(&self, name: &str, account: &Account) -> u64 {
+        if self.role != Role::Standby || self.params.standby_pct == 0 {
+            return 0;
+        }
+        let pct = u128::from(self.params.standby_pct);
+        let target = (u128::from(account.free()) * pct / 100) as u64;
+        let has = self.available(name);
+        if has < target / 2 {
+            target - has
+        } else {
+            0
+        }
+    }
+
+    fn standby_lacks(&self) -> bool {
+        let Some(record) = self.record() else {
+            return false;
+        };
+        let lacks = |(name, a): (&String, &Account)| self.standby_adds(name, a) > 0;
+        record.accounts.iter().any(lacks)
+    }
+
+    fn must_roll(&self) -> bool {
+        let full = |r: &Record| r.bills() > ROLL_BILLS;
+        self.role == Role::Home && self.rolled.is_none() && self.record().is_some_and(full)
+    }
+
+    fn write_segment(&mut self, pacer: &mut Pacer, now: u64, out: &mut Vec<Action>) {
+        if !pacer.take(now) {
+            return;
+        }
+        let segment = self.record().expect("checked by must_roll").segment();
+        let name = format!("{}.{}", self.me, self.next_write);
+        self.next_write += 1;
+        self.rolled = Some((name.clone(), segment.clone()));
+        self.io = Io::Segment;
+        out.push(Action::WriteSegment { name, segment });
+    }
+
+    fn write(&mut self, now: u64, out: &mut Vec<Action>) {
+        let (stored, _) = self.known.as_ref().expect("checked by pump");
+        let base = stored.revision;
+        let mut record = stored.record.clone();
+        let number = self.next_write;
+        self.next_write += 1;
+        let mut giving = BTreeMap::new();
+        for (name, local) in &self.locals {
+            self.write_account(now, name, &mut record);
+            if local.giving > 0 {
+                giving.insert(name.clone(), local.giving);
+            }
+        }
+        self.write_standby(&mut record);
+        self.write_rest(&mut record);
+        record.writers.insert(self.me.clone(), number);
+        record.accounts.values().for_each(Account::check);
+        self.doubtful.push(Proposal {
+            number,
+            base,
+            giving,
+            record: record.clone(),
+        });
+        self.io = Io::Write { since: now };
+        out.push(Action::Write { base, record });
+    }
+
+    fn write_account(&self, now: u64, name: &str, record: &mut Record) {
+        let local = &self.locals[name];
+        let wanted = self.wants(now, name);
+        for pending in &local.pending {
+            record.post(name, &pending.post);
+        }
+        if local.sent.is_empty()
+            && local.got.is_empty()
+            && local.acts.is_empty()
+            && wanted + local.giving == 0
+        {
+            return;
+        }
+        let account = record.accounts.entry(name.to_string()).or_default();
+        for (to, tokens) in &local.sent {
+            merge(account, format!("{}>{to}", self.me), *tokens);
+        }
+        for (from, tokens) in &local.got {
+            merge(account, format!("{from}>{}", self.me), *tokens);
+        }
+        for (_, act) in &local.acts {
+            apply_act(account, act);
+        }
+        if wanted + local.giving > 0 {
+            let line = account.lines.entry(self.me.clone()).or_default();
+            line.granted += wanted as i64 - local.giving as i64;
+        }
+    }
+
+    fn write_standby(&self, record: &mut Record) {
+        if self.role != Role::Standby {
+            return;
+        }
+        for (name, account) in &mut record.accounts {
+            let adds = self.standby_adds(name, account).min(account.free());
+            if adds > 0 {
+                account.lines.entry(self.me.clone()).or_default().granted += adds as i64;
+            }
+        }
+    }
+
+    fn write_rest(&self, record: &mut Record) {
+        if let Some((name, segment)) = &self.rolled {
+            record.roll(name, segment);
+        }
+        for holder in &self.gone {
+            record.fold(holder);
+        }
+    }
+
+    /// Takes over what a read found.
+    pub(crate) fn read(&mut self, now: u64, stored: Option<Stored>, out: &mut Vec<Action>) {
+        let since = match self.io {
+            Io::Read { since } => since,
+            _ => now,
+        };
+        self.io = Io::Idle;
+        self.failures = 0;
+        self.retry_at = 0;
+        self.adopt(or_empty(stored), since, out);
+    }
+
+    /// Takes over this home's own write.
+    pub(crate) fn written(&mut self, revision: i64, out: &mut Vec<Action>) {
+        let Some(proposal) = self.doubtful.last() else {
+            return;
+        };
+        let record = proposal.record.clone();
+        self.end_write(Stored { revision, record }, out);
+    }
+
+    /// Takes over the write that came first.
+    pub(crate) fn write_lost(&mut self, stored: Option<Stored>, out: &mut Vec<Action>) {
+        self.end_write(or_empty(stored), out);
+    }
+
+    fn end_write(&mut self, stored: Stored, out: &mut Vec<Action>) {
+        let since = match self.io {
+            Io::Write { since } => since,
+            _ => 0,
+        };
+        self.io = Io::Idle;
+        self.failures = 0;
+        self.retry_at = 0;
+        self.adopt(stored, since, out);
+    }
+
+    /// Makes a record the known one, and finds out which of this home's writes it holds.
+    fn adopt(&mut self, stored: Stored, since: u64, out: &mut Vec<Action>) {
+        if let Some((old, _)) = &self.known {
+            if stored.revision < old.revision {
+                // A store that went back can't be believed: what it granted may be granted twice.
+                return;
+            }
+        }
+        self.land(&stored);
+        self.rolled = self
+            .rolled
+            .take()
+            .filter(|(_, s)| s.prev == stored.record.last_segment);
+        self.known = Some((stored, since));
+        self.drop_folded();
+        self.merge_transfers();
+        self.drop_posted(out);
+        self.answer_acts(out);
+        self.forget_idle();
+    }
+
+    /// Ends the doubt about writes that have landed or can land no more.
+    fn land(&mut self, stored: &Stored) {
+        let landed = stored.record.writers.get(&self.me).copied().unwrap_or(0);
+        for proposal in std::mem::take(&mut self.doubtful) {
+            if proposal.number == landed {
+                for (name, tokens) in &proposal.giving {
+                    let local = self.locals.get_mut(name).expect("kept while giving");
+                    local.giving -= tokens;
+                }
+            } else if proposal.base == stored.revision {
+                // Still on its way, perhaps: it can land until the revision moves.
+                self.doubtful.push(proposal);
+            }
+        }
+    }
+
+    /// Drops transfers with holders that were folded up: they are grants of this holder now.
+    fn drop_folded(&mut self) {
+        let Some((stored, _)) = &self.known else {
+            return;
+        };
+        let tombstones = &stored.record.tombstones;
+        for local in self.locals.values_mut() {
+            local.got.retain(|h, _| !tombstones.contains(h));
+            local.sent.retain(|h, _| !tombstones.contains(h));
+        }
+    }
+
+    fn merge_transfers(&mut self) {
+        let Some((stored, _)) = &self.known else {
+            return;
+        };
+        for (name, account) in &stored.record.accounts {
+            for (pair, tokens) in &account.transfers {
+                let Some((from, to)) = pair.split_once('>') else {
+                    continue;
+                };
+                if to == self.me {
+                    let local = self.locals.entry(name.clone()).or_default();
+                    let got = local.got.entry(from.to_string()).or_default();
+                    *got = (*got).max(*tokens);
+                }
+            }
+        }
+    }
+
+    /// Drops settlements and holds that the record shows as settled.
+    fn drop_posted(&mut self, out: &mut Vec<Action>) {
+        let Some((stored, _)) = &self.known else {
+            return;
+        };
+        let record = &stored.record;
+        for (name, local) in &mut self.locals {
+            local.pending.retain_mut(|p| {
+                let posted = record.has_post(name, &p.post.holder, p.post.hold);
+                if posted {
+                    let how = Settled::Recorded;
+                    out.extend(p.asks.drain(..).map(|ask| Action::Settled { ask, how }));
+                }
+                !posted
+            });
+            let me = &self.me;
+            local.held.retain(|n, _| !record.has_post(name, me, *n));
+            let held = &local.held;
+            local.by_request.retain(|_, n| held.contains_key(n));
+        }
+        self.kept
+            .retain(|(_, a, p)| !record.has_post(a, &p.holder, p.hold));
+    }
+
+    fn answer_acts(&mut self, out: &mut Vec<Action>) {
+        let Some((stored, _)) = &self.known else {
+            return;
+        };
+        for (name, local) in &mut self.locals {
+            let Some(account) = stored.record.accounts.get(name) else {
+                continue;
+            };
+            local.acts.retain(|(ask, act)| {
+                let reply = act_reply(account, act);
+                let answered = reply.is_some();
+                out.extend(reply.map(|reply| Action::Acted { ask: *ask, reply }));
+                !answered
+            });
+        }
+    }
+
+    /// Forgets accounts that have had nothing here for a while.
+    fn forget_idle(&mut self) {
+        let since = self.known.as_ref().map_or(0, |(_, s)| *s);
+        self.locals.retain(|_, l| {
+            let empty = l.is_quiet() && l.acts.is_empty() && l.sent.is_empty() && l.got.is_empty();
+            !(empty && l.giving == 0 && l.used_at + IDLE_USE_MS < since)
+        });
+    }
+}
+
+fn or_empty(stored: Option<Stored>) -> Stored {
+    stored.unwrap_or(Stored {
+        revision: 0,
+        record: Record::default(),
+    })
+}
+
+/// Only the larger word counts, so that giver and receiver may both report a transfer.
+fn merge(account: &mut Account, pair: String, tokens: u64) {
+    if tokens > 0 {
+        let line = account.transfers.entry(pair).or_default();
+        *line = (*line).max(tokens);
+    }
+}
+
+fn apply_act(account: &mut Account, act: &Act) {
+    match act {
+        Act::TopUp { id, tokens } => {
+            // A reused id is answered by `act_reply` from the record, which keeps the first act.
+            let _ = account.top_up(id, *tokens);
+        }
+        Act::Release {
+            id,
+            holder,
+            reason,
+            who,
+        } => {
+            account.release(id, holder, reason, who);
+        }
+    }
+}
--- /dev/null
+++ b/crates/budget/src/record.rs
@@ -0,0 +1,349 @@
+//! The account records in the platform's service, grouped into shards.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::msg::Post;
+use crate::ranges::Ranges;
+
+/// Folded holders whose names are remembered, so that a late bill of theirs isn't posted again.
+const TOMBSTONES: usize = 256;
+
+/// One shard: some accounts, written as one value.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Accounts by customer.
+    pub accounts: BTreeMap<String, Account>,
+    /// The number of the last write of each writer, by which it knows its own writes again.
+    #[serde(default)]
+    pub writers: BTreeMap<String, u64>,
+    /// Holders whose settled lines were folded up.
+    #[serde(default)]
+    pub tombstones: VecDeque<String>,
+    /// The value that holds the bills before the ones here.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub last_segment: Option<String>,
+}
+
+/// Older bills, moved out of the record; each names the one before it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Segment {
+    /// The segment before this one.
+    pub prev: Option<String>,
+    /// Bills by customer.
+    pub bills: BTreeMap<String, Vec<Bill>>,
+}
+
+/// One customer's budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    /// Top-ups by their ids.
+    pub topups: BTreeMap<String, u64>,
+    /// What each holder was granted and has settled.
+    pub lines: BTreeMap<String, Line>,
+    /// Tokens handed from holder to holder, cumulative, by `from>to`.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub transfers: BTreeMap<String, u64>,
+    /// Tokens settled by holders whose lines were folded up.
+    #[serde(default)]
+    pub folded: u64,
+    /// The latest bills; older ones are in segments.
+    #[serde(default)]
+    pub bills: Vec<Bill>,
+    /// Stranded tokens that operators released.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub releases: Vec<Release>,
+}
+
+/// What one holder, an incarnation of an instance, may spend and has spent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// Tokens granted, less tokens handed back; negative when it handed back received ones.
+    pub granted: i64,
+    /// Tokens spent, billed or not.
+    pub settled: u64,
+    /// Of these, tokens that upstreams served and no bill names.
+    #[serde(default)]
+    pub written_off: u64,
+    /// Numbers of the holds that are settled.
+    #[serde(default)]
+    pub posted: Ranges,
+    /// Tokens an operator took back from a vanished holder.
+    #[serde(default)]
+    pub released: u64,
+}
+
+/// One bill: one request id, once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bill {
+    /// The request's id.
+    pub request: String,
+    /// Tokens.
+    pub tokens: u64,
+    /// The holder that paid.
+    pub holder: String,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+}
+
+/// Stranded tokens released by an operator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The act's id.
+    pub id: String,
+    /// The holder that vanished.
+    pub holder: String,
+    /// Tokens.
+    pub tokens: u64,
+    /// Why.
+    pub reason: String,
+    /// Who.
+    pub who: String,
+}
+
+/// What posting did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Posted {
+    /// A bill, or a write-off where none was due.
+    New,
+    /// Nothing: this hold was settled before.
+    Known,
+    /// A write-off: another hold's bill names the same request.
+    Duplicate,
+}
+
+impl Account {
+    /// Returns the sum of the top-ups.
+    pub fn total(&self) -> u64 {
+        self.topups
+            .values()
+            .fold(0, |sum, t| sum.saturating_add(*t))
+    }
+
+    /// Returns the tokens that are granted to holders or spent for good.
+    pub fn bound(&self) -> u64 {
+        let net = |l: &Line| i128::from(l.granted) - i128::from(l.released);
+        let granted: i128 = self.lines.values().map(net).sum();
+        (i128::from(self.folded) + granted).max(0) as u64
+    }
+
+    /// Returns the tokens that may still be granted.
+    pub fn free(&self) -> u64 {
+        self.total().saturating_sub(self.bound())
+    }
+
+    /// Returns the tokens spent.
+    pub fn settled(&self) -> u64 {
+        self.folded + self.lines.values().map(|l| l.settled).sum::<u64>()
+    }
+
+    /// Returns tokens received from and handed to other holders.
+    pub fn moved(&self, holder: &str) -> (u64, u64) {
+        let mut got = 0;
+        let mut sent = 0;
+        for (pair, tokens) in &self.transfers {
+            match pair.split_once('>') {
+                Some((from, _)) if from == holder => sent += tokens,
+                Some((_, to)) if to == holder => got += tokens,
+                _ => {}
+            }
+        }
+        (got, sent)
+    }
+
+    /// Returns what a holder holds unspent, as far as the record knows.
+    pub fn unspent(&self, holder: &str) -> u64 {
+        self.balance(holder).max(0) as u64
+    }
+
+    fn balance(&self, holder: &str) -> i128 {
+        let (got, sent) = self.moved(holder);
+        let (granted, spent) = self.lines.get(holder).map_or((0, 0), |l| {
+            (l.granted, i128::from(l.settled) + i128::from(l.released))
+        });
+        i128::from(granted) + i128::from(got) - i128::from(sent) - spent
+    }
+
+    /// Closes the line of a holder that has nothing unspent.
+    ///
+    /// Its transfers become grants of the other side, so that the sum stays as it was. The other
+    /// side drops its own count of them when it sees the holder's tombstone.
+    fn fold(&mut self, holder: &str) {
+        let pairs: Vec<(String, u64)> = self
+            .transfers
+            .iter()
+            .filter(|(pair, _)| pair.split('>').any(|h| h == holder))
+            .map(|(pair, tokens)| (pair.clone(), *tokens))
+            .collect();
+        for (pair, tokens) in pairs {
+            self.transfers.remove(&pair);
+            let tokens = tokens as i64;
+            match pair.split_once('>') {
+                Some((from, to)) if from == holder => {
+                    self.lines.entry(to.to_string()).or_default().granted += tokens;
+                }
+                Some((from, _)) => {
+                    self.lines.entry(from.to_string()).or_default().granted -= tokens;
+                }
+                None => {}
+            }
+        }
+        if let Some(line) = self.lines.remove(holder) {
+            self.folded += line.settled;
+        }
+    }
+
+    /// Adds a top-up; returns whether its id was new.
+    ///
+    /// # Errors
+    ///
+    /// Returns the tokens of the earlier act when the id was used with another number.
+    pub fn top_up(&mut self, id: &str, tokens: u64) -> Result<bool, u64> {
+        match self.topups.get(id) {
+            Some(old) if *old == tokens => Ok(false),
+            Some(old) => Err(*old),
+            None => {
+                self.topups.insert(id.to_string(), tokens);
+                Ok(true)
+            }
+        }
+    }
+
+    /// Takes back what a vanished holder left unspent; returns the tokens.
+    pub fn release(&mut self, id: &str, holder: &str, reason: &str, who: &str) -> u64 {
+        if let Some(old) = self.releases.iter().find(|r| r.id == id) {
+            return old.tokens;
+        }
+        let tokens = self.unspent(holder);
+        if let Some(line) = self.lines.get_mut(holder) {
+            line.released += tokens;
+        }
+        self.releases.push(Release {
+            id: id.to_string(),
+            holder: holder.to_string(),
+            tokens,
+            reason: reason.to_string(),
+            who: who.to_string(),
+        });
+        tokens
+    }
+
+    /// Checks what must hold for every record ever written.
+    ///
+    /// # Panics
+    ///
+    /// Panics when more was granted or spent than was paid for: writing such a record would put
+    /// an overspend in force, and stopping the instance strands a grant at worst.
+    pub fn check(&self) {
+        let total = self.total();
+        assert!(
+            self.bound() <= total || !self.releases.is_empty(),
+            "granted {} of {total}",
+            self.bound()
+        );
+        assert!(
+            self.settled() <= total || !self.releases.is_empty(),
+            "settled {} of {total}",
+            self.settled()
+        );
+    }
+}
+
+impl Record {
+    /// Settles a hold, once; makes its bill unless the request has one.
+    pub fn post(&mut self, account: &str, post: &Post) -> Posted {
+        if self.tombstones.contains(&post.holder) {
+            return Posted::Known;
+        }
+        let account = self.accounts.entry(account.to_string()).or_default();
+        let line = account.lines.entry(post.holder.clone()).or_default();
+        if !line.posted.insert(post.hold) {
+            return Posted::Known;
+        }
+        line.settled += post.tokens;
+        let duplicate = account.bills.iter().any(|b| b.request == post.request);
+        if post.billed && !duplicate {
+            account.bills.push(Bill {
+                request: post.request.clone(),
+                tokens: post.tokens,
+                holder: post.holder.clone(),
+                at_ms: post.at_ms,
+            });
+            return Posted::New;
+        }
+        line.written_off += post.tokens;
+        if post.billed {
+            Posted::Duplicate
+        } else {
+            Posted::New
+        }
+    }
+
+    /// Returns whether a hold is settled.
+    pub fn has_post(&self, account: &str, holder: &str, hold: u64) -> bool {
+        let line = self.accounts.get(account).and_then(|a| a.lines.get(holder));
+        match line {
+            Some(line) => line.posted.contains(hold),
+            None => self.tombstones.iter().any(|t| t == holder),
+        }
+    }
+
+    /// Folds up the lines of a holder that is gone and has nothing unspent anywhere.
+    ///
+    /// A line is kept while it strands tokens or was released: these must stay visible.
+    pub fn fold(&mut self, holder: &str) -> bool {
+        let released = |a: &Account| a.lines.get(holder).is_some_and(|l| l.released > 0);
+        let done = |a: &Account| a.balance(holder) == 0 && !released(a);
+        if !self.accounts.values().all(done) {
+            return false;
+        }
+        for account in self.accounts.values_mut() {
+            account.fold(holder);
+        }
+        self.writers.remove(holder);
+        self.tombstones.push_back(holder.to_string());
+        if self.tombstones.len() > TOMBSTONES {
+            self.tombstones.pop_front();
+        }
+        true
+    }
+
+    /// Returns the number of bills in this record.
+    pub fn bills(&self) -> usize {
+        self.accounts.values().map(|a| a.bills.len()).sum()
+    }
+
+    /// Copies the older half of the bills into a segment.
+    pub fn segment(&self) -> Segment {
+        let half = |a: &Account| a.bills[..a.bills.len().div_ceil(2)].to_vec();
+        let bills = self.accounts.iter().map(|(n, a)| (n.clone(), half(a)));
+        Segment {
+            prev: self.last_segment.clone(),
+            bills: bills.filter(|(_, b)| !b.is_empty()).collect(),
+        }
+    }
+
+    /// Drops the bills that a stored segment holds; returns false if another one came first.
+    pub fn roll(&mut self, name: &str, segment: &Segment) -> bool {
+        if self.last_segment != segment.prev {
+            return false;
+        }
+        for (account, bills) in &segment.bills {
+            if let Some(account) = self.accounts.get_mut(account) {
+                account.bills.retain(|b| !bills.contains(b));
+            }
+        }
+        self.last_segment = Some(name.to_string());
+        true
+    }
+
+    /// Returns every holder with a line.
+    pub fn holders(&self) -> Vec<String> {
+        let lines = self.accounts.values().flat_map(|a| a.lines.keys());
+        let mut holders: Vec<String> = lines.chain(self.writers.keys()).cloned().collect();
+        holders.sort();
+        holders.dedup();
+        holders
+    }
+}
--- /dev/null
+++ b/crates/conf/src/check.rs
@@ -0,0 +1,164 @@
+//! Checks a JSON document against its shape and reports every fault with its path.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use crate::shape::{Field, Shape};
+
+/// One fault of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Where, as a JSON pointer.
+    pub path: String,
+    /// What is wrong and what is allowed.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let path = if self.path.is_empty() {
+            "/"
+        } else {
+            &self.path
+        };
+        write!(f, "at {path}: {}", self.what)
+    }
+}
+
+/// Parses a text and checks it against a shape.
+///
+/// # Errors
+///
+/// Returns every fault found.
+pub fn parse(text: &str, shape: &Shape) -> Result<Value, Vec<Fault>> {
+    let value: Value = serde_json::from_str(text).map_err(|e| {
+        vec![Fault {
+            path: String::new(),
+            what: format!("not JSON: {e}"),
+        }]
+    })?;
+    let faults = faults(&value, shape);
+    if faults.is_empty() {
+        Ok(value)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Returns every fault of a value.
+pub fn faults(value: &Value, shape: &Shape) -> Vec<Fault> {
+    let mut out = Vec::new();
+    walk(value, shape, "", &mut out);
+    out
+}
+
+fn walk(value: &Value, shape: &Shape, path: &str, out: &mut Vec<Fault>) {
+    match shape {
+        Shape::List(item) => match value.as_array() {
+            Some(list) => {
+                for (i, v) in list.iter().enumerate() {
+                    walk(v, item, &format!("{path}/{i}"), out);
+                }
+            }
+            None => wrong(value, "a list", path, out),
+        },
+        Shape::Map(item) => match value.as_object() {
+            Some(map) => {
+                for (name, v) in map {
+                    walk(v, item, &child(path, name), out);
+                }
+            }
+            None => wrong(value, "an object", path, out),
+        },
+        Shape::Object(fields) => match value.as_object() {
+            Some(map) => object(map, fields, path, out),
+            None => wrong(value, "an object", path, out),
+        },
+        leaf => {
+            if let Some(allowed) = leaf_fault(value, leaf) {
+                wrong(value, &allowed, path, out);
+            }
+        }
+    }
+}
+
+fn object(
+    map: &serde_json::Map<String, Value>,
+    fields: &[Field],
+    path: &str,
+    out: &mut Vec<Fault>,
+) {
+    for field in fields {
+        match map.get(field.name) {
+            Some(v) => walk(v, &field.shape, &child(path, field.name), out),
+            None if field.required => out.push(Fault {
+                path: child(path, field.name),
+                what: "missing, but required".to_string(),
+            }),
+            None => {}
+        }
+    }
+    for name in map.keys() {
+        if !fields.iter().any(|f| f.name == name) {
+            let known: Vec<_> = fields.iter().map(|f| f.name).collect();
+            out.push(Fault {
+                path: child(path, name),
+                what: format!("unknown field; allowed are {}", known.join(", ")),
+            });
+        }
+    }
+}
+
+/// Returns what is allowed instead, when the value does not fit.
+fn leaf_fault(value: &Value, shape: &Shape) -> Option<String> {
+    let text = value.as_str().unwrap_or_default();
+    let (fits, allowed) = match shape {
+        Shape::Text => (!text.is_empty(), "a text that is not empty".to_string()),
+        Shape::Uint(lo, hi) => (
+            value.as_u64().is_some_and(|n| n >= *lo && n <= *hi),
+            format!("a whole number from {lo} to {hi}"),
+        ),
+        Shape::Bool => (value.is_boolean(), "true or false".to_string()),
+        Shape::Addr => (
+            text.parse::<SocketAddr>().is_ok(),
+            "an IP address with a port, as 127.0.0.1:8080".to_string(),
+        ),
+        Shape::Url => (
+            text.strip_prefix("http://")
+                .is_some_and(|a| a.parse::<SocketAddr>().is_ok()),
+            "http:// with an IP address and a port".to_string(),
+        ),
+        Shape::KeyHash => (
+            is_key_hash(text),
+            "sha256: and 64 hexadecimal digits".to_string(),
+        ),
+        Shape::Word(words) => (
+            words.contains(&text),
+            format!("one of {}", words.join(", ")),
+        ),
+        Shape::List(_) | Shape::Map(_) | Shape::Object(_) => (true, String::new()),
+    };
+    (!fits).then_some(allowed)
+}
+
+fn is_key_hash(text: &str) -> bool {
+    let digits = text.strip_prefix("sha256:").unwrap_or_default();
+    digits.len() == 64 && digits.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
+fn wrong(value: &Value, allowed: &str, path: &str, out: &mut Vec<Fault>) {
+    let mut shown = value.to_string();
+    if shown.len() > 40 {
+        shown = shown.chars().take(40).collect::<String>() + "…";
+    }
+    out.push(Fault {
+        path: path.to_string(),
+        what: format!("{shown} is not {allowed}"),
+    });
+}
+
+fn child(path: &str, name: &str) -> String {
+    format!("{path}/{}", name.replace('~', "~0").replace('/', "~1"))
+}
--- /dev/null
+++ b/crates/conf/src/shape.rs
@@ -0,0 +1,106 @@
+//! The allowed shapes of JSON documents, as data tables.
+
+/// What a value may be.
+#[derive(Debug)]
+pub enum Shape {
+    /// A text that is not empty.
+    Text,
+    /// A whole number between two bounds, both included.
+    Uint(u64, u64),
+    /// True or false.
+    Bool,
+    /// An IP address with a port.
+    Addr,
+    /// An `http://` address.
+    Url,
+    /// The SHA-256 of a key, as `sha256:` and 64 hexadecimal digits.
+    KeyHash,
+    /// One of some words.
+    Word(&'static [&'static str]),
+    /// A list.
+    List(&'static Shape),
+    /// An object with free names.
+    Map(&'static Shape),
+    /// An object with fixed fields.
+    Object(&'static [Field]),
+}
+
+/// A field of an object.
+#[derive(Debug)]
+pub struct Field {
+    /// The name.
+    pub name: &'static str,
+    /// What its value may be.
+    pub shape: Shape,
+    /// Whether it must be there.
+    pub required: bool,
+}
+
+const fn must(name: &'static str, shape: Shape) -> Field {
+    Field {
+        name,
+        shape,
+        required: true,
+    }
+}
+
+const fn may(name: &'static str, shape: Shape) -> Field {
+    Field {
+        name,
+        shape,
+        required: false,
+    }
+}
+
+const DAY_SECS: u64 = 86_400;
+const MAX_TOKENS: u64 = 1_000_000_000;
+
+/// The settings of one process.
+pub static SETTINGS: Shape = Shape::Object(&[
+    must("name", Shape::Text),
+    must("region", Shape::Text),
+    must("zone", Shape::Text),
+    must("platform", Shape::Url),
+    may("listen", Shape::Addr),
+    may("admin_listen", Shape::Addr),
+    may("peer_listen", Shape::Addr),
+    may("peers", Shape::List(&Shape::Addr)),
+    may("admin_key", Shape::Text),
+    may("log", Shape::Word(&["text", "json"])),
+    may("shards", Shape::Uint(1, 4096)),
+    may("body_limit", Shape::Uint(1024, 1 << 30)),
+    may("drain_secs", Shape::Uint(1, DAY_SECS)),
+    may("request_secs", Shape::Uint(1, DAY_SECS)),
+    may("claim_retention_secs", Shape::Uint(60, 30 * DAY_SECS)),
+    may("writes_per_sec", Shape::Uint(1, 100_000)),
+    may("orphan_grace_ms", Shape::Uint(100, 3_600_000)),
+]);
+
+/// A template, or what a customer overrides of it.
+const POLICY: &[Field] = &[
+    may("models", Shape::List(&Shape::Text)),
+    may("services", Shape::List(&Shape::Text)),
+    may("not_repeatable", Shape::List(&Shape::Text)),
+    may("priority", Shape::Uint(0, 9)),
+    may("max_tokens", Shape::Uint(1, MAX_TOKENS)),
+    may("weight", Shape::Uint(1, 100)),
+];
+
+/// The operators' configuration.
+pub static CONFIG: Shape = Shape::Object(&[
+    must("templates", Shape::Map(&Shape::Object(POLICY))),
+    must(
+        "customers",
+        Shape::Map(&Shape::Object(&[
+            must("template", Shape::Text),
+            must("key_hashes", Shape::List(&Shape::KeyHash)),
+            may("models", Shape::List(&Shape::Text)),
+            may("services", Shape::List(&Shape::Text)),
+            may("not_repeatable", Shape::List(&Shape::Text)),
+            may("priority", Shape::Uint(0, 9)),
+            may("max_tokens", Shape::Uint(1, MAX_TOKENS)),
+            may("weight", Shape::Uint(1, 100)),
+        ])),
+    ),
+    may("versions", Shape::Map(&Shape::Text)),
+]);
--- /dev/null
+++ b/crates/entry/src/admission.rs
@@ -0,0 +1,154 @@
+//! Requests that wait for an upstream, with the channels that wake them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use err::{Error, Kind};
+use route::queue::{Queue, Ticket, Verdict};
+use route::upstream;
+use tokio::sync::oneshot;
+
+use crate::shared::Shared;
+
+type Pool = (upstream::Kind, String);
+
+impl Line {
+    fn tell(&mut self, ticket: Ticket, go: bool) {
+        if let Some(tx) = self.waiters.remove(&ticket) {
+            // A caller that left meanwhile has dropped its end.
+            let _ = tx.send(go);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Line {
+    queue: Queue,
+    waiters: BTreeMap<Ticket, oneshot::Sender<bool>>,
+}
+
+/// The queues of one instance, by what upstreams serve.
+#[derive(Default)]
+pub struct Admission(BTreeMap<PoolKey, Line>);
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PoolKey(u8, String);
+
+fn pool_key((kind, serves): &Pool) -> PoolKey {
+    PoolKey(*kind as u8, serves.clone())
+}
+
+impl Admission {
+    /// Returns how many wait, by what they wait for.
+    pub fn waiting(&self) -> BTreeMap<String, usize> {
+        let row = |(k, l): (&PoolKey, &Line)| (k.1.clone(), l.queue.len());
+        self.0.iter().map(row).collect()
+    }
+}
+
+/// Waits until an upstream can take a request.
+///
+/// # Errors
+///
+/// Returns `Overloaded` at once when the backlog is longer than the time left, and
+/// `DeadlinePassed` when the time has passed nevertheless.
+pub async fn admit(
+    shared: &Arc<Shared>,
+    kind: upstream::Kind,
+    serves: &str,
+    priority: u8,
+    deadline: u64,
+) -> Result<(), Error> {
+    let pool = (kind, serves.to_string());
+    let now = shared.clock.now();
+    let room = room(shared, &pool);
+    let (ticket, rx) = {
+        let mut admission = shared.admission.lock().expect("no panic inside");
+        let line = admission.0.entry(pool_key(&pool)).or_default();
+        match line.queue.arrive(now, room, priority, deadline) {
+            Verdict::Go => return Ok(()),
+            Verdict::Refuse { retry_ms } => {
+                let message =
+                    format!("the backlog of {serves} is longer than this request can wait");
+                let secs = retry_ms.div_ceil(1000) as u32;
+                return Err(Error::new(Kind::Overloaded, message).retry_after(secs));
+            }
+            Verdict::Wait(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                line.waiters.insert(ticket, tx);
+                (ticket, rx)
+            }
+        }
+    };
+    let left = Left {
+        shared: Arc::clone(shared),
+        pool,
+        ticket,
+    };
+    let go = rx.await;
+    drop(left);
+    if go == Ok(true) {
+        return Ok(());
+    }
+    let error = Error::new(Kind::DeadlinePassed, "no upstream was free in time");
+    Err(error.ran(err::Ran::No))
+}
+
+/// Takes a request out of its queue when its caller leaves.
+struct Left {
+    shared: Arc<Shared>,
+    pool: Pool,
+    ticket: Ticket,
+}
+
+impl Drop for Left {
+    fn drop(&mut self) {
+        let mut admission = self.shared.admission.lock().expect("no panic inside");
+        if let Some(line) = admission.0.get_mut(&pool_key(&self.pool)) {
+            line.queue.leave(self.ticket);
+            line.waiters.remove(&self.ticket);
+        }
+    }
+}
+
+fn room(shared: &Shared, (kind, serves): &Pool) -> u32 {
+    let now = shared.clock.now();
+    let pool = shared.pool.lock().expect("no panic inside");
+    pool.room(now, *kind, serves)
+}
+
+/// Counts the end of a request and lets in who waits.
+pub fn finished(shared: &Shared, kind: upstream::Kind, serves: &str) {
+    let now = shared.clock.now();
+    let pool = (kind, serves.to_string());
+    {
+        let mut admission = shared.admission.lock().expect("no panic inside");
+        if let Some(line) = admission.0.get_mut(&pool_key(&pool)) {
+            line.queue.finished(now);
+        }
+    }
+    wake(shared);
+}
+
+/// Lets in who waits, as far as there is room, and turns away whose time has passed.
+pub fn wake(shared: &Shared) {
+    let now = shared.clock.now();
+    let mut admission = shared.admission.lock().expect("no panic inside");
+    for (key, line) in &mut admission.0 {
+        if line.queue.is_empty() {
+            continue;
+        }
+        for ticket in line.queue.expire(now) {
+            line.tell(ticket, false);
+        }
+        let kind = if key.0 == upstream::Kind::Engine as u8 {
+            upstream::Kind::Engine
+        } else {
+            upstream::Kind::Service
+        };
+        let room = room(shared, &(kind, key.1.clone()));
+        for ticket in line.queue.release(now, room) {
+            line.tell(ticket, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/bankd.rs
@@ -0,0 +1,543 @@
+//! Runs the decisions on budgets: one task owns them, others send it events and wait for replies.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use budget::home::Params;
+use budget::msg::{Note, Reserve, RunAt, Stored};
+use budget::place::Candidate;
+use budget::{Act, ActReply, Action, Bank, Event, Output, Post, Record, ReserveReply, Settled};
+use kv::{Failure, Found, Swap};
+use serde_json::{json, Value};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clock::{wall_ms, Clock};
+use crate::event;
+use crate::rpc::{method, DropOutMsg, ExtendMsg, KeepMsg, RecallMsg, SettleMsg, VoidMsg};
+use crate::shared::Shared;
+
+/// Ticks while something waits for time or for the platform.
+const TICK_BUSY: Duration = Duration::from_millis(5);
+/// Ticks otherwise.
+const TICK_IDLE: Duration = Duration::from_millis(250);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+enum Cmd {
+    Reserve(Reserve, u64, oneshot::Sender<ReserveReply>),
+    Extend(ExtendMsg, oneshot::Sender<ReserveReply>),
+    Void(VoidMsg),
+    DropOut(DropOutMsg, oneshot::Sender<bool>),
+    Settle(SettleMsg, oneshot::Sender<Settled>),
+    Keep(KeepMsg),
+    Recall(RecallMsg, oneshot::Sender<u64>),
+    Act(String, Act, oneshot::Sender<ActReply>),
+    Event(u32, Event),
+    Members(Vec<Candidate>),
+    Silent(Vec<String>),
+    Gone(Vec<String>),
+    Leave,
+    IsClear(oneshot::Sender<bool>),
+    Dump(oneshot::Sender<Value>),
+}
+
+/// A handle on the running decisions; clones share them.
+#[derive(Clone)]
+pub struct Handle(mpsc::UnboundedSender<Cmd>);
+
+/// The receiving end, until the task is spawned.
+pub struct Inbox(mpsc::UnboundedReceiver<Cmd>);
+
+/// Opens a handle whose commands wait until the task is spawned.
+pub fn open() -> (Handle, Inbox) {
+    let (tx, rx) = mpsc::unbounded_channel();
+    (Handle(tx), Inbox(rx))
+}
+
+impl Handle {
+    fn send(&self, cmd: Cmd) {
+        // After the task's end there is nobody left to serve; replies are dropped with it.
+        let _ = self.0.send(cmd);
+    }
+
+    /// Holds tokens back.
+    pub async fn reserve(&self, req: Reserve, wait_ms: u64) -> Option<ReserveReply> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Cmd::Reserve(req, wait_ms, tx));
+        rx.await.ok()
+    }
+
+    /// Widens a hold.
+    pub async fn extend(&self, msg: ExtendMsg) -> Option<ReserveReply> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Cmd::Extend(msg, tx));
+        rx.await.ok()
+    }
+
+    /// Gives up a reservation whose answer came too late.
+    pub fn void(&self, msg: VoidMsg) {
+        self.send(Cmd::Void(msg));
+    }
+
+    /// Takes an entry off a request; returns whether others still serve it.
+    pub async fn drop_out(&self, msg: DropOutMsg) -> Option<bool> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Cmd::DropOut(msg, tx));
+        rx.await.ok()
+    }
+
+    /// Settles a hold; returns when the bill is durable.
+    pub async fn settle(&self, msg: SettleMsg) -> Option<Settled> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Cmd::Settle(msg, tx));
+        rx.await.ok()
+    }
+
+    /// Keeps a copy of another holder's settlement.
+    pub fn keep(&self, msg: KeepMsg) {
+        self.send(Cmd::Keep(msg));
+    }
+
+    /// Hands over unspent tokens; returns all that were ever handed to the asker.
+    pub async fn recall(&self, msg: RecallMsg) -> Option<u64> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Cmd::Recall(msg, tx));
+        rx.await.ok()
+    }
+
+    /// Carries out an operator's act.
+    pub async fn act(&self, account: &str, act: Act) -> Option<ActReply> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Cmd::Act(account.to_string(), act, tx));
+        rx.await.ok()
+    }
+
+    /// Sets the living instances of the region.
+    pub fn set_members(&self, members: Vec<Candidate>) {
+        self.send(Cmd::Members(members));
+    }
+
+    /// Tells that entries are gone.
+    pub fn set_silent(&self, entries: Vec<String>) {
+        self.send(Cmd::Silent(entries));
+    }
+
+    /// Tells which holders are gone for good.
+    pub fn set_gone(&self, holders: Vec<String>) {
+        self.send(Cmd::Gone(holders));
+    }
+
+    /// Hands everything back, for a planned stop.
+    pub fn leave(&self) {
+        self.send(Cmd::Leave);
+    }
+
+    /// Returns whether nothing is left to settle or hand back.
+    pub async fn is_clear(&self) -> bool {
+        let (tx, rx) = oneshot::channel();
+        self.send(Cmd::IsClear(tx));
+        rx.await.unwrap_or(true)
+    }
+
+    /// Returns the state as JSON.
+    pub async fn dump(&self) -> Value {
+        let (tx, rx) = oneshot::channel();
+        self.send(Cmd::Dump(tx));
+        rx.await.unwrap_or(Value::Null)
+    }
+}
+
+/// Returns the key of a shard's record.
+pub fn record_key(shard: u32) -> String {
+    format!("/oriolehitch/budget/{shard:04}")
+}
+
+/// Returns the key of a segment of older bills.
+pub fn segment_key(shard: u32, name: &str) -> String {
+    format!("/oriolehitch/bill/{shard:04}/{name}")
+}
+
+/// Spawns the task.
+pub fn spawn(inbox: Inbox, shared: &Arc<Shared>) {
+    let settings = &shared.settings;
+    let params = Params {
+        orphan_ms: settings.orphan_grace_ms(),
+        ..Params::default()
+    };
+    let clock = shared.clock;
+    let bank = Bank::open(
+        clock.now(),
+        &shared.me,
+        settings.shards(),
+        settings.writes_per_sec(),
+        params,
+    );
+    let task = Task {
+        bank,
+        clock,
+        shared: Arc::downgrade(shared),
+        handle: shared.bank.clone(),
+        next_ask: 1,
+        reserves: BTreeMap::new(),
+        drop_outs: BTreeMap::new(),
+        settles: BTreeMap::new(),
+        recalls: BTreeMap::new(),
+        acts: BTreeMap::new(),
+    };
+    tokio::spawn(task.run(inbox));
+}
+
+struct Task {
+    bank: Bank,
+    clock: Clock,
+    shared: Weak<Shared>,
+    handle: Handle,
+    next_ask: u64,
+    reserves: BTreeMap<u64, oneshot::Sender<ReserveReply>>,
+    drop_outs: BTreeMap<u64, oneshot::Sender<bool>>,
+    settles: BTreeMap<u64, oneshot::Sender<Settled>>,
+    recalls: BTreeMap<u64, oneshot::Sender<u64>>,
+    acts: BTreeMap<u64, oneshot::Sender<ActReply>>,
+}
+
+impl Task {
+    async fn run(mut self, mut inbox: Inbox) {
+        loop {
+            let wait = if self.bank.is_busy() {
+                TICK_BUSY
+            } else {
+                TICK_IDLE
+            };
+            let cmd = tokio::time::timeout(wait, inbox.0.recv()).await;
+            let now = self.clock.now();
+            let outputs = match cmd {
+                Err(_) => self.bank.step_all(now, &Event::Tick),
+                Ok(Some(cmd)) => self.take(now, cmd),
+                Ok(None) => return,
+            };
+            let Some(shared) = self.shared.upgrade() else {
+                return;
+            };
+            for output in outputs {
+                self.act(&shared, output);
+            }
+        }
+    }
+
+    fn ask(&mut self) -> u64 {
+        self.next_ask += 1;
+        self.next_ask
+    }
+
+    fn take(&mut self, now: u64, cmd: Cmd) -> Vec<Output> {
+        let ask = self.ask();
+        match cmd {
+            Cmd::Reserve(req, wait_ms, tx) => {
+                self.reserves.insert(ask, tx);
+                let account = req.account.clone();
+                let deadline = now + wait_ms;
+                self.step(now, &account, Event::Reserve { ask, req, deadline })
+            }
+            Cmd::Extend(m, tx) => {
+                self.reserves.insert(ask, tx);
+                let account = m.account.clone();
+                let event = Event::Extend {
+                    ask,
+                    account: m.account,
+                    hold: m.hold,
+                    at: m.at,
+                    tokens: m.tokens,
+                    deadline: now + m.wait_ms,
+                };
+                self.step(now, &account, event)
+            }
+            Cmd::Void(m) => {
+                let account = m.account.clone();
+                let event = Event::Void {
+                    account: m.account,
+                    request: m.request,
+                    entry: m.entry,
+                };
+                self.step(now, &account, event)
+            }
+            Cmd::DropOut(m, tx) => {
+                self.drop_outs.insert(ask, tx);
+                let account = m.account.clone();
+                let event = Event::DropOut {
+                    ask,
+                    account: m.account,
+                    hold: m.hold,
+                    entry: m.entry,
+                };
+                self.step(now, &account, event)
+            }
+            Cmd::Settle(m, tx) => {
+                self.settles.insert(ask, tx);
+                let account = m.account.clone();
+                let event = Event::Settle {
+                    ask: Some(ask),
+                    account: m.account,
+                    post: m.post,
+                    doubts: m.doubts,
+                };
+                self.step(now, &account, event)
+            }
+            Cmd::Keep(KeepMsg { account, post }) => {
+                let name = account.clone();
+                self.step(now, &name, Event::Keep { account, post })
+            }
+            Cmd::Recall(m, tx) => {
+                self.recalls.insert(ask, tx);
+                let account = m.account.clone();
+                let event = Event::Recall {
+                    ask,
+                    account: m.account,
+                    to: m.to,
+                    tokens: m.tokens,
+                };
+                self.step(now, &account, event)
+            }
+            Cmd::Act(account, act, tx) => {
+                self.acts.insert(ask, tx);
+                let name = account.clone();
+                self.step(now, &name, Event::Act { ask, account, act })
+            }
+            Cmd::Event(shard, event) => self.bank.step(now, shard, event),
+            Cmd::Members(members) => {
+                self.bank.set_members(members);
+                Vec::new()
+            }
+            Cmd::Silent(entries) => {
+                let gone = |entry| Event::Gone { entry };
+                let events: Vec<Event> = entries.into_iter().map(gone).collect();
+                let all = events.iter().flat_map(|e| self.bank.step_all(now, e));
+                all.collect()
+            }
+            Cmd::Gone(holders) => {
+                self.bank.set_gone(&holders);
+                Vec::new()
+            }
+            Cmd::Leave => {
+                self.bank.leave();
+                self.bank.step_all(now, &Event::Tick)
+            }
+            Cmd::IsClear(tx) => {
+                let _ = tx.send(self.bank.is_clear());
+                Vec::new()
+            }
+            Cmd::Dump(tx) => {
+                let _ = tx.send(self.dump());
+                Vec::new()
+            }
+        }
+    }
+
+    fn step(&mut self, now: u64, account: &str, event: Event) -> Vec<Output> {
+        let shard = self.bank.shard(account);
+        self.bank.step(now, shard, event)
+    }
+
+    /// Carries out one action; what takes time goes on beside and comes back as an event.
+    fn act(&mut self, shared: &Arc<Shared>, output: Output) {
+        let shard = output.shard;
+        let cx = Arc::clone(shared);
+        let handle = self.handle.clone();
+        match output.action {
+            Action::Read => {
+                tokio::spawn(async move {
+                    let event = read(&cx, shard).await;
+                    handle.send(Cmd::Event(shard, event));
+                });
+            }
+            Action::Write { base, record } => {
+                tokio::spawn(async move {
+                    let event = write(&cx, shard, base, &record).await;
+                    handle.send(Cmd::Event(shard, event));
+                });
+            }
+            Action::WriteSegment { name, segment } => {
+                tokio::spawn(async move {
+                    let text = serde_json::to_vec(&segment).expect("a segment is JSON");
+                    let key = segment_key(shard, &name);
+                    let swapped = cx.kv.swap(&key, 0, &text, 0).await;
+                    let done = matches!(swapped, Ok(Swap::Done(_)));
+                    handle.send(Cmd::Event(shard, Event::SegmentWritten(done)));
+                });
+            }
+            Action::Reserved { ask, reply } => reply_to(&mut self.reserves, ask, reply),
+            Action::Settled { ask, how } => reply_to(&mut self.settles, ask, how),
+            Action::Acted { ask, reply } => reply_to(&mut self.acts, ask, reply),
+            Action::Handed { ask, sent } => reply_to(&mut self.recalls, ask, sent),
+            Action::Recall {
+                account,
+                from,
+                tokens,
+            } => {
+                tokio::spawn(async move {
+                    let sent = recall(&cx, &account, &from, tokens).await;
+                    let event = Event::Recalled {
+                        account,
+                        from,
+                        sent,
+                    };
+                    handle.send(Cmd::Event(shard, event));
+                });
+            }
+            Action::Copy { account, post } => {
+                tokio::spawn(async move {
+                    let hold = post.hold;
+                    if copy(&cx, &account, post).await {
+                        handle.send(Cmd::Event(shard, Event::Copied { account, hold }));
+                    }
+                });
+            }
+            Action::DroppedOut { ask, others } => reply_to(&mut self.drop_outs, ask, others),
+            Action::Probe { account, hold, at } => {
+                tokio::spawn(async move {
+                    match probe(&cx, &at).await {
+                        Some(tokens) => {
+                            let detail = format!("{} at {}: {tokens}", at.run, at.upstream);
+                            cx.log(event::Event::OrphanBilled, detail);
+                            let at_ms = wall_ms();
+                            let event = Event::Proof {
+                                account,
+                                hold,
+                                tokens,
+                                at_ms,
+                            };
+                            handle.send(Cmd::Event(shard, event));
+                        }
+                        None => {
+                            let detail = format!("{} at {}", at.run, at.upstream);
+                            cx.log(event::Event::OrphanHeld, detail);
+                        }
+                    }
+                });
+            }
+            Action::Note(Note::Excess { account, tokens }) => {
+                shared.log(event::Event::Excess, format!("{account}: {tokens} tokens"));
+            }
+            Action::Note(Note::Duplicate { account, request }) => {
+                shared.log(event::Event::BillDuplicate, format!("{account}: {request}"));
+            }
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let mut shards = BTreeMap::new();
+        for (shard, home) in self.bank.homes() {
+            let locals: BTreeMap<_, _> = home
+                .locals()
+                .iter()
+                .map(|(name, l)| {
+                    let row = json!({
+                        "available": home.available(name),
+                        "held": l.held,
+                        "pending": l.pending.len(),
+                        "waiting": l.waiting.len(),
+                        "sent": l.sent,
+                        "got": l.got,
+                        "giving": l.giving,
+                    });
+                    (name, row)
+                })
+                .collect();
+            let row = json!({
+                "role": format!("{:?}", home.role()),
+                "cut_off": home.is_cut_off(),
+                "accounts": locals,
+            });
+            shards.insert(shard.to_string(), row);
+        }
+        json!(shards)
+    }
+}
+
+fn reply_to<T>(waiting: &mut BTreeMap<u64, oneshot::Sender<T>>, ask: u64, reply: T) {
+    if let Some(tx) = waiting.remove(&ask) {
+        // An asker that left is told by its own time-out what to do.
+        let _ = tx.send(reply);
+    }
+}
+
+fn stored(found: Option<Found>) -> Result<Option<Stored>, String> {
+    let Some(found) = found else {
+        return Ok(None);
+    };
+    let record: Record = serde_json::from_slice(&found.value).map_err(|e| e.to_string())?;
+    let revision = found.revision;
+    Ok(Some(Stored { revision, record }))
+}
+
+async fn read(cx: &Shared, shard: u32) -> Event {
+    let got = cx.kv.get(&record_key(shard)).await;
+    match got.map(stored) {
+        Ok(Ok(stored)) => Event::Read(stored),
+        Ok(Err(_)) | Err(_) => Event::ReadFailed,
+    }
+}
+
+async fn write(cx: &Shared, shard: u32, base: i64, record: &Record) -> Event {
+    let text = serde_json::to_vec(record).expect("a record is JSON");
+    match cx.kv.swap(&record_key(shard), base, &text, 0).await {
+        Ok(Swap::Done(revision)) => Event::Written { revision },
+        Ok(Swap::Lost(found)) => match stored(found) {
+            Ok(stored) => Event::WriteLost(stored),
+            Err(_) => Event::WriteRefused,
+        },
+        Err(Failure::Refused(_)) => Event::WriteRefused,
+        Err(Failure::Unknown(_)) => Event::WriteUnknown,
+    }
+}
+
+async fn recall(cx: &Shared, account: &str, from: &str, tokens: u64) -> Option<u64> {
+    let addr = addr(cx, from)?;
+    let msg = RecallMsg {
+        account: account.to_string(),
+        to: cx.me.clone(),
+        tokens,
+    };
+    let reply = cx.peers.call(cx, &addr, method::RECALL, &msg).await;
+    reply.unwrap_or(None)
+}
+
+fn addr(cx: &Shared, id: &str) -> Option<String> {
+    let members = cx.members.lock().expect("no panic inside");
+    members.get(id).map(|m| m.peer_addr.clone())
+}
+
+/// Gives a copy of a settlement to an instance in another availability zone.
+async fn copy(cx: &Shared, account: &str, post: Post) -> bool {
+    let msg = KeepMsg {
+        account: account.to_string(),
+        post,
+    };
+    let zone = &cx.settings.zone;
+    for member in cx.live().into_iter().filter(|m| m.zone != *zone) {
+        let kept = cx
+            .peers
+            .call::<_, bool>(cx, &member.peer_addr, method::KEEP, &msg)
+            .await;
+        if kept == Ok(true) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Cancels a request at its upstream and returns what it spent.
+pub async fn probe(cx: &Shared, at: &RunAt) -> Option<u64> {
+    let url = {
+        let pool = cx.pool.lock().expect("no panic inside");
+        let key = pool.find(&at.upstream)?;
+        pool.get(key).spec.url.clone()
+    };
+    let url = format!("{url}/v1/requests/{}/cancel", at.run);
+    let sent = cx.http.post(url).timeout(PROBE_TIMEOUT).send().await;
+    let usage: Value = sent.ok()?.json().await.ok()?;
+    match usage["known"].as_bool()? {
+        true => usage["total_tokens"].as_u64(),
+        // The upstream will refuse it if it still comes, so it can have spent nothing.
+        false => (usage["refused_from_now"] == true).then_some(0),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/clock.rs
@@ -0,0 +1,37 @@
+//! Time: monotonic for deadlines, wall-clock only for what people and ids read.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+
+/// A clock that starts with the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// Starts a clock.
+    pub fn start() -> Clock {
+        Clock(Instant::now())
+    }
+
+    /// Returns the milliseconds since the start; never goes back.
+    pub fn now(&self) -> u64 {
+        self.0.elapsed().as_millis() as u64
+    }
+
+    /// Returns the microseconds since the start; never goes back.
+    pub fn now_us(&self) -> u64 {
+        self.0.elapsed().as_micros() as u64
+    }
+
+    /// Returns the instant of a deadline.
+    pub fn at(&self, ms: u64) -> Instant {
+        self.0 + Duration::from_millis(ms)
+    }
+}
+
+/// Returns the milliseconds since the Unix epoch.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/crates/entry/src/configd.rs
@@ -0,0 +1,313 @@
+//! The configuration: accepted by a compare-and-swap of its head, spread by watch and by peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::bundle::Change;
+use conf::{Bundle, Chunk, Config, Head};
+use err::{Error, Kind};
+use kv::{Failure, Swap};
+use tokio::time::timeout;
+
+use crate::clock::wall_ms;
+use crate::event::Event;
+use crate::gossip;
+use crate::rpc::{method, PullMsg, PullReply};
+use crate::shared::{Active, Shared};
+
+const HEAD: &str = "/oriolehitch/config/head";
+const CHUNK: &str = "/oriolehitch/config/chunk/";
+/// The head is read at least this often: a watch can stall without a sign.
+const POLL_EVERY: Duration = Duration::from_secs(10);
+const WATCH_RETRY: Duration = Duration::from_secs(1);
+/// How often a write without an answer is looked for.
+const LOOKS: u32 = 5;
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// How long the spread of a change is followed for its metric.
+const SPREAD_MOST: Duration = Duration::from_secs(60);
+const SPREAD_LOOK: Duration = Duration::from_millis(50);
+
+/// Spawns the tasks.
+pub fn spawn(shared: &Arc<Shared>) {
+    tokio::spawn(follow(Arc::clone(shared)));
+    for addr in shared.settings.peers.clone().unwrap_or_default() {
+        pull_from(Arc::clone(shared), addr.to_string());
+    }
+}
+
+async fn follow(shared: Arc<Shared>) {
+    loop {
+        let mut watch = shared.kv.watch(HEAD).await.ok();
+        loop {
+            read(&shared).await;
+            let Some(rx) = watch.as_mut() else {
+                break;
+            };
+            if timeout(POLL_EVERY, rx.recv()).await == Ok(None) {
+                watch = None;
+            }
+        }
+        tokio::time::sleep(WATCH_RETRY).await;
+    }
+}
+
+/// Reads the head, and what it names that is not here.
+async fn read(shared: &Arc<Shared>) {
+    let Ok(Some((head, _))) = read_head(shared).await else {
+        return;
+    };
+    if head.revision <= shared.revision() {
+        return;
+    }
+    let mut bundle = start(shared, head);
+    for hash in bundle.missing() {
+        match shared.kv.get(&format!("{CHUNK}{hash}")).await {
+            Ok(Some(found)) => {
+                let text = String::from_utf8_lossy(&found.value).into_owned();
+                bundle.add(Chunk { hash, text });
+            }
+            Ok(None) | Err(_) => return,
+        }
+    }
+    put_in_force(shared, bundle);
+}
+
+/// Starts a bundle with the chunks that are here already.
+fn start(shared: &Shared, head: Head) -> Bundle {
+    let mut bundle = Bundle {
+        head,
+        chunks: Default::default(),
+    };
+    if let Some(active) = shared.active() {
+        for (hash, text) in &active.bundle.chunks {
+            if bundle.head.chunks.contains(hash) {
+                bundle.chunks.insert(hash.clone(), text.clone());
+            }
+        }
+    }
+    bundle
+}
+
+async fn read_head(shared: &Shared) -> Result<Option<(Head, i64)>, Failure> {
+    let Some(found) = shared.kv.get(HEAD).await? else {
+        return Ok(None);
+    };
+    match serde_json::from_slice(&found.value) {
+        Ok(head) => Ok(Some((head, found.revision))),
+        Err(e) => {
+            shared.log(Event::ConfigBroken, &e);
+            Err(Failure::Refused(e.to_string()))
+        }
+    }
+}
+
+/// Puts a whole bundle in force, unless a newer one is.
+fn put_in_force(shared: &Arc<Shared>, bundle: Bundle) {
+    let active = match Active::join(bundle) {
+        Ok(active) => Arc::new(active),
+        Err(e) => {
+            shared.log(Event::ConfigBroken, e);
+            return;
+        }
+    };
+    let revision = active.bundle.head.revision;
+    let at_ms = active.bundle.head.history.last().map_or(0, |c| c.at_ms);
+    {
+        let mut config = shared.config.write().expect("no panic inside");
+        // Checked under the lock: a slow pull may come after a newer one.
+        let current = config.as_ref().map_or(0, |a| a.bundle.head.revision);
+        if revision <= current {
+            return;
+        }
+        *config = Some(active);
+        assert!(revision > current, "a configuration never goes back");
+    }
+    let lag = wall_ms().saturating_sub(at_ms);
+    shared.metrics.config_lag.observe(lag as f64 / 1000.0);
+    let mut members = shared.members.lock().expect("no panic inside");
+    members.set_revision(revision);
+    drop(members);
+    shared.log(
+        Event::ConfigInForce,
+        format!("revision {revision} after {lag} ms"),
+    );
+}
+
+/// Answers a peer that asks for the configuration.
+pub fn answer(shared: &Shared, msg: &PullMsg) -> PullReply {
+    let Some(active) = shared.active() else {
+        return PullReply {
+            head: None,
+            chunks: Vec::new(),
+        };
+    };
+    let lacks = active
+        .bundle
+        .chunks
+        .iter()
+        .filter(|(h, _)| !msg.have.contains(h));
+    let chunk = |(hash, text): (&String, &String)| Chunk {
+        hash: hash.clone(),
+        text: text.clone(),
+    };
+    PullReply {
+        head: Some(active.bundle.head.clone()),
+        chunks: lacks.map(chunk).collect(),
+    }
+}
+
+/// Fetches a peer's configuration in a task of its own.
+pub fn pull_from(shared: Arc<Shared>, addr: String) {
+    tokio::spawn(async move {
+        let active = shared.active();
+        let have = active.map(|a| a.bundle.chunks.keys().cloned().collect());
+        let msg = PullMsg {
+            have: have.unwrap_or_default(),
+        };
+        let reply = shared
+            .peers
+            .call::<_, PullReply>(&shared, &addr, method::PULL, &msg)
+            .await;
+        let Ok(PullReply {
+            head: Some(head),
+            chunks,
+        }) = reply
+        else {
+            return;
+        };
+        if head.revision <= shared.revision() {
+            return;
+        }
+        let mut bundle = start(&shared, head);
+        for chunk in chunks {
+            bundle.add(chunk);
+        }
+        if bundle.missing().is_empty() {
+            put_in_force(&shared, bundle);
+        }
+    });
+}
+
+/// A change that an operator wants.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    /// The whole new configuration.
+    pub config: Config,
+    /// The revision that the operator has seen.
+    pub expected: u64,
+    /// Names the change.
+    pub change_id: String,
+    /// Who wants it.
+    pub who: String,
+    /// What changes, in a line.
+    pub what: String,
+}
+
+/// Accepts a change, or tells why not; returns the new revision.
+///
+/// # Errors
+///
+/// Returns a conflict when the expected revision is not the current one, and an error with an
+/// unknown outcome when the platform's answer was lost and can't be found.
+pub async fn accept(shared: &Arc<Shared>, wish: Wish) -> Result<u64, Error> {
+    let down = |_| {
+        Error::new(
+            Kind::PlatformDown,
+            "the platform's service can't be reached",
+        )
+    };
+    let (head, kv_revision) = read_head(shared).await.map_err(down)?.unwrap_or_default();
+    if let Some(done) = head.history.iter().find(|c| c.change_id == wish.change_id) {
+        return Ok(done.revision);
+    }
+    if head.revision != wish.expected {
+        return Err(conflict(head.revision));
+    }
+    let change = Change {
+        revision: head.revision + 1,
+        change_id: wish.change_id.clone(),
+        who: wish.who,
+        at_ms: wall_ms(),
+        what: wish.what,
+    };
+    let bundle = Bundle::next(&head, &wish.config, change);
+    for (hash, text) in &bundle.chunks {
+        if !head.chunks.contains(hash) {
+            // A chunk that is there already is the same: its key is its hash.
+            let key = format!("{CHUNK}{hash}");
+            shared
+                .kv
+                .swap(&key, 0, text.as_bytes(), 0)
+                .await
+                .map_err(down)?;
+        }
+    }
+    let text = serde_json::to_vec(&bundle.head).expect("a head is JSON");
+    match shared.kv.swap(HEAD, kv_revision, &text, 0).await {
+        Ok(Swap::Done(_)) => Ok(accepted(shared, bundle)),
+        Ok(Swap::Lost(_)) => find_again(shared, &wish.change_id, bundle, true).await,
+        Err(Failure::Refused(_)) => Err(Error::new(
+            Kind::PlatformDown,
+            "the platform's service refused the change",
+        )),
+        Err(Failure::Unknown(_)) => find_again(shared, &wish.change_id, bundle, false).await,
+    }
+}
+
+/// Looks for a change whose write had no answer, or lost a race.
+async fn find_again(
+    shared: &Arc<Shared>,
+    change_id: &str,
+    bundle: Bundle,
+    lost: bool,
+) -> Result<u64, Error> {
+    for _ in 0..LOOKS {
+        if let Ok(Some((head, _))) = read_head(shared).await {
+            if head.history.iter().any(|c| c.change_id == change_id) {
+                return Ok(accepted(shared, bundle));
+            }
+            if lost || head.revision >= bundle.head.revision {
+                return Err(conflict(head.revision));
+            }
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    Err(Error::new(
+        Kind::OutcomeUnknown,
+        "the platform did not say whether the change was accepted: send it again with the same change id",
+    ))
+}
+
+fn conflict(current: u64) -> Error {
+    Error::new(Kind::Conflict, format!("the current revision is {current}"))
+}
+
+fn accepted(shared: &Arc<Shared>, bundle: Bundle) -> u64 {
+    let revision = bundle.head.revision;
+    put_in_force(shared, bundle);
+    shared.log(Event::ConfigAccepted, format!("revision {revision}"));
+    let cx = Arc::clone(shared);
+    tokio::spawn(async move {
+        let began = shared_now(&cx);
+        gossip::tell_all(&cx, None).await;
+        follow_spread(&cx, revision, began).await;
+    });
+    revision
+}
+
+fn shared_now(shared: &Shared) -> u64 {
+    shared.clock.now()
+}
+
+/// Measures when the last living instance has a revision in force.
+async fn follow_spread(shared: &Shared, revision: u64, began: u64) {
+    let look = async {
+        while shared.live().iter().any(|m| m.revision < revision) {
+            tokio::time::sleep(SPREAD_LOOK).await;
+        }
+    };
+    if timeout(SPREAD_MOST, look).await.is_ok() {
+        let ms = shared.clock.now() - began;
+        shared.metrics.config_spread.observe(ms as f64 / 1000.0);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/event.rs
@@ -0,0 +1,207 @@
+//! Numbered log events; docs/EVENTS.md is their catalogue.
+
+use std::fmt::Display;
+
+use tracing::Level;
+
+/// What happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The instance serves.
+    Started,
+    /// A planned stop has begun.
+    Stopping,
+    /// A planned stop has ended.
+    Stopped,
+    /// A planned stop was cut short.
+    Cut,
+    /// Another configuration is in force.
+    ConfigInForce,
+    /// A configuration in the platform is broken.
+    ConfigBroken,
+    /// A change of configuration was accepted here.
+    ConfigAccepted,
+    /// The platform does not answer.
+    PlatformLost,
+    /// The platform answers again.
+    PlatformBack,
+    /// An instance is new, or changed its standing.
+    Member,
+    /// An instance fell silent.
+    MemberSilent,
+    /// An upstream is leaving.
+    UpstreamLeaving,
+    /// A bill waits longer than its answer should.
+    BillLate,
+    /// A bill had only one copy when its answer ended.
+    BillSingle,
+    /// An upstream served more than was asked for.
+    Excess,
+    /// A request was billed before under the same id.
+    BillDuplicate,
+    /// An orphaned request was cancelled and billed by its upstream's word.
+    OrphanBilled,
+    /// An orphaned request's upstream does not answer: its tokens stay held.
+    OrphanHeld,
+    /// An operator released stranded tokens.
+    Released,
+    /// An operator topped up a budget.
+    ToppedUp,
+    /// An answer broke off.
+    Incomplete,
+    /// An upstream's answer was not for this request.
+    Mixed,
+    /// A claim's end could not be stored.
+    ClaimLate,
+    /// An upstream was ordered to serve a version.
+    Ordered,
+}
+
+/// A row of the catalogue.
+#[derive(Clone, Copy, Debug)]
+pub struct Row {
+    /// The event.
+    pub event: Event,
+    /// Its number, which never changes.
+    pub id: u16,
+    /// Its severity.
+    pub level: Level,
+    /// Its text.
+    pub text: &'static str,
+}
+
+const fn row(event: Event, id: u16, level: Level, text: &'static str) -> Row {
+    Row {
+        event,
+        id,
+        level,
+        text,
+    }
+}
+
+/// The catalogue.
+pub const EVENTS: &[Row] = &[
+    row(Event::Started, 1001, Level::INFO, "instance serves"),
+    row(Event::Stopping, 1002, Level::INFO, "planned stop begun"),
+    row(Event::Stopped, 1003, Level::INFO, "planned stop ended"),
+    row(Event::Cut, 1004, Level::WARN, "planned stop cut short"),
+    row(
+        Event::ConfigInForce,
+        1101,
+        Level::INFO,
+        "configuration in force",
+    ),
+    row(
+        Event::ConfigBroken,
+        1102,
+        Level::ERROR,
+        "configuration broken",
+    ),
+    row(
+        Event::ConfigAccepted,
+        1103,
+        Level::INFO,
+        "configuration accepted",
+    ),
+    row(
+        Event::PlatformLost,
+        1201,
+        Level::WARN,
+        "platform does not answer",
+    ),
+    row(
+        Event::PlatformBack,
+        1202,
+        Level::INFO,
+        "platform answers again",
+    ),
+    row(Event::Member, 1301, Level::INFO, "instance new or changed"),
+    row(Event::MemberSilent, 1302, Level::WARN, "instance silent"),
+    row(
+        Event::UpstreamLeaving,
+        1401,
+        Level::INFO,
+        "upstream leaving",
+    ),
+    row(
+        Event::Ordered,
+        1402,
+        Level::INFO,
+        "upstream ordered to serve a version",
+    ),
+    row(Event::BillLate, 1501, Level::WARN, "bill late"),
+    row(
+        Event::BillSingle,
+        1502,
+        Level::WARN,
+        "answer ended with one copy of its bill",
+    ),
+    row(
+        Event::Excess,
+        1503,
+        Level::WARN,
+        "upstream served more than asked for",
+    ),
+    row(
+        Event::BillDuplicate,
+        1504,
+        Level::WARN,
+        "request billed before",
+    ),
+    row(
+        Event::OrphanBilled,
+        1505,
+        Level::INFO,
+        "orphaned request billed",
+    ),
+    row(
+        Event::OrphanHeld,
+        1506,
+        Level::WARN,
+        "orphaned request's tokens stay held",
+    ),
+    row(
+        Event::Released,
+        1507,
+        Level::WARN,
+        "stranded tokens released",
+    ),
+    row(Event::ToppedUp, 1508, Level::INFO, "budget topped up"),
+    row(Event::Incomplete, 1601, Level::WARN, "answer broke off"),
+    row(
+        Event::Mixed,
+        1602,
+        Level::ERROR,
+        "upstream answered another request",
+    ),
+    row(
+        Event::ClaimLate,
+        1603,
+        Level::WARN,
+        "end of a claim not stored",
+    ),
+];
+
+impl Event {
+    /// Returns the event's row of the catalogue.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the catalogue lacks the event; a test holds them together.
+    pub fn row(self) -> &'static Row {
+        let found = EVENTS.iter().find(|r| r.event == self);
+        found.expect("every event has a row")
+    }
+
+    /// Writes the event to the log.
+    pub fn log(self, instance: &str, detail: impl Display) {
+        let Row {
+            id, level, text, ..
+        } = *self.row();
+        match level {
+            Level::ERROR => tracing::error!(id, instance, %detail, "{text}"),
+            Level::WARN => tracing::warn!(id, instance, %detail, "{text}"),
+            _ => tracing::info!(id, instance, %detail, "{text}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/journal.rs
@@ -0,0 +1,57 @@
+//! What happened to the latest requests, for operators who ask why.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Mutex;
+
+use serde::Serialize;
+
+/// Requests remembered.
+const REQUESTS_MOST: usize = 1_000;
+/// Steps remembered of one request.
+const STEPS_MOST: usize = 32;
+
+/// One step of a request.
+#[derive(Clone, Debug, Serialize)]
+pub struct Step {
+    /// When, in milliseconds since the instance's start.
+    pub at: u64,
+    /// What happened.
+    pub what: String,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    steps: BTreeMap<String, Vec<Step>>,
+    order: VecDeque<String>,
+}
+
+/// The latest requests with their steps.
+#[derive(Debug, Default)]
+pub struct Journal(Mutex<Inner>);
+
+impl Journal {
+    /// Adds a step to a request.
+    pub fn add(&self, at: u64, request: &str, what: impl Into<String>) {
+        let mut inner = self.0.lock().expect("no panic inside");
+        if !inner.steps.contains_key(request) {
+            inner.order.push_back(request.to_string());
+            inner.steps.insert(request.to_string(), Vec::new());
+        }
+        let steps = inner.steps.get_mut(request).expect("inserted above");
+        if steps.len() < STEPS_MOST {
+            let what = what.into();
+            steps.push(Step { at, what });
+        }
+        if inner.order.len() > REQUESTS_MOST {
+            if let Some(old) = inner.order.pop_front() {
+                inner.steps.remove(&old);
+            }
+        }
+    }
+
+    /// Returns a request's steps.
+    pub fn get(&self, request: &str) -> Vec<Step> {
+        let inner = self.0.lock().expect("no panic inside");
+        inner.steps.get(request).cloned().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,20 @@
+//! One running instance: listeners, filters of a request, and the tasks around the decisions.
+
+pub mod admin;
+pub mod admission;
+pub mod bankd;
+pub mod callers;
+pub mod clock;
+pub mod configd;
+pub mod event;
+pub mod gossip;
+pub mod instance;
+pub mod journal;
+pub mod loads;
+pub mod metric;
+pub mod pipe;
+pub mod registry;
+pub mod rpc;
+pub mod shared;
+
+pub use instance::Instance;
--- /dev/null
+++ b/crates/entry/src/pipe/choose.rs
@@ -0,0 +1,102 @@
+//! Waits for room, then chooses an upstream.
+
+use budget::msg::RunAt;
+use err::{Error, Kind};
+use rand::random;
+use route::pool::{Ask, Choice, Why};
+use route::upstream;
+
+use super::cx::Cx;
+use crate::admission;
+
+/// When to come back while no upstream serves something, in seconds.
+const RETRY_SECS: u32 = 2;
+
+/// Waits until an upstream has room and chooses one, which then counts one request more.
+///
+/// # Errors
+///
+/// Returns `Overloaded`, `DeadlinePassed` or `NoUpstream`; nothing has run then.
+pub async fn choose(
+    cx: &mut Cx,
+    kind: upstream::Kind,
+    serves: &str,
+    prefix: Option<u64>,
+) -> Result<(), Error> {
+    let shared = cx.shared.clone();
+    let known = {
+        let pool = shared.pool.lock().expect("no panic inside");
+        pool.serves(kind, serves)
+    };
+    if !known {
+        return Err(none(serves));
+    }
+    if cx.attempts == 0 {
+        admission::admit(&shared, kind, serves, cx.policy.priority, cx.deadline).await?;
+    }
+    let now = shared.clock.now();
+    let mut pool = shared.pool.lock().expect("no panic inside");
+    let choice = pool.choose(
+        now,
+        &Ask {
+            kind,
+            serves,
+            prefix,
+            zone: &shared.settings.zone,
+            tried: &cx.tried,
+            random: random(),
+        },
+    );
+    let choice = choice.ok_or_else(|| none(serves))?;
+    pool.get_mut(choice.key).begin();
+    drop(pool);
+    cx.tried.push(choice.key);
+    // Each attempt has its own name, so that a late part of another one is told apart.
+    cx.run = format!("{}~{:08x}", cx.id, random::<u32>());
+    cx.step(format!("chose {} ({:?})", choice.id, choice.why));
+    cx.upstream = Some(choice);
+    Ok(())
+}
+
+fn none(serves: &str) -> Error {
+    let message = format!("no upstream serves {serves} now");
+    Error::new(Kind::NoUpstream, message).retry_after(RETRY_SECS)
+}
+
+/// Takes the upstream where the request runs already.
+///
+/// # Errors
+///
+/// Returns `OutcomeUnknown` when this instance does not know the upstream.
+pub fn join(cx: &mut Cx, at: &RunAt) -> Result<(), Error> {
+    let mut pool = cx.shared.pool.lock().expect("no panic inside");
+    let key = pool.find(&at.upstream).ok_or_else(|| {
+        let message = format!("it runs at {}, which is not listed", at.upstream);
+        Error::new(Kind::OutcomeUnknown, message)
+    })?;
+    let up = pool.get_mut(key);
+    up.begin();
+    let choice = Choice {
+        key,
+        id: up.spec.id.clone(),
+        url: up.spec.url.clone(),
+        why: Why::Joined,
+    };
+    drop(pool);
+    cx.run = at.run.clone();
+    cx.upstream = Some(choice);
+    Ok(())
+}
+
+/// Counts the end of an attempt at the chosen upstream.
+pub fn done(cx: &mut Cx, kind: upstream::Kind, serves: &str, ok: bool) {
+    let Some(choice) = cx.upstream.take() else {
+        return;
+    };
+    let now = cx.shared.clock.now();
+    {
+        let mut pool = cx.shared.pool.lock().expect("no panic inside");
+        pool.get_mut(choice.key).end(now, ok, random());
+    }
+    admission::finished(&cx.shared, kind, serves);
+}
--- /dev/null
+++ b/crates/entry/src/pipe/settle.rs
@@ -0,0 +1,120 @@
+//! Settles a hold: at its home, or through another one when the home can't be reached.
+
+use std::time::Duration;
+
+use budget::msg::Doubt;
+use budget::{Post, Settled};
+use tokio::time::{timeout_at, Instant};
+
+use super::cx::{Cx, Hold};
+use super::reserve::{homes, peer_addr};
+use crate::clock::wall_ms;
+use crate::event::Event;
+use crate::rpc::{method, SettleMsg};
+use crate::shared::Shared;
+
+/// How long an end marker waits for its bill.
+const WAIT: Duration = Duration::from_secs(10);
+/// Pause after a round in which no instance took the bill.
+const ROUND_PAUSE: Duration = Duration::from_millis(500);
+/// Rounds at the home alone before others are asked to post the bill.
+const HOME_ROUNDS: u32 = 2;
+
+/// What a request has spent.
+#[derive(Clone, Debug, Default)]
+pub struct Spent {
+    /// Tokens that upstreams served.
+    pub tokens: u64,
+    /// Whether the caller is billed.
+    pub billed: bool,
+    /// What upstreams that can't be asked may have served besides.
+    pub doubts: Vec<Doubt>,
+}
+
+/// Settles the request's hold and waits until its bill is durable.
+///
+/// The bill is carried on in a task of its own, so that neither a caller that leaves nor a stop
+/// loses it. Waiting is bounded: the answer is whole already, and the bill will follow.
+pub async fn settle(cx: &Cx, spent: Spent) {
+    let Some(hold) = cx.hold.clone() else {
+        return;
+    };
+    if hold.billed.is_some() {
+        return;
+    }
+    let shared = cx.shared.clone();
+    let began = shared.clock.now_us();
+    let msg = message(cx, &hold, spent);
+    cx.step(format!("settles {} tokens", msg.post.tokens));
+    let id = cx.id.clone();
+    let busy = shared.begin();
+    let carried = tokio::spawn(async move {
+        let how = carry(&busy_shared(&shared), &hold, msg).await;
+        drop(busy);
+        how
+    });
+    let shared = &cx.shared;
+    match timeout_at(Instant::now() + WAIT, carried).await {
+        Ok(how) => cx.step(format!("settled: {how:?}")),
+        Err(_) => shared.log(Event::BillSingle, id),
+    }
+    let took = shared.clock.now_us() - began;
+    shared.metrics.bill_wait.observe(took as f64 / 1e6);
+}
+
+fn busy_shared(shared: &std::sync::Arc<Shared>) -> std::sync::Arc<Shared> {
+    std::sync::Arc::clone(shared)
+}
+
+fn message(cx: &Cx, hold: &Hold, spent: Spent) -> SettleMsg {
+    if spent.tokens > hold.tokens {
+        let extra = spent.tokens - hold.tokens;
+        cx.shared
+            .log(Event::Excess, format!("{}: {extra} tokens", cx.id));
+    }
+    SettleMsg {
+        account: cx.customer.clone(),
+        post: Post {
+            holder: hold.holder.clone(),
+            hold: hold.number,
+            request: cx.id.clone(),
+            tokens: spent.tokens.min(hold.tokens),
+            billed: spent.billed,
+            at_ms: wall_ms(),
+        },
+        doubts: spent.doubts,
+    }
+}
+
+/// Carries a bill until an instance says that it is durable.
+async fn carry(shared: &Shared, hold: &Hold, msg: SettleMsg) -> Settled {
+    let mut round = 0;
+    loop {
+        if let Some(how) = send(shared, &hold.holder, &msg).await {
+            return how;
+        }
+        round += 1;
+        if round == HOME_ROUNDS {
+            shared.log(Event::BillLate, &msg.post.request);
+        }
+        if round >= HOME_ROUNDS {
+            // Posting is idempotent by holder and number, so the home may post it as well.
+            for home in homes(shared, &msg.account) {
+                if let Some(how) = send(shared, &home, &msg).await {
+                    return how;
+                }
+            }
+        }
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+}
+
+async fn send(shared: &Shared, to: &str, msg: &SettleMsg) -> Option<Settled> {
+    if to == shared.me {
+        return shared.bank.settle(msg.clone()).await;
+    }
+    let addr = peer_addr(shared, to)?;
+    let reply: Result<Option<Settled>, String> =
+        shared.peers.call(shared, &addr, method::SETTLE, msg).await;
+    reply.ok().flatten()
+}
--- /dev/null
+++ b/crates/kv/src/client.rs
@@ -0,0 +1,263 @@
+//! The client: bounded calls, each with one of three ends — done, refused, or unknown.
+
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use serde_json::{json, Value};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::wire::{self, KeyValue};
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A call that took longer than this counts as a sign of trouble in `healthy`.
+const RECENT: Duration = Duration::from_secs(3);
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The service was not reached, or refused: nothing took effect.
+    Refused(String),
+    /// The call may have taken effect.
+    Unknown(String),
+}
+
+/// A value with the revision of its last write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The store's revision of the last write to the key.
+    pub revision: i64,
+}
+
+/// The end of a compare-and-swap.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Swap {
+    /// It took effect and made this revision.
+    Done(i64),
+    /// The key has changed meanwhile, or is gone.
+    Lost(Option<Found>),
+}
+
+/// How many calls of each sort were made.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Reads.
+    pub reads: AtomicU64,
+    /// Writes.
+    pub writes: AtomicU64,
+    /// Watches started.
+    pub watches: AtomicU64,
+    /// Calls without an answer.
+    pub failures: AtomicU64,
+}
+
+struct Inner {
+    url: String,
+    http: reqwest::Client,
+    counts: Counts,
+    started: Instant,
+    /// Milliseconds after `started` of the last answer and the last failure.
+    last_ok: AtomicI64,
+    last_bad: AtomicI64,
+}
+
+/// A handle on the platform's service; clones share it.
+#[derive(Clone)]
+pub struct Client(Arc<Inner>);
+
+impl Client {
+    /// Opens a client; nothing is sent yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the HTTP library can't be set up.
+    pub fn open(url: &str) -> Client {
+        let http = reqwest::Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .no_proxy()
+            .build()
+            .expect("a plain HTTP client");
+        Client(Arc::new(Inner {
+            url: url.to_string(),
+            http,
+            counts: Counts::default(),
+            started: Instant::now(),
+            last_ok: AtomicI64::new(-1),
+            last_bad: AtomicI64::new(-1),
+        }))
+    }
+
+    /// Returns the counts of calls.
+    pub fn counts(&self) -> &Counts {
+        &self.0.counts
+    }
+
+    /// Returns whether the last call that ended was answered.
+    pub fn healthy(&self) -> bool {
+        let ok = self.0.last_ok.load(Ordering::Relaxed);
+        let bad = self.0.last_bad.load(Ordering::Relaxed);
+        ok >= bad && ok >= 0
+    }
+
+    /// Returns whether a call was answered a moment ago.
+    pub fn heard_recently(&self) -> bool {
+        let ok = self.0.last_ok.load(Ordering::Relaxed);
+        ok >= 0 && self.now_ms() - ok < RECENT.as_millis() as i64
+    }
+
+    fn now_ms(&self) -> i64 {
+        self.0.started.elapsed().as_millis() as i64
+    }
+
+    async fn call(&self, path: &str, body: &Value) -> Result<Value, Failure> {
+        let url = format!("{}{path}", self.0.url);
+        let sent = self.0.http.post(url).json(body).timeout(CALL_TIMEOUT);
+        let res = match sent.send().await {
+            Ok(res) if res.status().is_success() => res.json::<Value>().await,
+            Ok(res) if res.status().is_client_error() => {
+                return self.fail(Failure::Refused(format!("status {}", res.status())));
+            }
+            Ok(res) => {
+                // The service may have lost the answer only: a 5xx says nothing about the write.
+                return self.fail(Failure::Unknown(format!("status {}", res.status())));
+            }
+            Err(e) if e.is_connect() => return self.fail(Failure::Refused(e.to_string())),
+            Err(e) => Err(e),
+        };
+        match res {
+            Ok(value) => {
+                self.0.last_ok.store(self.now_ms(), Ordering::Relaxed);
+                Ok(value)
+            }
+            Err(e) => self.fail(Failure::Unknown(e.to_string())),
+        }
+    }
+
+    fn fail<T>(&self, failure: Failure) -> Result<T, Failure> {
+        self.0.last_bad.store(self.now_ms(), Ordering::Relaxed);
+        self.0.counts.failures.fetch_add(1, Ordering::Relaxed);
+        Err(failure)
+    }
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure when there is no answer.
+    pub async fn get(&self, key: &str) -> Result<Option<Found>, Failure> {
+        self.0.counts.reads.fetch_add(1, Ordering::Relaxed);
+        let body = json!({"key": wire::b64(key.as_bytes())});
+        let res = self.call("/v3/kv/range", &body).await?;
+        Ok(kvs(&res["kvs"]).pop())
+    }
+
+    /// Reads all keys with a prefix, and the store's revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure when there is no answer.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Found>, i64), Failure> {
+        self.0.counts.reads.fetch_add(1, Ordering::Relaxed);
+        let body = json!({
+            "key": wire::b64(prefix.as_bytes()),
+            "range_end": wire::b64(&wire::prefix_end(prefix)),
+        });
+        let res = self.call("/v3/kv/range", &body).await?;
+        Ok((kvs(&res["kvs"]), wire::number(&res["header"]["revision"])))
+    }
+
+    /// Writes one key if its revision is still the given one; 0 means absent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure when there is no answer; after `Unknown` the write may have taken
+    /// effect, or may still do so.
+    pub async fn swap(
+        &self,
+        key: &str,
+        revision: i64,
+        value: &[u8],
+        lease: i64,
+    ) -> Result<Swap, Failure> {
+        self.0.counts.writes.fetch_add(1, Ordering::Relaxed);
+        let body = wire::swap(key, revision, value, lease);
+        let res = self.call("/v3/kv/txn", &body).await?;
+        if res["succeeded"].as_bool() == Some(true) {
+            return Ok(Swap::Done(wire::number(&res["header"]["revision"])));
+        }
+        let found = kvs(&res["responses"][0]["response_range"]["kvs"]).pop();
+        Ok(Swap::Lost(found))
+    }
+
+    /// Makes a lease of some seconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure when there is no answer.
+    pub async fn lease(&self, ttl_secs: u64) -> Result<i64, Failure> {
+        self.0.counts.writes.fetch_add(1, Ordering::Relaxed);
+        let body = json!({"TTL": ttl_secs.to_string()});
+        let res = self.call("/v3/lease/grant", &body).await?;
+        Ok(wire::number(&res["ID"]))
+    }
+
+    /// Renews a lease; returns whether it still lives.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure when there is no answer.
+    pub async fn keep_alive(&self, lease: i64) -> Result<bool, Failure> {
+        self.0.counts.writes.fetch_add(1, Ordering::Relaxed);
+        let body = json!({"ID": lease.to_string()});
+        let res = self.call("/v3/lease/keepalive", &body).await?;
+        Ok(wire::number(&res["result"]["TTL"]) > 0)
+    }
+
+    /// Watches a prefix: each message says that something changed, until the watch breaks.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure when the watch can't be started.
+    pub async fn watch(&self, prefix: &str) -> Result<mpsc::Receiver<()>, Failure> {
+        self.0.counts.watches.fetch_add(1, Ordering::Relaxed);
+        let body = json!({"create_request": {
+            "key": wire::b64(prefix.as_bytes()),
+            "range_end": wire::b64(&wire::prefix_end(prefix)),
+        }});
+        let url = format!("{}/v3/watch", self.0.url);
+        let sent = self.0.http.post(url).json(&body).send().await;
+        let res = sent.map_err(|e| Failure::Refused(e.to_string()))?;
+        let (tx, rx) = mpsc::channel(1);
+        let mut lines = res.bytes_stream();
+        tokio::spawn(async move {
+            while let Some(Ok(_)) = lines.next().await {
+                // A full channel already holds a sign of change.
+                let _ = tx.try_send(());
+                if tx.is_closed() {
+                    return;
+                }
+            }
+        });
+        Ok(rx)
+    }
+}
+
+fn kvs(value: &Value) -> Vec<Found> {
+    let list: Vec<KeyValue> = serde_json::from_value(value.clone()).unwrap_or_default();
+    list.into_iter().map(found).collect()
+}
+
+fn found(kv: KeyValue) -> Found {
+    Found {
+        key: String::from_utf8_lossy(&wire::un64(&kv.key)).into_owned(),
+        value: wire::un64(&kv.value),
+        revision: wire::number(&kv.mod_revision),
+    }
+}
--- /dev/null
+++ b/crates/oriolehitch/src/check.rs
@@ -0,0 +1,45 @@
+//! Checks files with settings or configuration, and lists every fault.
+
+use std::path::Path;
+
+use conf::{Config, Fault, Settings};
+use serde_json::Value;
+
+use crate::flags::Check;
+use crate::Outcome;
+
+/// Runs the command.
+pub fn run(flags: &Check) -> Outcome {
+    let faults: String = flags.files.iter().map(|f| check(f)).collect();
+    if faults.is_empty() {
+        Outcome::Done(String::new())
+    } else {
+        Outcome::Refused(faults)
+    }
+}
+
+/// Returns a line for each fault of a file.
+fn check(file: &Path) -> String {
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(e) => return format!("{}: {e}\n", file.display()),
+    };
+    let faults = if is_config(&text) {
+        Config::parse(&text).err()
+    } else {
+        Settings::parse(&text).err()
+    };
+    lines(file, &faults.unwrap_or_default())
+}
+
+/// A file with templates or customers is a configuration, any other one has settings.
+fn is_config(text: &str) -> bool {
+    let value: Value = serde_json::from_str(text).unwrap_or_default();
+    value.get("templates").is_some() || value.get("customers").is_some()
+}
+
+/// Returns a line for each fault.
+pub fn lines(file: &Path, faults: &[Fault]) -> String {
+    let line = |f: &Fault| format!("{}: {f}\n", file.display());
+    faults.iter().map(line).collect()
+}
--- /dev/null
+++ b/crates/oriolehitch/src/dev.rs
@@ -0,0 +1,173 @@
+//! The embedded default: stand-ins and instances in one process.
+
+use std::time::Duration;
+
+use anyhow::{anyhow, bail, Context, Result};
+use conf::{Config, Settings};
+use entry::Instance;
+use serde_json::json;
+use stub::engine::{self, Engine};
+use stub::platform::Platform;
+use stub::service::{self, Service};
+
+use crate::flags::Dev;
+use crate::operate::Operator;
+use crate::serve::{self, Signals};
+use crate::stubs::loopback;
+use crate::{log, Outcome};
+
+const ZONES: [&str; 3] = ["hall-keflavik", "hall-grindavik", "hall-sandgerdi"];
+const INSTANCES: usize = 3;
+const SAMPLE: &str = include_str!("../../../examples/config.json");
+const SAMPLE_KEY: &str = "sample-key";
+const SAMPLE_TOKENS: u64 = 1_000_000;
+const STEP_MS: u64 = 4;
+const SLOTS: usize = 32;
+const READY_TRIES: u32 = 200;
+const READY_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns what can't start.
+pub async fn run(flags: Dev) -> Result<Outcome> {
+    log::start(flags.log.as_deref());
+    let config = match &flags.config {
+        None => SAMPLE.to_string(),
+        Some(file) => std::fs::read_to_string(file)
+            .with_context(|| anyhow!("{} can't be read", file.display()))?,
+    };
+    let parsed = match Config::parse(&config) {
+        Ok(parsed) => parsed,
+        Err(faults) => {
+            let file = flags.config.unwrap_or_else(|| "sample".into());
+            return Ok(Outcome::Refused(crate::check::lines(&file, &faults)));
+        }
+    };
+    let base = match &flags.settings {
+        None => Settings::default(),
+        Some(file) => match serve::read(file)? {
+            Ok(settings) => settings,
+            Err(faults) => return Ok(Outcome::Refused(faults)),
+        },
+    };
+    let mut signals = Signals::open()?;
+    let platform = Platform::bind(loopback(None)).await;
+    let platform = platform.map_err(|e| anyhow!(e))?;
+    let url = format!("http://{}", platform.addr());
+    stand_ins(&url, &parsed).await?;
+    let count = flags.instances.unwrap_or(INSTANCES).max(1);
+    let instances = spawn(base, &url, count, flags.port).await?;
+    let admin = format!("http://{}", instances[0].admin_addr());
+    prepare(&admin, &parsed).await?;
+    wait_ready(&instances).await?;
+    println!("ready http://{} admin {admin}", instances[0].addr());
+    println!("{}", hint(&instances[0], &parsed));
+    signals.next().await;
+    for instance in instances {
+        instance.stop(signals.next()).await;
+    }
+    Ok(Outcome::Done(String::new()))
+}
+
+async fn stand_ins(platform: &str, config: &Config) -> Result<()> {
+    let mut models: Vec<String> = Vec::new();
+    let mut services: Vec<String> = Vec::new();
+    for name in config.customers.keys() {
+        let policy = config.policy(name).expect("the configuration was checked");
+        models.extend(policy.models);
+        services.extend(policy.services);
+    }
+    services.sort();
+    services.dedup();
+    models.sort();
+    models.dedup();
+    for (i, zone) in ZONES.iter().take(2).enumerate() {
+        let setup = engine::Setup {
+            addr: loopback(None),
+            name: format!("engine-{}", i + 1),
+            zone: (*zone).to_string(),
+            models: models.clone(),
+            step_ms: STEP_MS,
+            slots: SLOTS,
+            platform: Some(platform.to_string()),
+            fenced: true,
+        };
+        Engine::bind(setup).await.map_err(|e| anyhow!(e))?;
+    }
+    for name in services {
+        let setup = service::Setup {
+            addr: loopback(None),
+            name: format!("{name}-1"),
+            zone: ZONES[0].to_string(),
+            service: name,
+            platform: Some(platform.to_string()),
+        };
+        Service::bind(setup).await.map_err(|e| anyhow!(e))?;
+    }
+    Ok(())
+}
+
+async fn spawn(
+    base: Settings,
+    platform: &str,
+    count: usize,
+    port: Option<u16>,
+) -> Result<Vec<Instance>> {
+    let mut instances = Vec::new();
+    for i in 0..count {
+        let mut settings = base.clone();
+        settings.name = format!("hitch-{}", i + 1);
+        settings.region = "reykjanes".to_string();
+        settings.zone = ZONES[i % ZONES.len()].to_string();
+        settings.platform = platform.to_string();
+        settings.listen = Some(loopback(port.filter(|_| i == 0)));
+        settings.admin_listen = Some(loopback(None));
+        settings.peer_listen = Some(loopback(None));
+        instances.push(Instance::spawn(settings).await?);
+    }
+    Ok(instances)
+}
+
+/// Puts the configuration in force and gives each customer some tokens.
+async fn prepare(admin: &str, config: &Config) -> Result<()> {
+    let operator = Operator::open(admin, None);
+    let body = json!({
+        "config": config, "change_id": "dev", "who": "dev", "what": "sample configuration",
+    });
+    operator
+        .send("PUT", "/admin/v1/config", Some(&body), Some(0))
+        .await?;
+    for name in config.customers.keys() {
+        let path = format!("/admin/v1/budgets/{name}/topups");
+        let body = json!({"id": "dev", "tokens": SAMPLE_TOKENS});
+        operator.send("POST", &path, Some(&body), None).await?;
+    }
+    Ok(())
+}
+
+async fn wait_ready(instances: &[Instance]) -> Result<()> {
+    for _ in 0..READY_TRIES {
+        if instances.iter().all(Instance::is_ready) {
+            return Ok(());
+        }
+        tokio::time::sleep(READY_LOOK).await;
+    }
+    bail!("the instances did not get their configuration");
+}
+
+fn hint(instance: &Instance, config: &Config) -> String {
+    let first = config.customers.keys().next();
+    let policy = first.and_then(|n| config.policy(n));
+    let model = policy.and_then(|p| p.models.first().cloned());
+    let body = json!({
+        "model": model,
+        "messages": [{"role": "user", "content": "How far apart do birches stand? len=12"}],
+        "max_tokens": 64,
+    });
+    format!(
+        "curl -s http://{}/v1/chat/completions -H 'Authorization: Bearer {SAMPLE_KEY}' -d '{body}'",
+        instance.addr()
+    )
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,201 @@
+//! Which instances there are: heartbeats to random partners, joined with the instance list.
+//!
+//! Suspicion changes routing and homes only. It never frees anything that another instance holds.
+
+use std::collections::BTreeMap;
+
+use rand::seq::{IteratorRandom, SliceRandom};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+/// Silence after which an instance is suspected, in milliseconds.
+const SUSPECT_MS: u64 = 4_000;
+/// Silence after which an instance is forgotten, in milliseconds.
+const FORGET_MS: u64 = 120_000;
+/// Members in one message: bounds its bytes, whatever the fleet's size.
+const MESSAGE_MOST: usize = 24;
+/// Members that a message lists because they changed lately.
+const NEWS_MOST: usize = 8;
+
+/// What an instance says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Standing {
+    /// It takes work.
+    Live,
+    /// It is stopping as planned.
+    Leaving,
+    /// It has stopped as planned.
+    Left,
+}
+
+/// One instance as its peers know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its incarnation: name, dot, and what makes the start unique.
+    pub id: String,
+    /// Its region.
+    pub region: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where its peers reach it.
+    pub peer_addr: String,
+    /// What it says of itself.
+    pub standing: Standing,
+    /// Goes up with each of its heartbeats.
+    pub beat: u64,
+    /// The revision of the configuration that is in force there.
+    pub revision: u64,
+}
+
+impl Member {
+    /// Returns the name without the incarnation.
+    pub fn name(&self) -> &str {
+        self.id.split('.').next().unwrap_or_default()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    member: Member,
+    heard_at: u64,
+    changed_at: u64,
+}
+
+/// All instances that one instance knows of.
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: Member,
+    seen: BTreeMap<String, Seen>,
+}
+
+impl Members {
+    /// Opens a table that knows this instance only.
+    pub fn open(me: Member) -> Members {
+        Members {
+            me,
+            seen: BTreeMap::new(),
+        }
+    }
+
+    /// Returns this instance.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Changes what this instance says of itself.
+    pub fn set_standing(&mut self, standing: Standing) {
+        self.me.standing = standing;
+        self.me.beat += 1;
+    }
+
+    /// Changes the revision that this instance says it runs.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.me.revision = revision;
+        self.me.beat += 1;
+    }
+
+    /// Beats, and returns the partner to talk to and what to tell it.
+    pub fn beat(&mut self, now: u64, rng: &mut impl Rng) -> Option<(Member, Vec<Member>)> {
+        self.me.beat += 1;
+        self.seen.retain(|_, s| now < s.heard_at + FORGET_MS);
+        let partners = self
+            .seen
+            .values()
+            .filter(|s| s.member.standing != Standing::Left);
+        let partner = partners.choose(rng)?.member.clone();
+        let tell = self.tell(now, rng);
+        Some((partner, tell))
+    }
+
+    /// Returns what to tell a partner: oneself, the news, and some others.
+    pub fn tell(&self, now: u64, rng: &mut impl Rng) -> Vec<Member> {
+        let live = |s: &&Seen| now < s.heard_at + SUSPECT_MS || s.member.standing == Standing::Left;
+        let mut known: Vec<&Seen> = self.seen.values().filter(live).collect();
+        known.sort_by_key(|s| std::cmp::Reverse(s.changed_at));
+        let news = known.len().min(NEWS_MOST);
+        known[news..].shuffle(rng);
+        known.truncate(MESSAGE_MOST - 1);
+        let others = known.into_iter().map(|s| s.member.clone());
+        std::iter::once(self.me.clone()).chain(others).collect()
+    }
+
+    /// Takes in what a partner told; returns the members that are new or changed their standing.
+    pub fn hear(&mut self, now: u64, told: Vec<Member>) -> Vec<Member> {
+        let mut news = Vec::new();
+        for member in told {
+            if member.id == self.me.id {
+                continue;
+            }
+            match self.seen.get_mut(&member.id) {
+                Some(seen) if seen.member.beat >= member.beat => {}
+                Some(seen) => {
+                    seen.heard_at = now;
+                    if seen.member.standing != member.standing {
+                        seen.changed_at = now;
+                        news.push(member.clone());
+                    }
+                    seen.member = member;
+                }
+                None => {
+                    news.push(member.clone());
+                    self.insert(now, member);
+                }
+            }
+        }
+        news
+    }
+
+    /// Takes in the instance list: it introduces instances, but never speaks for their health.
+    pub fn introduce(&mut self, now: u64, listed: Vec<Member>) {
+        for member in listed {
+            if member.id != self.me.id && !self.seen.contains_key(&member.id) {
+                self.insert(now, member);
+            }
+        }
+    }
+
+    fn insert(&mut self, now: u64, member: Member) {
+        let seen = Seen {
+            member,
+            heard_at: now,
+            changed_at: now,
+        };
+        self.seen.insert(seen.member.id.clone(), seen);
+    }
+
+    /// Returns the instances that take work, this one among them unless it is leaving.
+    pub fn live(&self, now: u64) -> Vec<Member> {
+        let fresh = |s: &&Seen| now < s.heard_at + SUSPECT_MS;
+        let live = self.seen.values().filter(fresh).map(|s| &s.member);
+        let all = std::iter::once(&self.me).chain(live);
+        all.filter(|m| m.standing == Standing::Live)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns an instance by its incarnation.
+    pub fn get(&self, id: &str) -> Option<&Member> {
+        if id == self.me.id {
+            return Some(&self.me);
+        }
+        self.seen.get(id).map(|s| &s.member)
+    }
+
+    /// Returns the instances that are silent, or have left.
+    pub fn silent(&self, now: u64) -> Vec<String> {
+        let gone =
+            |s: &&Seen| now >= s.heard_at + SUSPECT_MS || s.member.standing == Standing::Left;
+        let ids = self.seen.values().filter(gone);
+        ids.map(|s| s.member.id.clone()).collect()
+    }
+
+    /// Returns all instances with the milliseconds since each was heard.
+    pub fn all(&self, now: u64) -> Vec<(Member, u64)> {
+        let row = |s: &Seen| (s.member.clone(), now - s.heard_at.min(now));
+        let others = self.seen.values().map(row);
+        std::iter::once((self.me.clone(), 0))
+            .chain(others)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,250 @@
+//! All upstreams, and the choice among them.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::upstream::{Key, Kind, Load, Spec, Upstream};
+
+/// An upstream that a prefix is tied to may have this many percent of the mean load.
+const AFFINITY_LOAD_PCT: u32 = 125;
+/// At least this share of the candidates, in percent, stays in use whatever fails.
+const EJECT_FLOOR_PCT: usize = 50;
+/// Requests per slot up to which an upstream takes more.
+const OVERCOMMIT_PCT: u32 = 150;
+
+/// Why an upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Why {
+    /// It probably caches the prompt's prefix.
+    Prefix,
+    /// It had the least load of two, in the own zone.
+    OwnZone,
+    /// It had the least load of two, of all.
+    LeastOfTwo,
+    /// The request runs there already.
+    Joined,
+}
+
+/// A chosen upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Choice {
+    /// Its key.
+    pub key: Key,
+    /// Its name.
+    pub id: String,
+    /// Its address.
+    pub url: String,
+    /// Why it was chosen.
+    pub why: Why,
+}
+
+/// What a choice is made for.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// What kind of upstream.
+    pub kind: Kind,
+    /// The model or service.
+    pub serves: &'a str,
+    /// Hash of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// The own availability zone.
+    pub zone: &'a str,
+    /// Upstreams that were tried already.
+    pub tried: &'a [Key],
+    /// A random number.
+    pub random: u64,
+}
+
+/// All upstreams, in an arena that keys point into.
+#[derive(Debug, Default)]
+pub struct Pool {
+    slots: Vec<Upstream>,
+    by_id: BTreeMap<String, Key>,
+}
+
+impl Pool {
+    /// Takes over the instance list.
+    ///
+    /// An upstream that is no longer listed gets no new work; what runs there goes on.
+    pub fn set_list(&mut self, specs: Vec<Spec>) {
+        for (id, key) in &self.by_id {
+            if !specs.iter().any(|s| s.id == *id) {
+                self.slots[key.0 as usize].leaving = true;
+            }
+        }
+        for spec in specs {
+            match self.by_id.get(&spec.id) {
+                Some(key) => {
+                    let up = &mut self.slots[key.0 as usize];
+                    up.leaving |= spec.leaving;
+                    up.spec = spec;
+                }
+                None => {
+                    let key = Key(self.slots.len() as u32);
+                    self.by_id.insert(spec.id.clone(), key);
+                    self.slots.push(Upstream::new(spec));
+                }
+            }
+        }
+    }
+
+    /// Returns an upstream.
+    pub fn get(&self, key: Key) -> &Upstream {
+        &self.slots[key.0 as usize]
+    }
+
+    /// Returns an upstream for changes.
+    pub fn get_mut(&mut self, key: Key) -> &mut Upstream {
+        &mut self.slots[key.0 as usize]
+    }
+
+    /// Returns the key of a name.
+    pub fn find(&self, id: &str) -> Option<Key> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns all upstreams.
+    pub fn all(&self) -> impl Iterator<Item = (Key, &Upstream)> {
+        let key = |(i, u)| (Key(i as u32), u);
+        self.slots.iter().enumerate().map(key)
+    }
+
+    /// Takes a load report.
+    pub fn report(&mut self, now: u64, key: Key, load: Load) {
+        self.get_mut(key).report(now, load);
+    }
+
+    /// Learns that an upstream is leaving; returns whether that was news.
+    pub fn set_leaving(&mut self, id: &str) -> bool {
+        let Some(key) = self.find(id) else {
+            return false;
+        };
+        let up = self.get_mut(key);
+        !std::mem::replace(&mut up.leaving, true)
+    }
+
+    /// Returns the names of the upstreams that are leaving.
+    pub fn leaving(&self) -> Vec<String> {
+        let left = self.slots.iter().filter(|u| u.leaving);
+        left.map(|u| u.spec.id.clone()).collect()
+    }
+
+    /// Returns the upstreams that may serve, without those that fail unless too many do.
+    fn candidates(&self, now: u64, ask: &Ask<'_>) -> SmallVec<[Key; 32]> {
+        let serves = |u: &Upstream| {
+            u.spec.kind == ask.kind && !u.leaving && u.spec.serves.iter().any(|s| s == ask.serves)
+        };
+        let fits =
+            |(key, u): (Key, &Upstream)| (serves(u) && !ask.tried.contains(&key)).then_some(key);
+        let all: SmallVec<[Key; 32]> = self.all().filter_map(fits).collect();
+        let healthy: SmallVec<[Key; 32]> = all
+            .iter()
+            .copied()
+            .filter(|k| !self.get(*k).is_ejected(now))
+            .collect();
+        if healthy.len() * 100 >= all.len() * EJECT_FLOOR_PCT && !healthy.is_empty() {
+            healthy
+        } else {
+            all
+        }
+    }
+
+    /// Returns whether any upstream serves this.
+    pub fn serves(&self, kind: Kind, serves: &str) -> bool {
+        let fits = |u: &Upstream| u.spec.kind == kind && u.spec.serves.iter().any(|s| s == serves);
+        self.slots.iter().any(|u| !u.leaving && fits(u))
+    }
+
+    /// Chooses an upstream; none when there is none.
+    pub fn choose(&self, now: u64, ask: &Ask<'_>) -> Option<Choice> {
+        let all = self.candidates(now, ask);
+        if all.is_empty() {
+            return None;
+        }
+        if let Some(key) = self.by_prefix(now, ask, &all) {
+            return Some(self.choice(key, Why::Prefix));
+        }
+        let near: SmallVec<[Key; 32]> = all
+            .iter()
+            .copied()
+            .filter(|k| self.get(*k).spec.zone == ask.zone && self.has_room(now, *k))
+            .collect();
+        let (from, why) = if near.is_empty() {
+            (&all, Why::LeastOfTwo)
+        } else {
+            (&near, Why::OwnZone)
+        };
+        let key = self.least_of_two(now, from, ask.random);
+        Some(self.choice(key, why))
+    }
+
+    fn choice(&self, key: Key, why: Why) -> Choice {
+        let up = self.get(key);
+        Choice {
+            key,
+            id: up.spec.id.clone(),
+            url: up.spec.url.clone(),
+            why,
+        }
+    }
+
+    /// Returns the first upstream in the prefix's order whose load is within its bound.
+    fn by_prefix(&self, now: u64, ask: &Ask<'_>, all: &[Key]) -> Option<Key> {
+        let prefix = ask.prefix?;
+        let load: u32 = all.iter().map(|k| self.get(*k).occupancy(now)).sum();
+        let bound = (load * AFFINITY_LOAD_PCT / 100).div_ceil(all.len() as u32) + 1;
+        let rank = |k: &Key| xxh3_64(format!("{prefix}/{}", self.get(*k).spec.id).as_bytes());
+        let mut order: SmallVec<[Key; 32]> = all.iter().copied().collect();
+        order.sort_by_key(|k| std::cmp::Reverse(rank(k)));
+        order
+            .into_iter()
+            .take(2)
+            .find(|k| self.get(*k).occupancy(now) < bound)
+    }
+
+    fn least_of_two(&self, now: u64, from: &[Key], random: u64) -> Key {
+        let len = from.len() as u64;
+        let a = from[(random % len) as usize];
+        let b = from[((random >> 32) % len) as usize];
+        let rank = |k: Key| {
+            let up = self.get(k);
+            up.occupancy(now) * 1000 / up.slots()
+        };
+        if rank(b) < rank(a) {
+            b
+        } else {
+            a
+        }
+    }
+
+    fn has_room(&self, now: u64, key: Key) -> bool {
+        let up = self.get(key);
+        up.load_at.is_none() || up.occupancy(now) * 100 < up.slots() * OVERCOMMIT_PCT
+    }
+
+    /// Returns how many more requests the upstreams of a kind can take.
+    pub fn room(&self, now: u64, kind: Kind, serves: &str) -> u32 {
+        let ask = Ask {
+            kind,
+            serves,
+            prefix: None,
+            zone: "",
+            tried: &[],
+            random: 0,
+        };
+        let room = |k: &Key| {
+            let up = self.get(*k);
+            let most = if up.load_at.is_none() {
+                up.slots().max(4)
+            } else {
+                up.slots() * OVERCOMMIT_PCT / 100
+            };
+            most.saturating_sub(up.occupancy(now))
+        };
+        self.candidates(now, &ask).iter().map(room).sum()
+    }
+}
--- /dev/null
+++ b/crates/stub/src/lib.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins for the platform, the engines and plain services.
+//!
+//! Each keeps its own ledger, which proofs read, and has switches for its faults.
+
+pub mod engine;
+pub mod lister;
+pub mod platform;
+pub mod runs;
+pub mod service;
+pub mod store;
