--- /dev/null
+++ b/crates/trial/src/check.rs
@@ -0,0 +1,77 @@
+//! What must hold at the end of every run, whatever happened in it.
+
+use std::collections::BTreeSet;
+
+use crate::job::Fate;
+use crate::world::World;
+
+/// Checks a world whose run has ended.
+///
+/// # Errors
+///
+/// Returns what does not hold.
+pub fn check(world: &World) -> Result<(), String> {
+    if world.tally.overspend > 0 {
+        return Err(format!("{} tokens overspent", world.tally.overspend));
+    }
+    for account in 0..world.trace.budgets.len() {
+        check_account(world, account)?;
+    }
+    Ok(())
+}
+
+fn check_account(world: &World, account: usize) -> Result<(), String> {
+    let name = format!("c{account}");
+    let bills = world.platform.bills(&name);
+    let mut seen = BTreeSet::new();
+    for bill in &bills {
+        if !seen.insert(bill.request.clone()) {
+            return Err(format!("{name}: {} has two bills", bill.request));
+        }
+    }
+    for (i, request) in world.requests.iter().enumerate() {
+        let served = request.account == account && request.fate == Fate::Served;
+        if !served {
+            continue;
+        }
+        let bill = bills.iter().find(|b| b.request == request.id);
+        let Some(bill) = bill else {
+            return Err(format!("{name}: {} was served and has no bill", request.id));
+        };
+        let runs = world.runs.iter().filter(|r| r.request == i);
+        let most = runs.map(|r| r.served(world.now)).max().unwrap_or(0);
+        if bill.tokens > most {
+            let billed = bill.tokens;
+            return Err(format!("{name}: {} billed {billed}, ran {most}", request.id));
+        }
+    }
+    check_sums(world, account, bills.iter().map(|b| b.tokens).sum())
+}
+
+/// Every token served is settled, or still charged to a holder that can't tell.
+fn check_sums(world: &World, account: usize, billed: u64) -> Result<(), String> {
+    let name = format!("c{account}");
+    let records = world.platform.records();
+    let Some(stored) = records.filter_map(|r| r.accounts.get(&name)).next() else {
+        return Ok(());
+    };
+    let settled = stored.settled();
+    let served = world.served(account);
+    if settled > served {
+        return Err(format!("{name}: settled {settled}, served {served}"));
+    }
+    let holders: BTreeSet<&String> = stored.lines.keys().collect();
+    let charged: u64 = holders.iter().map(|h| stored.unspent(h)).sum();
+    if served > settled + charged {
+        return Err(format!(
+            "{name}: served {served}, settled {settled}, still charged {charged}"
+        ));
+    }
+    if billed > settled {
+        return Err(format!("{name}: billed {billed}, settled {settled}"));
+    }
+    if stored.bound() > stored.total() {
+        return Err(format!("{name}: granted more than was paid for"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,17 @@
+//! Randomised runs and policy trials: the real budget decisions in a step loop with small fakes.
+//!
+//! The fakes stand at the interfaces of the decisions: a platform, a network between instances,
+//! engines that count what they serve, and callers. Time is a number; nothing waits.
+
+pub mod check;
+pub mod fault;
+pub mod job;
+pub mod platform;
+pub mod policy;
+pub mod report;
+pub mod trace;
+pub mod world;
+
+pub use policy::Policy;
+pub use trace::Trace;
+pub use world::World;
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,106 @@
+//! Runs randomised runs and policy trials.
+
+#![allow(missing_docs, unreachable_pub, reason = "made by the macro")]
+
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::thread;
+
+use trial::policy::POLICIES;
+use trial::trace::TRACES;
+use trial::{check, report, trace, Policy, World};
+
+xflags::xflags! {
+    /// Randomised runs and policy trials of the budget decisions.
+    cmd trial {
+        /// Random faults, from many seeds; prints a failing seed and the end of its history.
+        cmd random {
+            /// First seed.
+            optional --from seed: u64
+            /// Seeds.
+            optional --seeds count: u64
+        }
+        /// The policies on the traces, as tables in Markdown.
+        cmd policies {
+            /// Seed.
+            optional --seed seed: u64
+            /// Only traces whose name holds this.
+            optional --trace name: String
+        }
+    }
+}
+
+const SEEDS: u64 = 1_000;
+const THREADS: u64 = 4;
+const HISTORY_SHOWN: usize = 40;
+
+fn main() -> ExitCode {
+    let flags = Trial::from_env_or_exit();
+    match flags.subcommand {
+        TrialCmd::Random(cmd) => random(cmd.from.unwrap_or(1), cmd.seeds.unwrap_or(SEEDS)),
+        TrialCmd::Policies(cmd) => policies(cmd.seed.unwrap_or(1), &cmd.trace.unwrap_or_default()),
+    }
+}
+
+fn random(from: u64, seeds: u64) -> ExitCode {
+    let next = AtomicU64::new(from);
+    let steps = AtomicU64::new(0);
+    let failures = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= from + seeds {
+                    return;
+                }
+                let mut world = World::open(seed, Policy::Chosen, trace::random(seed));
+                let ran = catch_unwind(AssertUnwindSafe(|| world.run()));
+                let end = match ran {
+                    Ok(()) => check::check(&world),
+                    Err(_) => Err("an invariant inside failed".to_string()),
+                };
+                steps.fetch_add(world.steps, Ordering::Relaxed);
+                if let Err(what) = end {
+                    let skip = world.history.len().saturating_sub(HISTORY_SHOWN);
+                    let history: Vec<String> = world.history.into_iter().skip(skip).collect();
+                    let mut failures = failures.lock().expect("no panic inside");
+                    failures.push((seed, what, history));
+                }
+            });
+        }
+    });
+    let mut failures = failures.into_inner().expect("no panic inside");
+    failures.sort();
+    for (seed, what, history) in failures.iter().take(3) {
+        println!("seed {seed}: {what}\n{}\n", history.join("\n"));
+    }
+    let failed: Vec<u64> = failures.iter().map(|f| f.0).collect();
+    let steps = steps.into_inner();
+    println!("{seeds} seeds, {steps} steps, {} failed {failed:?}", failed.len());
+    if failed.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn policies(seed: u64, only: &str) -> ExitCode {
+    for (name, make) in TRACES.iter().filter(|(n, _)| n.contains(only)) {
+        println!("\n### {name}, seed {seed}\n\n{}", report::HEAD);
+        let rows: Vec<String> = thread::scope(|scope| {
+            let run = |(policy, label): &(Policy, &'static str)| {
+                let (policy, label) = (*policy, *label);
+                scope.spawn(move || {
+                    report::markdown(label, &report::run(seed, policy, make(seed)))
+                })
+            };
+            let threads: Vec<_> = POLICIES.iter().map(run).collect();
+            let join = |t: thread::ScopedJoinHandle<'_, String>| t.join().expect("a trial's run");
+            threads.into_iter().map(join).collect()
+        });
+        println!("{}", rows.join("\n"));
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/trial/src/platform.rs
@@ -0,0 +1,84 @@
+//! The fake platform: one value per shard, with the switches for its faults.
+
+use std::collections::BTreeMap;
+
+use budget::msg::Stored;
+use budget::Record;
+
+/// The switches for faults.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// No call arrives.
+    pub down: bool,
+    /// Calls take this long, in milliseconds; longer than the client waits, they land late.
+    pub slow_ms: u64,
+    /// Percentage of the answers that are lost after the call took effect.
+    pub lose_pct: u32,
+}
+
+/// The stored records.
+#[derive(Debug, Default)]
+pub struct Platform {
+    revision: i64,
+    records: BTreeMap<u32, Stored>,
+    segments: BTreeMap<String, budget::record::Segment>,
+    /// The switches.
+    pub faults: Faults,
+    /// Calls that arrived.
+    pub reads: u64,
+    /// Writes that arrived.
+    pub writes: u64,
+}
+
+impl Platform {
+    /// Reads a record.
+    pub fn read(&mut self, shard: u32) -> Option<Stored> {
+        self.reads += 1;
+        self.records.get(&shard).cloned()
+    }
+
+    /// Writes a record if its revision is still `base`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is stored when the write lost.
+    pub fn write(&mut self, shard: u32, base: i64, record: Record) -> Result<i64, Option<Stored>> {
+        self.writes += 1;
+        let current = self.records.get(&shard);
+        if current.map_or(0, |s| s.revision) != base {
+            return Err(current.cloned());
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        self.records.insert(shard, Stored { revision, record });
+        Ok(revision)
+    }
+
+    /// Writes a segment of older bills.
+    pub fn write_segment(&mut self, name: String, segment: budget::record::Segment) {
+        self.writes += 1;
+        self.segments.insert(name, segment);
+    }
+
+    /// Returns the stored records.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values().map(|s| &s.record)
+    }
+
+    /// Returns every bill of an account, in segments and records.
+    pub fn bills(&self, account: &str) -> Vec<budget::Bill> {
+        let mut bills = Vec::new();
+        for record in self.records() {
+            let mut next = record.last_segment.clone();
+            while let Some(name) = next {
+                let segment = &self.segments[&name];
+                bills.extend(segment.bills.get(account).cloned().unwrap_or_default());
+                next = segment.prev.clone();
+            }
+            if let Some(account) = record.accounts.get(account) {
+                bills.extend(account.bills.iter().cloned());
+            }
+        }
+        bills
+    }
+}
--- /dev/null
+++ b/crates/trial/src/policy.rs
@@ -0,0 +1,97 @@
+//! The policies that a trial compares.
+
+use budget::grant::Sizing;
+use budget::home::Params;
+
+/// A policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Every instance has an equal part of the budget for good: a baseline.
+    Split,
+    /// A compare-and-swap for each request: a baseline.
+    Swap,
+    /// Grants of a share of what is free, one home per account, standbys in the other zones.
+    Chosen,
+    /// As chosen, without standbys.
+    NoStandby,
+    /// As chosen, standbys with a large part.
+    WideStandby,
+    /// As chosen, grants sized by demand over some seconds.
+    Demand,
+    /// As chosen, without recall from other holders.
+    NoRecall,
+    /// As chosen, every zone its own home.
+    ZoneHomes,
+}
+
+/// All policies.
+pub const POLICIES: &[(Policy, &str)] = &[
+    (Policy::Split, "equal split"),
+    (Policy::Swap, "swap per request"),
+    (Policy::Chosen, "chosen"),
+    (Policy::NoStandby, "no standby"),
+    (Policy::WideStandby, "standby 15 %"),
+    (Policy::Demand, "demand 10 s"),
+    (Policy::NoRecall, "no recall"),
+    (Policy::ZoneHomes, "home per zone"),
+];
+
+impl Policy {
+    /// Returns the parameters of the homes.
+    pub fn params(self, instances: usize) -> Params {
+        let base = Params::default();
+        match self {
+            Policy::Split => Params {
+                sizing: Sizing::Split {
+                    parts: instances as u64,
+                },
+                recall: false,
+                standby_pct: 0,
+                ..base
+            },
+            Policy::Swap => Params {
+                sizing: Sizing::Exact,
+                recall: false,
+                standby_pct: 0,
+                ..base
+            },
+            Policy::NoStandby => Params {
+                standby_pct: 0,
+                ..base
+            },
+            Policy::WideStandby => Params {
+                standby_pct: 15,
+                ..base
+            },
+            Policy::Demand => Params {
+                sizing: Sizing::Demand { horizon_ms: 10_000 },
+                ..base
+            },
+            Policy::NoRecall => Params {
+                recall: false,
+                ..base
+            },
+            Policy::Chosen | Policy::ZoneHomes => base,
+        }
+    }
+
+    /// Returns which instances an entry asks: the one home, its zone's, or itself.
+    pub fn asks(self) -> Asks {
+        match self {
+            Policy::Split => Asks::Itself,
+            Policy::ZoneHomes => Asks::OwnZone,
+            _ => Asks::Home,
+        }
+    }
+}
+
+/// Which instances an entry asks for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asks {
+    /// Itself.
+    Itself,
+    /// The first of its own zone.
+    OwnZone,
+    /// The home, then the standbys.
+    Home,
+}
--- /dev/null
+++ b/crates/trial/src/report.rs
@@ -0,0 +1,80 @@
+//! Numbers of a run, and tables of them.
+
+use crate::policy::Policy;
+use crate::trace::Trace;
+use crate::world::{World, AFTER};
+
+/// The numbers of one run.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Tokens served beyond the top-ups.
+    pub overspend: u64,
+    /// Requests.
+    pub requests: u64,
+    /// Refusals although budget remained, in percent of the requests.
+    pub false_pct: f64,
+    /// Refusals, in percent of the requests.
+    pub refused_pct: f64,
+    /// Tokens left stranded at the end, in percent of the budgets.
+    pub stranded_pct: f64,
+    /// Platform reads a second.
+    pub reads: f64,
+    /// Platform writes a second.
+    pub writes: f64,
+    /// Median and 99th percentile of a reservation, in milliseconds.
+    pub reserve: (u64, u64),
+    /// Median and 99th percentile of a settlement, in milliseconds.
+    pub settle: (u64, u64),
+    /// What does not hold, if anything.
+    pub fault: Option<String>,
+}
+
+/// Runs a trace under a policy.
+pub fn run(seed: u64, policy: Policy, trace: Trace) -> Row {
+    let secs = (trace.length + AFTER) as f64 / 1000.0;
+    let mut world = World::open(seed, policy, trace);
+    world.run();
+    let total: u64 = (0..world.trace.budgets.len()).map(|a| world.total(a)).sum();
+    let tally = &world.tally;
+    let pct = |n: u64, of: u64| n as f64 * 100.0 / of.max(1) as f64;
+    Row {
+        overspend: tally.overspend,
+        requests: tally.requests,
+        false_pct: pct(tally.false_refusals, tally.requests),
+        refused_pct: pct(tally.refused, tally.requests),
+        stranded_pct: pct(world.stranded(), total),
+        reads: world.platform.reads as f64 / secs,
+        writes: world.platform.writes as f64 / secs,
+        reserve: percentiles(&tally.reserve_ms),
+        settle: percentiles(&tally.settle_ms),
+        fault: crate::check::check(&world).err(),
+    }
+}
+
+fn percentiles(times: &[u64]) -> (u64, u64) {
+    let mut times = times.to_vec();
+    times.sort_unstable();
+    let at = |pct: usize| times.get((times.len() * pct / 100).min(times.len().max(1) - 1));
+    (at(50).copied().unwrap_or(0), at(99).copied().unwrap_or(0))
+}
+
+/// Returns a row of a table in Markdown.
+pub fn markdown(name: &str, row: &Row) -> String {
+    format!(
+        "| {name} | {} | {:.3} | {:.2} | {:.3} | {:.1} | {:.1} | {}/{} | {}/{} | {} |",
+        row.overspend,
+        row.false_pct,
+        row.refused_pct,
+        row.stranded_pct,
+        row.reads,
+        row.writes,
+        row.reserve.0,
+        row.reserve.1,
+        row.settle.0,
+        row.settle.1,
+        row.fault.as_deref().unwrap_or("holds"),
+    )
+}
+
+/// The head of such a table.
+pub const HEAD: &str = "| policy | overspend, tokens | false refusals, % | refusals, % | stranded, % of budgets | platform reads/s | platform writes/s | reserve p50/p99, ms | settle p50/p99, ms | invariants |\n|---|---|---|---|---|---|---|---|---|---|";
