--- a/crates/budget/src/decide.rs
+++ b/crates/budget/src/decide.rs
@@ -34,6 +34,12 @@
 
     /// Serves everyone whose request fits into what is held here.
     fn hold_what_fits(&mut self, name: &str, out: &mut Vec<Action>) {
+        let last = self.record().and_then(|r| r.last_segment.as_ref());
+        if self.failures == 0 && !self.older.covers(last) {
+            // Loaded in a moment: a request that was billed must not run again.
+            return;
+        }
+        self.answer_billed(name, out);
         let mut available = self.available(name);
         let me = self.me.clone();
         let mut next_hold = self.next_hold;
@@ -59,6 +65,25 @@
         self.next_hold = next_hold;
     }
 
+    /// Answers those whose request was billed at another home.
+    fn answer_billed(&mut self, name: &str, out: &mut Vec<Action>) {
+        let local = self.locals.get_mut(name).expect("listed by the caller");
+        for waiting in std::mem::take(&mut local.waiting) {
+            let reply = match &waiting.want {
+                Want::New { request, body, .. } => self.billed_before(name, request, *body),
+                Want::More { .. } => None,
+            };
+            let local = self.locals.get_mut(name).expect("listed by the caller");
+            match reply {
+                Some(reply) => out.push(Action::Reserved {
+                    ask: waiting.ask,
+                    reply,
+                }),
+                None => local.waiting.push_back(waiting),
+            }
+        }
+    }
+
     fn judge_rest(&mut self, now: u64, name: &str, out: &mut Vec<Action>) {
         let local = self.locals.get_mut(name).expect("listed by the caller");
         for mut waiting in std::mem::take(&mut local.waiting) {
--- a/crates/budget/src/home.rs
+++ b/crates/budget/src/home.rs
@@ -12,6 +12,7 @@
 use crate::msg::{
     Act, ActReply, Action, Doubt, Event, Note, Post, Reserve, ReserveReply, RunAt, Settled, Stored,
 };
+use crate::older::Older;
 use crate::pacer::Pacer;
 use crate::record::{Account, Record, Segment};
 
@@ -116,6 +117,7 @@
     pub(crate) want_read: bool,
     pub(crate) kept: Vec<(u64, String, Post)>,
     pub(crate) rolled: Option<(String, Segment)>,
+    pub(crate) older: Older,
     pub(crate) gone: Vec<String>,
     pub(crate) next_look: u64,
     /// A revision on which a write would have overspent, and when that was found: a read since
@@ -142,6 +144,7 @@
             want_read: false,
             kept: Vec::new(),
             rolled: None,
+            older: Older::default(),
             gone: Vec::new(),
             next_look: 0,
             suspect: None,
@@ -283,6 +286,7 @@
                 tokens,
                 at_ms,
             } => self.proof(now, &account, hold, tokens, at_ms, out),
+            Event::SegmentRead(segment) => self.segment_read(now, segment),
             Event::Tick => self.tick(now, out),
         }
         self.pump(now, pacer, out);
@@ -290,11 +294,13 @@
 
     fn reserve(&mut self, now: u64, ask: u64, req: Reserve, deadline: u64, out: &mut Vec<Action>) {
         let me = self.me.clone();
-        let local = self.locals.entry(req.account).or_default();
+        let account = req.account;
+        let local = self.locals.entry(account.clone()).or_default();
         if let Some(reply) = known_request(&me, local, &req.request, req.body, &req.entry) {
             out.push(Action::Reserved { ask, reply });
             return;
         }
+        let local = self.locals.get_mut(&account).expect("made above");
         local.demand(now, req.tokens);
         local.waiting.push_back(Waiting {
             ask,
@@ -367,6 +373,8 @@
                 request: request.to_string(),
                 tokens: 0,
                 billed: false,
+                body: 0,
+                at: RunAt::default(),
                 at_ms: 0,
             };
             self.settle(now, None, account, post, &[], &mut Vec::new());
@@ -517,6 +525,8 @@
             request: held.request.clone(),
             tokens: tokens.saturating_sub(held.paid),
             billed: !held.uncertain && tokens > 0,
+            body: held.body,
+            at: held.at.clone(),
             at_ms,
         };
         self.settle(now, None, account, post, &[], out);
@@ -613,6 +623,26 @@
         }
     }
 
+    /// Returns the answer for a request that the record, or an older bill, shows as billed.
+    pub(crate) fn billed_before(
+        &self,
+        account: &str,
+        request: &str,
+        body: u64,
+    ) -> Option<ReserveReply> {
+        let bill = self.stored(account).and_then(|a| a.bill(request));
+        let bill = bill.or_else(|| self.older.bill(account, request))?;
+        if bill.body != body {
+            return Some(ReserveReply::Reused);
+        }
+        Some(ReserveReply::Exists {
+            holder: bill.holder.clone(),
+            hold: 0,
+            at: bill.at.clone(),
+            billed: Some(bill.tokens),
+        })
+    }
+
     /// Returns what the record grants to this holder.
     pub(crate) fn granted(&self, account: &str) -> u64 {
         let stored = self.record().and_then(|r| r.accounts.get(account));
@@ -652,15 +682,7 @@
         });
     }
     let done = local.done.get(request)?;
-    if done.body != body {
-        return Some(ReserveReply::Reused);
-    }
-    Some(ReserveReply::Exists {
-        holder: me.to_string(),
-        hold: done.hold,
-        at: done.at.clone(),
-        billed: Some(done.tokens),
-    })
+    Some(done.reply(me, body))
 }
 
 /// Moves a hold to the finished requests; what is in doubt stays held under new numbers.
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod home;
 pub mod local;
 pub mod msg;
+mod older;
 pub mod pacer;
 pub mod place;
 mod propose;
--- a/crates/budget/src/local.rs
+++ b/crates/budget/src/local.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 
-use crate::msg::{Act, Post, RunAt};
+use crate::msg::{Act, Post, ReserveReply, RunAt};
 
 /// Finished requests remembered for callers that retry.
 const DONE_KEPT: usize = 1024;
@@ -52,6 +52,21 @@
     pub until: u64,
 }
 
+impl Done {
+    /// Returns the answer to a retry.
+    pub fn reply(&self, me: &str, body: u64) -> ReserveReply {
+        if self.body != body {
+            return ReserveReply::Reused;
+        }
+        ReserveReply::Exists {
+            holder: me.to_string(),
+            hold: self.hold,
+            at: self.at.clone(),
+            billed: Some(self.tokens),
+        }
+    }
+}
+
 /// What a waiting entry wants.
 #[derive(Clone, Debug)]
 pub enum Want {
--- a/crates/budget/src/msg.rs
+++ b/crates/budget/src/msg.rs
@@ -91,6 +91,10 @@
     pub tokens: u64,
     /// Whether the request is billed for them; else they are written off.
     pub billed: bool,
+    /// Hash of the request's body.
+    pub body: u64,
+    /// Where it ran.
+    pub at: RunAt,
     /// When, in milliseconds since the Unix epoch.
     pub at_ms: u64,
 }
@@ -274,6 +278,8 @@
     },
     /// Older bills were written to a value of their own.
     SegmentWritten(bool),
+    /// A value with older bills was read, or could not be.
+    SegmentRead(Option<Segment>),
     /// Time passes.
     Tick,
 }
@@ -306,6 +312,11 @@
         /// The bills.
         segment: Segment,
     },
+    /// Read a value with older bills.
+    ReadSegment {
+        /// Its name.
+        name: String,
+    },
     /// Answer a reservation or an extension.
     Reserved {
         /// Names the reply.
--- a/crates/budget/src/propose.rs
+++ b/crates/budget/src/propose.rs
@@ -6,7 +6,8 @@
 use crate::home::{act_reply, Home, Io, Proposal, Role};
 use crate::msg::{Act, Action, Settled, Stored};
 use crate::pacer::Pacer;
-use crate::record::{Account, Record};
+use crate::local::Local;
+use crate::record::{Account, Record, Segment};
 
 /// Bills in a record above which the older half moves to a segment.
 const ROLL_BILLS: usize = 512;
@@ -24,6 +25,9 @@
             self.want_read = false;
             self.io = Io::Read { since: now };
             out.push(Action::Read);
+        } else if let Some(name) = self.lacks_older() {
+            self.io = Io::Segment;
+            out.push(Action::ReadSegment { name });
         } else if self.known.is_some() && self.must_roll() {
             self.write_segment(pacer, now, out);
         } else if self.known.is_some() && self.has_work(now) && pacer.take(now) {
@@ -31,9 +35,31 @@
         }
     }
 
+    /// Returns the segment of older bills to load before more is held or settled.
+    fn lacks_older(&mut self) -> Option<String> {
+        let needs = |l: &Local| !l.pending.is_empty() || !l.waiting.is_empty();
+        if !self.locals.values().any(needs) {
+            return None;
+        }
+        let (stored, _) = self.known.as_ref()?;
+        self.older.lacks(stored.record.last_segment.as_ref())
+    }
+
+    /// Takes a segment of older bills.
+    pub(crate) fn segment_read(&mut self, now: u64, segment: Option<Segment>) {
+        match segment {
+            Some(segment) => {
+                self.io = Io::Idle;
+                self.failures = 0;
+                self.older.load(segment);
+            }
+            None => self.failed(now),
+        }
+    }
+
     /// Returns whether the record lacks something that only a write can bring.
     fn has_work(&self, now: u64) -> bool {
-        let any = |(name, l): (&String, &crate::local::Local)| {
+        let any = |(name, l): (&String, &Local)| {
             !l.pending.is_empty() || !l.acts.is_empty() || l.giving > 0 || self.wants(now, name) > 0
         };
         self.rolled.is_some() || self.locals.iter().any(any) || self.standby_lacks()
@@ -158,7 +184,8 @@
         let local = &self.locals[name];
         let wanted = self.wants(now, name);
         for pending in &local.pending {
-            record.post(name, &pending.post);
+            let has_older = self.older.bill(name, &pending.post.request).is_some();
+            record.post(name, &pending.post, has_older);
         }
         if local.sent.is_empty()
             && local.got.is_empty()
@@ -250,10 +277,7 @@
             }
         }
         self.land(&stored);
-        self.rolled = self
-            .rolled
-            .take()
-            .filter(|(_, s)| s.prev == stored.record.last_segment);
+        self.end_roll(&stored.record);
         self.known = Some((stored, since));
         self.drop_folded();
         self.merge_transfers();
@@ -262,6 +286,18 @@
         self.forget_idle();
     }
 
+    /// Drops a segment that the record names now, or can't name any more.
+    fn end_roll(&mut self, record: &Record) {
+        let Some((name, segment)) = self.rolled.take() else {
+            return;
+        };
+        if record.last_segment.as_ref() == Some(&name) {
+            self.older.wrote(&name, &segment);
+        } else if segment.prev == record.last_segment {
+            self.rolled = Some((name, segment));
+        }
+    }
+
     /// Ends the doubt about writes that have landed or can land no more.
     fn land(&mut self, stored: &Stored) {
         let landed = stored.record.writers.get(&self.me).copied().unwrap_or(0);
--- a/crates/budget/src/record.rs
+++ b/crates/budget/src/record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::msg::Post;
+use crate::msg::{Post, RunAt};
 use crate::ranges::Ranges;
 
 /// Folded holders whose names are remembered, so that a late bill of theirs isn't posted again.
@@ -83,6 +83,10 @@
     pub tokens: u64,
     /// The holder that paid.
     pub holder: String,
+    /// Hash of the request's body.
+    pub body: u64,
+    /// Where it ran.
+    pub at: RunAt,
     /// When, in milliseconds since the Unix epoch.
     pub at_ms: u64,
 }
@@ -194,6 +198,11 @@
         }
     }
 
+    /// Returns the bill of a request, unless it is among the older ones.
+    pub fn bill(&self, request: &str) -> Option<&Bill> {
+        self.bills.iter().rev().find(|b| b.request == request)
+    }
+
     /// Adds a top-up; returns whether its id was new.
     ///
     /// # Errors
@@ -240,23 +249,26 @@
 }
 
 impl Record {
-    /// Settles a hold, once; makes its bill unless the request has one.
-    pub fn post(&mut self, account: &str, post: &Post) -> Posted {
+    /// Settles a hold, once; makes its bill unless the request has one, here or among the older
+    /// bills that the caller knows.
+    pub fn post(&mut self, account: &str, post: &Post, has_older: bool) -> Posted {
         if self.tombstones.contains(&post.holder) {
             return Posted::Known;
         }
         let account = self.accounts.entry(account.to_string()).or_default();
+        let duplicate = has_older || account.bill(&post.request).is_some();
         let line = account.lines.entry(post.holder.clone()).or_default();
         if !line.posted.insert(post.hold) {
             return Posted::Known;
         }
         line.settled += post.tokens;
-        let duplicate = account.bills.iter().any(|b| b.request == post.request);
         if post.billed && !duplicate {
             account.bills.push(Bill {
                 request: post.request.clone(),
                 tokens: post.tokens,
                 holder: post.holder.clone(),
+                body: post.body,
+                at: post.at.clone(),
                 at_ms: post.at_ms,
             });
             return Posted::New;
--- a/crates/entry/src/bankd.rs
+++ b/crates/entry/src/bankd.rs
@@ -364,6 +364,14 @@
                     handle.send(Cmd::Event(shard, Event::SegmentWritten(done)));
                 });
             }
+            Action::ReadSegment { name } => {
+                tokio::spawn(async move {
+                    let found = cx.kv.get(&segment_key(shard, &name)).await;
+                    let found = found.ok().flatten();
+                    let segment = found.and_then(|f| serde_json::from_slice(&f.value).ok());
+                    handle.send(Cmd::Event(shard, Event::SegmentRead(segment)));
+                });
+            }
             Action::Reserved { ask, reply } => reply_to(&mut self.reserves, ask, reply),
             Action::Settled { ask, how } => reply_to(&mut self.settles, ask, how),
             Action::Acted { ask, reply } => reply_to(&mut self.acts, ask, reply),
--- a/crates/entry/src/pipe/chat.rs
+++ b/crates/entry/src/pipe/chat.rs
@@ -55,7 +55,10 @@
 
 /// Tries upstreams until the answer is whole, or there is nothing left to try.
 async fn attempts(cx: &mut Cx, chat: &Chat, out: &mut Out) -> Result<(), Error> {
-    let mut spent = Spent::default();
+    let mut spent = Spent {
+        body: chat.hash,
+        ..Spent::default()
+    };
     loop {
         if let Err(error) = prepare(cx, chat, &spent).await {
             choose::done(cx, ENGINE, &chat.model, true);
--- a/crates/entry/src/pipe/settle.rs
+++ b/crates/entry/src/pipe/settle.rs
@@ -27,6 +27,8 @@
     pub tokens: u64,
     /// Whether the caller is billed.
     pub billed: bool,
+    /// Hash of the request's body.
+    pub body: u64,
     /// What upstreams that can't be asked may have served besides.
     pub doubts: Vec<Doubt>,
 }
@@ -80,6 +82,8 @@
             request: cx.id.clone(),
             tokens: spent.tokens.min(hold.tokens),
             billed: spent.billed,
+            body: spent.body,
+            at: cx.run_at(),
             at_ms: wall_ms(),
         },
         doubts: spent.doubts,
--- a/crates/trial/src/platform.rs
+++ b/crates/trial/src/platform.rs
@@ -60,6 +60,12 @@
         self.segments.insert(name, segment);
     }
 
+    /// Reads a segment of older bills.
+    pub fn read_segment(&mut self, name: &str) -> Option<budget::record::Segment> {
+        self.reads += 1;
+        self.segments.get(name).cloned()
+    }
+
     /// Returns the stored records.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
         self.records.values().map(|s| &s.record)
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -90,6 +90,7 @@
     Read,
     Write { base: i64, record: Record },
     Segment { name: String, segment: budget::record::Segment },
+    ReadSegment { name: String },
 }
 
 #[derive(Clone, Debug)]
@@ -839,6 +840,8 @@
             request: request.id.clone(),
             tokens,
             billed: tokens > 0,
+            body: 1,
+            at: self.jobs[job].at.clone(),
             at_ms: self.now,
         };
         let entry = self.jobs[job].entry;
@@ -874,7 +877,8 @@
         self.note(|| format!("r{request} job {job} settled"));
         if self.jobs[job].phase == Phase::Settling {
             self.tally.settle_ms.push(self.now - self.jobs[job].since);
-            self.end(job, Fate::Served);
+            let ran = self.jobs[job].run.is_some();
+            self.end(job, if ran { Fate::Served } else { Fate::Lost });
         }
     }
 
@@ -932,6 +936,7 @@
         match output.action {
             Action::Read => self.call(node, shard, Call::Read),
             Action::Write { base, record } => self.call(node, shard, Call::Write { base, record }),
+            Action::ReadSegment { name } => self.call(node, shard, Call::ReadSegment { name }),
             Action::WriteSegment { name, segment } => {
                 self.call(node, shard, Call::Segment { name, segment });
             }
@@ -1054,6 +1059,7 @@
                 Call::Read => Event::ReadFailed,
                 Call::Write { .. } => Event::WriteRefused,
                 Call::Segment { .. } => Event::SegmentWritten(false),
+                Call::ReadSegment { .. } => Event::SegmentRead(None),
             };
             self.put(self.now + 50, Item::Bank { node, shard, event });
             return;
@@ -1066,6 +1072,7 @@
                 Call::Read => Event::ReadFailed,
                 Call::Write { .. } => Event::WriteUnknown,
                 Call::Segment { .. } => Event::SegmentWritten(false),
+                Call::ReadSegment { .. } => Event::SegmentRead(None),
             };
             let at = self.now + CALL_TIMEOUT;
             self.put(at, Item::Bank { node, shard, event });
@@ -1086,6 +1093,7 @@
                 Ok(revision) => Event::Written { revision },
                 Err(stored) => Event::WriteLost(stored),
             },
+            Call::ReadSegment { name } => Event::SegmentRead(self.platform.read_segment(&name)),
             Call::Segment { name, segment } => {
                 self.platform.write_segment(name, segment);
                 Event::SegmentWritten(true)
