--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -51,6 +51,8 @@
     pub claim_retention_secs: Option<u64>,
     /// The fleet's share of the platform's writes, a second.
     pub writes_per_sec: Option<u64>,
+    /// Whether operators may cut this instance from others, for tests.
+    pub faults: Option<bool>,
     /// How long a vanished entry's stream waits for its caller, in milliseconds.
     pub orphan_grace_ms: Option<u64>,
 }
--- a/crates/conf/src/shape.rs
+++ b/crates/conf/src/shape.rs
@@ -73,6 +73,7 @@
     may("request_secs", Shape::Uint(1, DAY_SECS)),
     may("claim_retention_secs", Shape::Uint(60, 30 * DAY_SECS)),
     may("writes_per_sec", Shape::Uint(1, 100_000)),
+    may("faults", Shape::Bool),
     may("orphan_grace_ms", Shape::Uint(100, 3_600_000)),
 ]);
 
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -103,6 +103,11 @@
         ("GET", ["admin", "v1", "budgets", name]) => budget(shared, name).await,
         ("GET", ["admin", "v1", "budgets", name, "bills"]) => bills(shared, name).await,
         ("POST", ["admin", "v1", "budgets", name, "topups"]) => top_up(shared, name, req).await,
+        ("POST", ["fault"]) if shared.settings.faults == Some(true) => {
+            let cut: Vec<String> = req.json().map_err(|e| Error::new(Kind::BadRequest, e))?;
+            shared.peers.set_cut(cut);
+            Ok(Res::json(200, &json!({"ok": true})))
+        }
         ("GET", ["admin", "v1", "stranded"]) => stranded(shared).await,
         ("POST", ["admin", "v1", "stranded", name, "release"]) => release(shared, name, req).await,
         (method, _) => {
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -155,11 +155,14 @@
 
 /// Clients of other instances, by address.
 #[derive(Default)]
-pub struct Peers(Mutex<BTreeMap<String, HttpClient>>);
+pub struct Peers {
+    clients: Mutex<BTreeMap<String, HttpClient>>,
+    cut: Mutex<Vec<String>>,
+}
 
 impl Peers {
     fn client(&self, addr: &str) -> Result<HttpClient, String> {
-        let mut clients = self.0.lock().expect("no panic inside");
+        let mut clients = self.clients.lock().expect("no panic inside");
         if let Some(client) = clients.get(addr) {
             return Ok(client.clone());
         }
@@ -173,6 +176,16 @@
         Ok(client)
     }
 
+    /// Cuts the links to some addresses, for tests; replaces an earlier cut.
+    pub fn set_cut(&self, addrs: Vec<String>) {
+        *self.cut.lock().expect("no panic inside") = addrs;
+    }
+
+    fn is_cut(&self, addr: &str) -> bool {
+        let cut = self.cut.lock().expect("no panic inside");
+        cut.iter().any(|a| a == addr)
+    }
+
     /// Calls a method of another instance.
     ///
     /// # Errors
@@ -185,6 +198,9 @@
         name: &str,
         msg: &P,
     ) -> Result<R, String> {
+        if self.is_cut(addr) {
+            return Err("the link is cut".to_string());
+        }
         let client = self.client(addr)?;
         let mut params = ArrayParams::new();
         params.insert(msg).map_err(|e| e.to_string())?;
