--- a/crates/budget/src/bank.rs
+++ b/crates/budget/src/bank.rs
@@ -44,7 +44,7 @@
             shards,
             writes_per_sec,
             homes: BTreeMap::new(),
-            pacer: Pacer::open(now, writes_per_sec, 1),
+            pacer: Pacer::open(now, writes_per_sec, 1.0),
             members: Vec::new(),
             leaving: false,
             absent: BTreeMap::new(),
@@ -56,11 +56,15 @@
         if self.members == members {
             return;
         }
-        self.pacer.resize(self.writes_per_sec, members.len());
         self.members = members;
+        let mut homes = 0;
         for shard in 0..self.shards {
             self.place(shard);
+            homes += u32::from(self.role(shard) == Role::Home);
         }
+        // Homes write most, so the fleet's share is split by the shards at home.
+        let part = f64::from(homes) / f64::from(self.shards);
+        self.pacer.resize(self.writes_per_sec, part);
     }
 
     /// Hands everything back, for a planned stop.
--- a/crates/budget/src/home.rs
+++ b/crates/budget/src/home.rs
@@ -186,7 +186,9 @@
     /// Returns whether nothing is left to settle or hand back.
     pub fn is_clear(&self) -> bool {
         let clear = |(name, l): (&String, &Local)| {
-            l.is_quiet() && l.acts.is_empty() && l.giving == 0 && self.available(name) == 0
+            let quiet = l.is_quiet() && l.acts.is_empty() && l.recalls == 0;
+            let empty = l.giving == 0 && self.available(name) == 0;
+            quiet && empty && !self.has_unwritten_transfers(name)
         };
         self.io == Io::Idle && self.kept.is_empty() && self.locals.iter().all(clear)
     }
--- a/crates/budget/src/pacer.rs
+++ b/crates/budget/src/pacer.rs
@@ -1,5 +1,9 @@
 //! Keeps one instance's platform writes within its part of the fleet's share.
 
+/// Every instance may write this part of the fleet's share: settlements of shards that it handed
+/// on, operators' acts, copies.
+const PART_LEAST: f64 = 0.02;
+
 /// A token bucket: a write at once while the load is light, spaced writes under load.
 #[derive(Clone, Debug)]
 pub struct Pacer {
@@ -10,21 +14,21 @@
 }
 
 impl Pacer {
-    /// Opens a pacer for one of some instances that share a rate.
-    pub fn open(now: u64, fleet_per_sec: u64, instances: usize) -> Pacer {
-        let per_sec = fleet_per_sec as f64 / instances.max(1) as f64;
-        let burst = (per_sec * 2.0).max(2.0);
-        Pacer {
-            per_sec,
-            burst,
-            level: burst,
+    /// Opens a pacer with a part of a rate that a fleet shares.
+    pub fn open(now: u64, fleet_per_sec: u64, part: f64) -> Pacer {
+        let mut pacer = Pacer {
+            per_sec: 1.0,
+            burst: 1.0,
+            level: f64::MAX,
             at: now,
-        }
+        };
+        pacer.resize(fleet_per_sec, part);
+        pacer
     }
 
-    /// Adapts to the number of instances.
-    pub fn resize(&mut self, fleet_per_sec: u64, instances: usize) {
-        self.per_sec = fleet_per_sec as f64 / instances.max(1) as f64;
+    /// Changes the part of the fleet's rate.
+    pub fn resize(&mut self, fleet_per_sec: u64, part: f64) {
+        self.per_sec = fleet_per_sec as f64 * part.clamp(PART_LEAST, 1.0);
         self.burst = (self.per_sec * 2.0).max(2.0);
         self.level = self.level.min(self.burst);
     }
--- a/crates/budget/src/propose.rs
+++ b/crates/budget/src/propose.rs
@@ -60,11 +60,25 @@
     /// Returns whether the record lacks something that only a write can bring.
     fn has_work(&self, now: u64) -> bool {
         let any = |(name, l): (&String, &Local)| {
-            !l.pending.is_empty() || !l.acts.is_empty() || l.giving > 0 || self.wants(now, name) > 0
+            let local = !l.pending.is_empty() || !l.acts.is_empty() || l.giving > 0;
+            local || self.wants(now, name) > 0 || self.has_unwritten_transfers(name)
         };
         self.rolled.is_some() || self.locals.iter().any(any) || self.standby_lacks()
     }
 
+    /// Returns whether a transfer is not in the record yet.
+    ///
+    /// A giver that leaves before would show the tokens as its own, and so as stranded.
+    pub(crate) fn has_unwritten_transfers(&self, name: &str) -> bool {
+        let local = &self.locals[name];
+        let stored = self.stored(name);
+        let shown = |pair: String| stored.and_then(|a| a.transfers.get(&pair)).copied();
+        let me = &self.me;
+        let sent = local.sent.iter().map(|(to, t)| (format!("{me}>{to}"), *t));
+        let got = local.got.iter().map(|(from, t)| (format!("{from}>{me}"), *t));
+        sent.chain(got).any(|(pair, t)| t > shown(pair).unwrap_or(0))
+    }
+
     /// Returns the tokens to take for an account: for who waits here, or as a standby.
     fn wants(&self, now: u64, name: &str) -> u64 {
         let need = self.grantable(name);
@@ -331,6 +345,10 @@
             return;
         };
         for (name, account) in &stored.record.accounts {
+            if account.lines.contains_key(&self.me) {
+                // A standby's grant came without a request; a stop must find and return it too.
+                self.locals.entry(name.clone()).or_default();
+            }
             for (pair, tokens) in &account.transfers {
                 let Some((from, to)) = pair.split_once('>') else {
                     continue;
@@ -387,10 +405,16 @@
 
     /// Forgets accounts that have had nothing here for a while.
     fn forget_idle(&mut self) {
-        let since = self.known.as_ref().map_or(0, |(_, s)| *s);
-        self.locals.retain(|_, l| {
+        let Some((stored, since)) = &self.known else {
+            return;
+        };
+        let holds = |n: &String| {
+            let account = stored.record.accounts.get(n);
+            account.is_some_and(|a| a.lines.contains_key(&self.me))
+        };
+        self.locals.retain(|n, l| {
             let empty = l.is_quiet() && l.acts.is_empty() && l.sent.is_empty() && l.got.is_empty();
-            !(empty && l.giving == 0 && l.used_at + IDLE_USE_MS < since)
+            !(empty && l.giving == 0 && l.used_at + IDLE_USE_MS < *since && !holds(n))
         });
     }
 }
--- a/crates/conf/src/customer.rs
+++ b/crates/conf/src/customer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use sha2::{Digest, Sha256};
 
 use crate::check::{self, Fault};
@@ -85,43 +86,22 @@
     ///
     /// Returns every fault found, also names that lead nowhere.
     pub fn parse(text: &str) -> Result<Config, Vec<Fault>> {
-        let value = check::parse(text, &shape::CONFIG)?;
-        let config: Config = serde_json::from_value(value).map_err(|e| {
+        let fault = |what: String| {
             vec![Fault {
                 path: String::new(),
-                what: e.to_string(),
+                what,
             }]
-        })?;
-        let faults = config.dangling();
-        if faults.is_empty() {
-            Ok(config)
-        } else {
-            Err(faults)
+        };
+        let value: Value =
+            serde_json::from_str(text).map_err(|e| fault(format!("not JSON: {e}")))?;
+        let mut faults = check::faults(&value, &shape::CONFIG);
+        faults.extend(dangling(&value));
+        if !faults.is_empty() {
+            return Err(faults);
         }
+        serde_json::from_value(value).map_err(|e| fault(e.to_string()))
     }
 
-    /// Returns names that lead nowhere and keys that two customers share.
-    fn dangling(&self) -> Vec<Fault> {
-        let mut faults = Vec::new();
-        let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
-        for (name, customer) in &self.customers {
-            if !self.templates.contains_key(&customer.template) {
-                faults.push(Fault {
-                    path: format!("/customers/{name}/template"),
-                    what: format!("there is no template {:?}", customer.template),
-                });
-            }
-            for (i, hash) in customer.key_hashes.iter().enumerate() {
-                if let Some(other) = owners.insert(hash, name) {
-                    faults.push(Fault {
-                        path: format!("/customers/{name}/key_hashes/{i}"),
-                        what: format!("also a key of customer {other:?}"),
-                    });
-                }
-            }
-        }
-        faults
-    }
 
     /// Returns what holds for a customer.
     pub fn policy(&self, customer: &str) -> Option<Policy> {
@@ -139,6 +119,31 @@
     }
 }
 
+/// Returns names that lead nowhere and keys that two customers share.
+fn dangling(value: &Value) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+    for (name, customer) in value["customers"].as_object().into_iter().flatten() {
+        let template = customer["template"].as_str().unwrap_or_default();
+        if !template.is_empty() && value["templates"].get(template).is_none() {
+            faults.push(Fault {
+                path: format!("/customers/{name}/template"),
+                what: format!("there is no template {template:?}"),
+            });
+        }
+        let hashes = customer["key_hashes"].as_array().into_iter().flatten();
+        for (i, hash) in hashes.filter_map(Value::as_str).enumerate() {
+            if let Some(other) = owners.insert(hash, name) {
+                faults.push(Fault {
+                    path: format!("/customers/{name}/key_hashes/{i}"),
+                    what: format!("also a key of customer {other:?}"),
+                });
+            }
+        }
+    }
+    faults
+}
+
 fn pick<T: Clone>(over: &Option<T>, base: &Option<T>) -> Option<T> {
     over.clone().or_else(|| base.clone())
 }
--- a/crates/entry/src/configd.rs
+++ b/crates/entry/src/configd.rs
@@ -20,7 +20,7 @@
 /// The head is read at least this often: a watch can stall without a sign.
 const POLL_EVERY: Duration = Duration::from_secs(10);
 const WATCH_RETRY: Duration = Duration::from_secs(1);
-/// How often a write without an answer is looked for.
+/// How often a write without an answer is tried again, or looked for.
 const LOOKS: u32 = 5;
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// How long the spread of a change is followed for its metric.
@@ -235,11 +235,7 @@
         if !head.chunks.contains(hash) {
             // A chunk that is there already is the same: its key is its hash.
             let key = format!("{CHUNK}{hash}");
-            shared
-                .kv
-                .swap(&key, 0, text.as_bytes(), 0)
-                .await
-                .map_err(down)?;
+            put_chunk(shared, &key, text).await.map_err(down)?;
         }
     }
     let text = serde_json::to_vec(&bundle.head).expect("a head is JSON");
@@ -254,6 +250,19 @@
     }
 }
 
+/// Writes a chunk, again where an answer is lost: its key is its hash, so that harms nothing.
+async fn put_chunk(shared: &Shared, key: &str, text: &str) -> Result<(), Failure> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match shared.kv.swap(key, 0, text.as_bytes(), 0).await {
+            Ok(_) => return Ok(()),
+            Err(failure) if tries >= LOOKS => return Err(failure),
+            Err(_) => tokio::time::sleep(LOOK_EVERY).await,
+        }
+    }
+}
+
 /// Looks for a change whose write had no answer, or lost a race.
 async fn find_again(
     shared: &Arc<Shared>,
--- a/crates/oriolehitch/tests/scenario/stage.rs
+++ b/crates/oriolehitch/tests/scenario/stage.rs
@@ -5,6 +5,7 @@
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
@@ -43,6 +44,8 @@
 pub(crate) struct Stage {
     dir: PathBuf,
     pub(crate) processes: BTreeMap<String, Process>,
+    /// Where each process listens now; requests under way look here, as behind a balancer.
+    pub(crate) urls: Arc<Mutex<BTreeMap<String, String>>>,
     pub(crate) open: BTreeMap<String, JoinHandle<Got>>,
     pub(crate) got: BTreeMap<String, Got>,
     pub(crate) ids: BTreeMap<String, String>,
@@ -59,6 +62,7 @@
         Ok(Stage {
             dir,
             processes: BTreeMap::new(),
+            urls: Arc::default(),
             open: BTreeMap::new(),
             got: BTreeMap::new(),
             ids: BTreeMap::new(),
@@ -102,6 +106,8 @@
         if process.url.is_empty() {
             return Err(format!("{name} did not get ready: {ready:?}"));
         }
+        let url = process.url.clone();
+        self.urls.lock().expect("no panic inside").insert(name.to_string(), url);
         self.processes.insert(name.to_string(), process);
         Ok(())
     }
--- a/crates/stub/src/platform.rs
+++ b/crates/stub/src/platform.rs
@@ -19,7 +19,7 @@
 const EXPIRE_EVERY: Duration = Duration::from_millis(200);
 
 /// The switches for faults.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Every call is refused.
@@ -28,6 +28,8 @@
     pub slow_ms: u64,
     /// This many writes take effect without an answer.
     pub lose_answers: u64,
+    /// Only writes of keys with this prefix lose their answers.
+    pub lose_prefix: String,
     /// Watches stay open and say nothing.
     pub stall_watches: bool,
 }
@@ -160,13 +162,13 @@
     }
 
     fn faults(&self) -> Faults {
-        *self.faults.lock().expect("no panic inside")
+        self.faults.lock().expect("no panic inside").clone()
     }
 
     fn set_faults(&self, req: &Req) -> Res {
         match req.json::<Faults>() {
             Ok(faults) => {
-                *self.faults.lock().expect("no panic inside") = faults;
+                self.faults.lock().expect("no panic inside").clone_from(&faults);
                 Res::json(200, &faults)
             }
             Err(e) => Res::json(400, &json!({"error": e})),
@@ -186,9 +188,10 @@
     }
 
     /// Takes one of the writes whose answers are lost.
-    fn loses_answer(&self) -> bool {
+    fn loses_answer(&self, body: &Value) -> bool {
+        let key = un64(body["compare"][0]["key"].as_str().unwrap_or_default());
         let mut faults = self.faults.lock().expect("no panic inside");
-        let loses = faults.lose_answers > 0;
+        let loses = faults.lose_answers > 0 && key.starts_with(faults.lose_prefix.as_bytes());
         faults.lose_answers -= u64::from(loses);
         loses
     }
@@ -209,7 +212,7 @@
             "/v3/kv/range" => Res::json(200, &self.range(&body)),
             "/v3/kv/txn" => {
                 let answer = self.txn(&body);
-                if self.loses_answer() {
+                if self.loses_answer(&body) {
                     return Res::json(504, &json!({"error": "request timed out"}));
                 }
                 Res::json(200, &answer)
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -936,8 +936,12 @@
         match output.action {
             Action::Read => self.call(node, shard, Call::Read),
             Action::Write { base, record } => self.call(node, shard, Call::Write { base, record }),
-            Action::ReadSegment { name } => self.call(node, shard, Call::ReadSegment { name }),
+            Action::ReadSegment { name } => {
+                let name = format!("{shard}/{name}");
+                self.call(node, shard, Call::ReadSegment { name });
+            }
             Action::WriteSegment { name, segment } => {
+                let name = format!("{shard}/{name}");
                 self.call(node, shard, Call::Segment { name, segment });
             }
             Action::Reserved { ask, reply } => {
