--- a/crates/budget/src/propose.rs
+++ b/crates/budget/src/propose.rs
@@ -4,9 +4,9 @@
 
 use crate::grant::Basis;
 use crate::home::{act_reply, Home, Io, Proposal, Role};
+use crate::local::Local;
 use crate::msg::{Act, Action, Settled, Stored};
 use crate::pacer::Pacer;
-use crate::local::Local;
 use crate::record::{Account, Record, Segment};
 
 /// Bills in a record above which the older half moves to a segment.
@@ -75,8 +75,12 @@
         let shown = |pair: String| stored.and_then(|a| a.transfers.get(&pair)).copied();
         let me = &self.me;
         let sent = local.sent.iter().map(|(to, t)| (format!("{me}>{to}"), *t));
-        let got = local.got.iter().map(|(from, t)| (format!("{from}>{me}"), *t));
-        sent.chain(got).any(|(pair, t)| t > shown(pair).unwrap_or(0))
+        let got = local
+            .got
+            .iter()
+            .map(|(from, t)| (format!("{from}>{me}"), *t));
+        sent.chain(got)
+            .any(|(pair, t)| t > shown(pair).unwrap_or(0))
     }
 
     /// Returns the tokens to take for an account: for who waits here, or as a standby.
--- /dev/null
+++ b/crates/budget/tests/money.rs
@@ -0,0 +1,288 @@
+//! Decisions on budgets, one situation each; `trial` drives them in random ones.
+
+use budget::home::Params;
+use budget::msg::{Reserve, RunAt, Stored};
+use budget::pacer::Pacer;
+use budget::record::Posted;
+use budget::{Account, Act, Action, Event, Home, Post, Record, ReserveReply, Role};
+
+fn post(holder: &str, hold: u64, request: &str, tokens: u64) -> Post {
+    Post {
+        holder: holder.to_string(),
+        hold,
+        request: request.to_string(),
+        tokens,
+        billed: true,
+        body: 1,
+        at: RunAt::default(),
+        at_ms: 1,
+    }
+}
+
+struct Bench {
+    home: Home,
+    pacer: Pacer,
+    now: u64,
+}
+
+impl Bench {
+    fn open(id: &str) -> Bench {
+        let mut home = Home::open(id, Params::default());
+        home.place(Role::Home, vec![id.to_string(), "b.1".to_string()]);
+        Bench {
+            home,
+            pacer: Pacer::open(0, 1_000, 1.0),
+            now: 0,
+        }
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Action> {
+        self.now += 10;
+        let mut out = Vec::new();
+        self.home.step(self.now, event, &mut self.pacer, &mut out);
+        out
+    }
+
+    fn reserve(&mut self, request: &str, tokens: u64) -> Vec<Action> {
+        let req = Reserve {
+            account: "c".to_string(),
+            request: request.to_string(),
+            body: 1,
+            entry: "e.1".to_string(),
+            at: RunAt::default(),
+            tokens,
+            weight: 25,
+        };
+        let deadline = self.now + 1_000;
+        self.step(Event::Reserve {
+            ask: 1,
+            req,
+            deadline,
+        })
+    }
+}
+
+fn record(total: u64) -> Record {
+    let mut record = Record::default();
+    let account = record.accounts.entry("c".to_string()).or_default();
+    account.top_up("t", total).expect("a new id");
+    record
+}
+
+fn stored(revision: i64, record: Record) -> Option<Stored> {
+    Some(Stored { revision, record })
+}
+
+fn written(out: &[Action]) -> (i64, Record) {
+    let write = out.iter().find_map(|a| match a {
+        Action::Write { base, record } => Some((*base, record.clone())),
+        _ => None,
+    });
+    write.unwrap_or_else(|| panic!("no write in {out:?}"))
+}
+
+fn reply(out: &[Action]) -> Option<ReserveReply> {
+    out.iter().find_map(|a| match a {
+        Action::Reserved { reply, .. } => Some(reply.clone()),
+        _ => None,
+    })
+}
+
+#[test]
+fn home_grants_itself_then_holds() {
+    let mut bench = Bench::open("a.1");
+    assert!(matches!(bench.reserve("r", 100)[..], [Action::Read]));
+    let out = bench.step(Event::Read(stored(1, record(1_000))));
+    let (base, next) = written(&out);
+    assert_eq!((base, next.accounts["c"].bound()), (1, 250));
+    let out = bench.step(Event::Written { revision: 2 });
+    assert!(matches!(
+        reply(&out),
+        Some(ReserveReply::Held { hold: 1, .. })
+    ));
+    assert_eq!(bench.home.available("c"), 150);
+}
+
+/// Symptom: more is granted than was paid for.
+/// Sequence: a write's answer is lost; the home repeats the write; both take effect.
+/// Cause: a compare-and-swap was repeated without a look at what it did.
+#[test]
+fn lost_answer_is_read_not_repeated() {
+    let mut bench = Bench::open("a.1");
+    bench.reserve("r", 100);
+    let out = bench.step(Event::Read(stored(1, record(1_000))));
+    let (_, landed) = written(&out);
+    assert!(bench.step(Event::WriteUnknown).is_empty());
+    bench.now += 500;
+    assert!(matches!(bench.step(Event::Tick)[..], [Action::Read]));
+    let out = bench.step(Event::Read(stored(2, landed)));
+    assert!(matches!(reply(&out), Some(ReserveReply::Held { .. })));
+    assert!(out.iter().all(|a| !matches!(a, Action::Write { .. })));
+}
+
+/// Symptom: tokens that were handed back are spent as well.
+/// Sequence: a home hands its grant back, the write's answer is lost, and it holds on to the grant;
+/// the write lands late.
+/// Cause: the home took the write for failed.
+#[test]
+fn tokens_on_their_way_back_are_not_spent() {
+    let mut bench = Bench::open("a.1");
+    bench.reserve("r", 100);
+    let out = bench.step(Event::Read(stored(1, record(1_000))));
+    let (_, granted) = written(&out);
+    bench.step(Event::Written { revision: 2 });
+    let settle = Event::Settle {
+        ask: Some(2),
+        account: "c".to_string(),
+        post: post("a.1", 1, "r", 60),
+        doubts: Vec::new(),
+    };
+    bench.step(settle);
+    let mut next = granted;
+    next.post("c", &post("a.1", 1, "r", 60), false);
+    bench.step(Event::Written { revision: 3 });
+    bench.home.place(Role::None, Vec::new());
+    let out = bench.step(Event::Tick);
+    written(&out);
+    bench.step(Event::WriteUnknown);
+    assert_eq!(bench.home.available("c"), 0);
+    bench.now += 1_000;
+    bench.step(Event::Tick);
+    // The read is from before the write: it may still land.
+    let before = bench.home.record().cloned().expect("known");
+    bench.step(Event::Read(stored(3, before)));
+    assert_eq!(bench.home.available("c"), 0);
+}
+
+#[test]
+fn refusal_tells_exhausted_from_out_of_reach() {
+    let mut bench = Bench::open("a.1");
+    bench.reserve("r", 2_000);
+    let out = bench.step(Event::Read(stored(1, record(1_000))));
+    assert_eq!(reply(&out), Some(ReserveReply::Exhausted { left: 1_000 }));
+
+    let mut held_elsewhere = record(1_000);
+    let account = held_elsewhere.accounts.get_mut("c").expect("made above");
+    account
+        .lines
+        .entry("gone.1".to_string())
+        .or_default()
+        .granted = 950;
+    let mut bench = Bench::open("a.1");
+    bench.reserve("r", 100);
+    let out = bench.step(Event::Read(stored(1, held_elsewhere)));
+    assert!(matches!(reply(&out), Some(ReserveReply::OutOfReach { .. })));
+}
+
+/// Symptom: a lost message doubles tokens.
+/// Sequence: a holder hands tokens over, its answer is lost, and it is asked again.
+/// Cause: transfers that are not cumulative.
+#[test]
+fn transfers_are_cumulative() {
+    let mut bench = Bench::open("a.1");
+    bench.reserve("r", 100);
+    let out = bench.step(Event::Read(stored(1, record(1_000))));
+    written(&out);
+    bench.step(Event::Written { revision: 2 });
+    let recall = |ask| Event::Recall {
+        ask,
+        account: "c".to_string(),
+        to: "b.1".to_string(),
+        tokens: 30,
+    };
+    let sent = |out: Vec<Action>| {
+        out.into_iter().find_map(|a| match a {
+            Action::Handed { sent, .. } => Some(sent),
+            _ => None,
+        })
+    };
+    let first = sent(bench.step(recall(5)));
+    let second = sent(bench.step(recall(6)));
+    assert_eq!((first, second), (Some(60), Some(120)));
+    assert_eq!(bench.home.available("c"), 30);
+}
+
+#[test]
+fn posting_is_idempotent_by_hold_and_by_request() {
+    let mut record = record(1_000);
+    assert_eq!(
+        record.post("c", &post("a.1", 1, "r", 10), false),
+        Posted::New
+    );
+    assert_eq!(
+        record.post("c", &post("a.1", 1, "r", 10), false),
+        Posted::Known
+    );
+    assert_eq!(
+        record.post("c", &post("b.1", 7, "r", 12), false),
+        Posted::Duplicate
+    );
+    let account = &record.accounts["c"];
+    assert_eq!((account.bills.len(), account.settled()), (1, 22));
+    assert_eq!(account.lines["b.1"].written_off, 12);
+}
+
+#[test]
+fn top_ups_are_idempotent_by_id() {
+    let mut account = Account::default();
+    assert_eq!(account.top_up("t", 5), Ok(true));
+    assert_eq!(account.top_up("t", 5), Ok(false));
+    assert_eq!(account.top_up("t", 6), Err(5));
+    assert_eq!(account.total(), 5);
+}
+
+/// Symptom: a holder's tokens are gone, or counted twice, after its line was folded up.
+/// Sequence: it received and handed on tokens, spent the rest, and left.
+/// Cause: its transfers stand in other holders' sums.
+#[test]
+fn fold_keeps_every_sum() {
+    let mut record = record(1_000);
+    let account = record.accounts.get_mut("c").expect("made above");
+    account.lines.entry("a.1".to_string()).or_default().granted = 100;
+    account.lines.entry("b.1".to_string()).or_default().granted = 50;
+    account.transfers.insert("a.1>b.1".to_string(), 30);
+    account.lines.get_mut("a.1").expect("made above").settled = 70;
+    let before = (account.bound(), account.settled(), account.unspent("b.1"));
+    assert!(record.fold("a.1"));
+    let account = &record.accounts["c"];
+    assert_eq!(
+        before,
+        (account.bound(), account.settled(), account.unspent("b.1"))
+    );
+    assert!(!record.fold("b.1"), "it still holds tokens");
+}
+
+#[test]
+fn release_takes_back_only_what_is_unspent_and_only_once() {
+    let mut record = record(1_000);
+    let account = record.accounts.get_mut("c").expect("made above");
+    account.lines.entry("a.1".to_string()).or_default().granted = 300;
+    record.post("c", &post("a.1", 1, "r", 100), false);
+    let account = record.accounts.get_mut("c").expect("made above");
+    assert_eq!(account.release("x", "a.1", "burnt", "me"), 200);
+    assert_eq!(account.release("x", "a.1", "burnt", "me"), 200);
+    assert_eq!((account.free(), account.bound()), (900, 100));
+}
+
+/// Symptom: an act is taken for another one.
+#[test]
+fn act_is_answered_from_the_record() {
+    let mut bench = Bench::open("a.1");
+    let act = Act::TopUp {
+        id: "t".to_string(),
+        tokens: 7,
+    };
+    let account = "c".to_string();
+    let out = bench.step(Event::Act {
+        ask: 3,
+        account,
+        act,
+    });
+    assert!(matches!(out[..], [Action::Read]));
+    let out = bench.step(Event::Read(stored(1, record(1_000))));
+    let reply = out.iter().find_map(|a| match a {
+        Action::Acted { reply, .. } => Some(reply.clone()),
+        _ => None,
+    });
+    assert_eq!(reply, Some(budget::ActReply::IdReused(1_000)));
+}
--- a/crates/conf/src/customer.rs
+++ b/crates/conf/src/customer.rs
@@ -102,7 +102,6 @@
         serde_json::from_value(value).map_err(|e| fault(e.to_string()))
     }
 
-
     /// Returns what holds for a customer.
     pub fn policy(&self, customer: &str) -> Option<Policy> {
         let own = self.customers.get(customer)?;
--- a/crates/oriolehitch/tests/scenario/act.rs
+++ b/crates/oriolehitch/tests/scenario/act.rs
@@ -83,18 +83,26 @@
     let mut more = json!({});
     for (name, value) in &line.fields {
         if name == "peers" {
-            let peers: Result<Vec<String>, String> =
-                value.split(',').map(|n| Ok(stage.process(n)?.peer.clone())).collect();
+            let peers: Result<Vec<String>, String> = value
+                .split(',')
+                .map(|n| Ok(stage.process(n)?.peer.clone()))
+                .collect();
             more["peers"] = json!(peers?);
         } else if name != "zone" {
             more[name] = serde_json::from_str(value).unwrap_or(json!(value));
         }
     }
-    stage.instance(line.word(1)?, line.field("zone").unwrap_or("hall-keflavik"), more)
+    stage.instance(
+        line.word(1)?,
+        line.field("zone").unwrap_or("hall-keflavik"),
+        more,
+    )
 }
 
 fn data(file: &str) -> std::path::PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data").join(file)
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/data")
+        .join(file)
 }
 
 /// Puts a file in force through an instance.
@@ -106,7 +114,10 @@
     let id = line.field("change").unwrap_or("change-1");
     let body = json!({"config": config, "change_id": id, "who": "test", "what": line.word(1)?});
     let req = stage.http.put(format!("{at}/admin/v1/config")).json(&body);
-    let res = req.header("if-match", line.field("expect").unwrap_or("0")).send().await;
+    let res = req
+        .header("if-match", line.field("expect").unwrap_or("0"))
+        .send()
+        .await;
     let status = res.map_err(|e| e.to_string())?.status().as_u16();
     let wanted = line.number("status", 200)?;
     if u64::from(status) == wanted {
@@ -172,7 +183,10 @@
         "/v1/chat/completions".to_string()
     } else {
         let service = line.field("service").unwrap_or("orders");
-        format!("/v1/services/{service}{}", line.field("path").unwrap_or("/reserve"))
+        format!(
+            "/v1/services/{service}{}",
+            line.field("path").unwrap_or("/reserve")
+        )
     };
     let body = if chat {
         chat_body(line)?
@@ -221,7 +235,12 @@
         if i > 0 {
             tokio::time::sleep(RETRY).await;
         }
-        let url = send.urls.lock().expect("no panic inside").get(name).cloned();
+        let url = send
+            .urls
+            .lock()
+            .expect("no panic inside")
+            .get(name)
+            .cloned();
         let url = format!("{}{}", url.unwrap_or_default(), send.path);
         got = attempt(&http, &url, &send).await;
         let comes_back = matches!(got.status, Some(503 | 409 | 429 | 502));
@@ -234,7 +253,11 @@
 }
 
 async fn attempt(http: &reqwest::Client, url: &str, send: &Send) -> Got {
-    let mut req = http.post(url).bearer_auth(&send.key).body(send.body.clone()).timeout(TIMEOUT);
+    let mut req = http
+        .post(url)
+        .bearer_auth(&send.key)
+        .body(send.body.clone())
+        .timeout(TIMEOUT);
     if let Some(id) = &send.id {
         req = req.header("idempotency-key", id);
     }
@@ -266,7 +289,12 @@
             }
         }
     }
-    read_body(&mut got, &String::from_utf8_lossy(&body), whole, send.stream);
+    read_body(
+        &mut got,
+        &String::from_utf8_lossy(&body),
+        whole,
+        send.stream,
+    );
     got
 }
 
@@ -280,7 +308,10 @@
             let event: Value = serde_json::from_str(data).unwrap_or_default();
             let part = event["choices"][0]["delta"]["content"].as_str();
             got.text.push_str(part.unwrap_or_default());
-            got.code = event["error"]["code"].as_str().map(str::to_string).or(got.code.take());
+            got.code = event["error"]["code"]
+                .as_str()
+                .map(str::to_string)
+                .or(got.code.take());
         }
         return;
     }
@@ -303,7 +334,9 @@
     let mut names = Vec::new();
     for i in 0..count {
         let wait = Duration::from_millis(over_ms * i / count);
-        let at = (0..tries).map(|t| at[(i as usize + t) % at.len()].clone()).collect();
+        let at = (0..tries)
+            .map(|t| at[(i as usize + t) % at.len()].clone())
+            .collect();
         let id = Uuid::now_v7().to_string();
         let send = Send {
             at,
@@ -330,9 +363,16 @@
 }
 
 async fn wait(stage: &mut Stage, name: &str) -> Result<(), String> {
-    let names = stage.loads.get(name).cloned().unwrap_or_else(|| vec![name.to_string()]);
+    let names = stage
+        .loads
+        .get(name)
+        .cloned()
+        .unwrap_or_else(|| vec![name.to_string()]);
     for name in names {
-        let task = stage.open.remove(&name).ok_or(format!("no request {name}"))?;
+        let task = stage
+            .open
+            .remove(&name)
+            .ok_or(format!("no request {name}"))?;
         let got = task.await.map_err(|e| e.to_string())?;
         stage.got.insert(name, got);
     }
@@ -341,7 +381,10 @@
 
 fn kill(stage: &mut Stage, name: &str) -> Result<(), String> {
     stage.signal(name, Signal::KILL)?;
-    let process = stage.processes.get_mut(name).ok_or(format!("no process {name}"))?;
+    let process = stage
+        .processes
+        .get_mut(name)
+        .ok_or(format!("no process {name}"))?;
     process.child.wait().map_err(|e| e.to_string())?;
     Ok(())
 }
@@ -370,7 +413,11 @@
                 cut.push(other.peer.clone());
             }
         }
-        let sent = stage.http.post(format!("{}/fault", me.admin)).json(&cut).send();
+        let sent = stage
+            .http
+            .post(format!("{}/fault", me.admin))
+            .json(&cut)
+            .send();
         let res = sent.await.map_err(|e| e.to_string())?;
         if !res.status().is_success() {
             return Err(format!("{name}: {}", res.status()));
@@ -396,7 +443,10 @@
         });
     }
     let program = env!("CARGO_BIN_EXE_oriolehitch");
-    let out = Command::new(program).args(&args).output().map_err(|e| e.to_string())?;
+    let out = Command::new(program)
+        .args(&args)
+        .output()
+        .map_err(|e| e.to_string())?;
     let text = String::from_utf8_lossy(&out.stdout) + String::from_utf8_lossy(&out.stderr);
     let code = out.status.code().unwrap_or(-1);
     if i64::from(code) != line.number("exit", 0)? as i64 {
--- a/crates/oriolehitch/tests/scenario/expect.rs
+++ b/crates/oriolehitch/tests/scenario/expect.rs
@@ -50,10 +50,18 @@
 
 fn answer(got: &Got, line: &Line) -> Result<(), String> {
     let status = got.status.map(|s| s.to_string());
-    same("status", line.field("status"), Some(status.as_deref().unwrap_or("none")))?;
+    same(
+        "status",
+        line.field("status"),
+        Some(status.as_deref().unwrap_or("none")),
+    )?;
     same("code", line.field("code"), got.code.as_deref())?;
     same("ran", line.field("ran"), got.ran.as_deref())?;
-    let comes_back = if got.retry_after.is_some() { "yes" } else { "no" };
+    let comes_back = if got.retry_after.is_some() {
+        "yes"
+    } else {
+        "no"
+    };
     same("retry", line.field("retry"), Some(comes_back))?;
     if let Some(part) = line.field("has") {
         if !got.text.contains(part) {
@@ -79,7 +87,10 @@
     }
     let wanted: Vec<String> = (0..tokens).map(|i| format!("{run}:{i}")).collect();
     if parts != wanted {
-        return Err(format!("{} tokens, expected {tokens}: {parts:?}", parts.len()));
+        return Err(format!(
+            "{} tokens, expected {tokens}: {parts:?}",
+            parts.len()
+        ));
     }
     Ok(())
 }
@@ -90,7 +101,10 @@
     let mut ok = 0;
     let mut others: BTreeMap<String, u64> = BTreeMap::new();
     for one in &stage.loads[name] {
-        let got = stage.got.get(one).ok_or(format!("{one} was not waited for"))?;
+        let got = stage
+            .got
+            .get(one)
+            .ok_or(format!("{one} was not waited for"))?;
         if got.status == Some(200) && got.code.is_none() {
             whole(got, tokens).map_err(|e| format!("{one}: {e}"))?;
             ok += 1;
@@ -107,7 +121,12 @@
 }
 
 async fn get(stage: &Stage, url: &str) -> Result<Value, String> {
-    let res = stage.http.get(url).send().await.map_err(|e| e.to_string())?;
+    let res = stage
+        .http
+        .get(url)
+        .send()
+        .await
+        .map_err(|e| e.to_string())?;
     let status = res.status();
     let value: Value = res.json().await.map_err(|e| format!("{status}: {e}"))?;
     Ok(value)
@@ -129,10 +148,18 @@
 /// Checks how often a request ran at plain services.
 async fn service(stage: &Stage, line: &Line) -> Result<(), String> {
     let request = line.field("runs-of").unwrap_or_default();
-    let id = stage.ids.get(request).cloned().unwrap_or_else(|| request.to_string());
+    let id = stage
+        .ids
+        .get(request)
+        .cloned()
+        .unwrap_or_else(|| request.to_string());
     let ledgers = ledgers(stage).await;
-    let runs = ledgers.iter().flat_map(|l| l["runs"].as_array().cloned().unwrap_or_default());
-    let count = runs.filter(|r| r["request"] == id.as_str() && r["path"].is_string()).count();
+    let runs = ledgers
+        .iter()
+        .flat_map(|l| l["runs"].as_array().cloned().unwrap_or_default());
+    let count = runs
+        .filter(|r| r["request"] == id.as_str() && r["path"].is_string())
+        .count();
     same("runs", line.field("is"), Some(&count.to_string()))
 }
 
@@ -173,12 +200,22 @@
         let number = |f: &str| row[f].as_u64().unwrap_or(0);
         let (spent, stranded) = (number("spent"), number("stranded"));
         if spent > served || served > spent + stranded {
-            return Err(format!("served {served}, spent {spent}, stranded {stranded}"));
+            return Err(format!(
+                "served {served}, spent {spent}, stranded {stranded}"
+            ));
         }
     } else if line.field("spent") == Some("served") {
-        same("spent", Some(&served.to_string()), Some(&row["spent"].to_string()))?;
+        same(
+            "spent",
+            Some(&served.to_string()),
+            Some(&row["spent"].to_string()),
+        )?;
     } else {
-        same("spent", line.field("spent"), Some(&row["spent"].to_string()))?;
+        same(
+            "spent",
+            line.field("spent"),
+            Some(&row["spent"].to_string()),
+        )?;
     }
     for field in ["total", "stranded", "held", "free", "written_off"] {
         same(field, line.field(field), Some(&row[field].to_string()))
@@ -190,14 +227,19 @@
 
 /// Shows what holders have, without the bills.
 fn shown(account: &Value) -> String {
-    format!("lines {} transfers {}", account["lines"], account["transfers"])
+    format!(
+        "lines {} transfers {}",
+        account["lines"], account["transfers"]
+    )
 }
 
 /// Checks that no request has two bills, and that each of a load has one.
 fn one_bill_each(stage: &Stage, bills: &[Value], line: &Line) -> Result<(), String> {
     let mut count: BTreeMap<&str, u64> = BTreeMap::new();
     for bill in bills {
-        *count.entry(bill["request"].as_str().unwrap_or_default()).or_default() += 1;
+        *count
+            .entry(bill["request"].as_str().unwrap_or_default())
+            .or_default() += 1;
     }
     if let Some((request, n)) = count.iter().find(|(_, n)| **n > 1) {
         return Err(format!("{request} has {n} bills"));
@@ -222,18 +264,29 @@
     let ready = if dump["ready"] == true { "yes" } else { "no" };
     same("ready", line.field("ready"), Some(ready))?;
     let members = dump["members"].as_array().map_or(0, |m| {
-        let live = |m: &&Value| m["member"]["standing"] == "live" && m["silent_ms"].as_u64() < Some(4000);
+        let live =
+            |m: &&Value| m["member"]["standing"] == "live" && m["silent_ms"].as_u64() < Some(4000);
         m.iter().filter(live).count()
     });
     same("live", line.field("live"), Some(&members.to_string()))?;
     let ups = dump["upstreams"].as_array().cloned().unwrap_or_default();
-    let usable = ups.iter().filter(|u| u["upstream"]["leaving"] == false).count();
-    same("upstreams", line.field("upstreams"), Some(&usable.to_string()))
+    let usable = ups
+        .iter()
+        .filter(|u| u["upstream"]["leaving"] == false)
+        .count();
+    same(
+        "upstreams",
+        line.field("upstreams"),
+        Some(&usable.to_string()),
+    )
 }
 
 fn exit(stage: &mut Stage, line: &Line) -> Result<(), String> {
     let name = line.word(2)?;
-    let process = stage.processes.get_mut(name).ok_or(format!("no process {name}"))?;
+    let process = stage
+        .processes
+        .get_mut(name)
+        .ok_or(format!("no process {name}"))?;
     let status = process.child.try_wait().map_err(|e| e.to_string())?;
     let status = status.ok_or(format!("{name} still runs"))?;
     let code = status.code().unwrap_or(-1).to_string();
--- a/crates/oriolehitch/tests/scenario/line.rs
+++ b/crates/oriolehitch/tests/scenario/line.rs
@@ -41,7 +41,8 @@
     /// Returns a word.
     pub(crate) fn word(&self, at: usize) -> Result<&str, String> {
         let word = self.words.get(at);
-        word.map(String::as_str).ok_or(format!("word {at} is missing"))
+        word.map(String::as_str)
+            .ok_or(format!("word {at} is missing"))
     }
 
     /// Returns a field.
--- a/crates/oriolehitch/tests/scenario/stage.rs
+++ b/crates/oriolehitch/tests/scenario/stage.rs
@@ -72,7 +72,12 @@
     }
 
     /// Starts a process and waits until it is ready.
-    pub(crate) fn start(&mut self, name: &str, zone: &str, args: Vec<String>) -> Result<(), String> {
+    pub(crate) fn start(
+        &mut self,
+        name: &str,
+        zone: &str,
+        args: Vec<String>,
+    ) -> Result<(), String> {
         let log = File::options()
             .create(true)
             .append(true)
@@ -87,7 +92,9 @@
             .map_err(|e| e.to_string())?;
         let out = child.stdout.take().ok_or("no standard output")?;
         let mut ready = String::new();
-        BufReader::new(out).read_line(&mut ready).map_err(|e| e.to_string())?;
+        BufReader::new(out)
+            .read_line(&mut ready)
+            .map_err(|e| e.to_string())?;
         let words: Vec<&str> = ready.split_whitespace().collect();
         let after = |key: &str| {
             let at = words.iter().position(|w| *w == key);
@@ -107,14 +114,20 @@
             return Err(format!("{name} did not get ready: {ready:?}"));
         }
         let url = process.url.clone();
-        self.urls.lock().expect("no panic inside").insert(name.to_string(), url);
+        self.urls
+            .lock()
+            .expect("no panic inside")
+            .insert(name.to_string(), url);
         self.processes.insert(name.to_string(), process);
         Ok(())
     }
 
     /// Starts a process again with what it was started with.
     pub(crate) fn restart(&mut self, name: &str) -> Result<(), String> {
-        let old = self.processes.remove(name).ok_or(format!("no process {name}"))?;
+        let old = self
+            .processes
+            .remove(name)
+            .ok_or(format!("no process {name}"))?;
         self.start(name, &old.zone, old.args.clone())
     }
 
--- /dev/null
+++ b/crates/route/tests/decide.rs
@@ -0,0 +1,132 @@
+//! Decisions on upstreams, queues and retries.
+
+use route::pool::Ask;
+use route::queue::{Queue, Verdict};
+use route::{Kind, Load, Pool, RetryBudget, Spec};
+
+fn pool(count: usize) -> Pool {
+    let mut pool = Pool::default();
+    let spec = |i: usize| Spec {
+        id: format!("e{i}"),
+        kind: Kind::Engine,
+        url: String::new(),
+        zone: format!("z{}", i % 3),
+        serves: vec!["m".to_string()],
+        leaving: false,
+    };
+    pool.set_list((0..count).map(spec).collect());
+    for i in 0..count {
+        let key = pool.find(&format!("e{i}")).expect("listed");
+        let load = Load {
+            slots: 8,
+            ..Load::default()
+        };
+        pool.report(0, key, load);
+    }
+    pool
+}
+
+fn ask(random: u64, prefix: Option<u64>) -> Ask<'static> {
+    Ask {
+        kind: Kind::Engine,
+        serves: "m",
+        prefix,
+        zone: "z0",
+        tried: &[],
+        random,
+    }
+}
+
+/// Symptom: an upstream that is leaving gets new work.
+/// Sequence: one source says that it leaves, then an older list shows it as live.
+/// Cause: the later word took the earlier one back.
+#[test]
+fn leaving_is_never_taken_back() {
+    let mut pool = pool(2);
+    assert!(pool.set_leaving("e0"));
+    let specs = pool.all().map(|(_, u)| u.spec.clone()).collect();
+    pool.set_list(specs);
+    for random in 0..100 {
+        let choice = pool.choose(1, &ask(random << 32 | random, None));
+        assert_eq!(choice.expect("one is left").id, "e1");
+    }
+}
+
+/// Symptom: no upstream is left although they work.
+/// Sequence: the network hiccups and every upstream fails a few times.
+/// Cause: ejection without a floor.
+#[test]
+fn ejection_leaves_a_floor() {
+    let mut pool = pool(4);
+    for i in 0..4 {
+        let key = pool.find(&format!("e{i}")).expect("listed");
+        for _ in 0..3 {
+            pool.get_mut(key).begin();
+            pool.get_mut(key).end(1, false, 0);
+        }
+    }
+    assert!(pool.choose(2, &ask(7, None)).is_some());
+}
+
+#[test]
+fn prefix_sticks_until_its_upstream_is_loaded() {
+    let mut pool = pool(6);
+    let first = pool.choose(1, &ask(1, Some(42))).expect("some");
+    for random in 0..20 {
+        assert_eq!(
+            pool.choose(1, &ask(random, Some(42))).expect("some").id,
+            first.id
+        );
+    }
+    for _ in 0..8 {
+        pool.get_mut(first.key).begin();
+    }
+    assert_ne!(
+        pool.choose(1, &ask(1, Some(42))).expect("some").id,
+        first.id
+    );
+}
+
+/// Symptom: quick questions wait behind long reads, or low priorities never run.
+/// Sequence: requests of several priorities wait; later ones of the highest keep coming.
+/// Cause: order by arrival alone, or by priority alone.
+#[test]
+fn queue_goes_by_priority_and_starves_nobody() {
+    let mut queue = Queue::default();
+    let wait = |queue: &mut Queue, now, priority| match queue.arrive(now, 0, priority, 60_000) {
+        Verdict::Wait(ticket) => ticket,
+        other => panic!("{other:?}"),
+    };
+    let low = wait(&mut queue, 0, 1);
+    let high = wait(&mut queue, 10, 9);
+    assert_eq!(queue.release(20, 1), vec![high]);
+    let fresh = wait(&mut queue, 20_000, 9);
+    assert_eq!(queue.release(20_000, 1), vec![low]);
+    assert_eq!(queue.release(20_000, 1), vec![fresh]);
+}
+
+/// Symptom: a request waits to its deadline and is refused then.
+/// Sequence: the backlog is longer than the time that the request has.
+/// Cause: nobody worked out the wait when it came.
+#[test]
+fn hopeless_request_is_refused_at_once() {
+    let mut queue = Queue::default();
+    for _ in 0..100 {
+        assert!(matches!(queue.arrive(0, 0, 5, 60_000), Verdict::Wait(_)));
+    }
+    let Verdict::Refuse { retry_ms } = queue.arrive(0, 0, 5, 1_000) else {
+        panic!("not refused");
+    };
+    assert!(retry_ms >= 1_000);
+}
+
+#[test]
+fn retries_are_a_tenth_of_the_requests() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.request();
+        retries += u32::from(budget.take());
+    }
+    assert!((100..=110).contains(&retries), "{retries}");
+}
--- a/crates/stub/src/platform.rs
+++ b/crates/stub/src/platform.rs
@@ -168,7 +168,10 @@
     fn set_faults(&self, req: &Req) -> Res {
         match req.json::<Faults>() {
             Ok(faults) => {
-                self.faults.lock().expect("no panic inside").clone_from(&faults);
+                self.faults
+                    .lock()
+                    .expect("no panic inside")
+                    .clone_from(&faults);
                 Res::json(200, &faults)
             }
             Err(e) => Res::json(400, &json!({"error": e})),
--- a/crates/trial/src/check.rs
+++ b/crates/trial/src/check.rs
@@ -42,7 +42,10 @@
         let most = runs.map(|r| r.served(world.now)).max().unwrap_or(0);
         if bill.tokens > most {
             let billed = bill.tokens;
-            return Err(format!("{name}: {} billed {billed}, ran {most}", request.id));
+            return Err(format!(
+                "{name}: {} billed {billed}, ran {most}",
+                request.id
+            ));
         }
     }
     check_sums(world, account, bills.iter().map(|b| b.tokens).sum())
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -84,7 +84,10 @@
     }
     let failed: Vec<u64> = failures.iter().map(|f| f.0).collect();
     let steps = steps.into_inner();
-    println!("{seeds} seeds, {steps} steps, {} failed {failed:?}", failed.len());
+    println!(
+        "{seeds} seeds, {steps} steps, {} failed {failed:?}",
+        failed.len()
+    );
     if failed.is_empty() {
         ExitCode::SUCCESS
     } else {
@@ -109,9 +112,7 @@
         let rows: Vec<String> = thread::scope(|scope| {
             let run = |(policy, label): &(Policy, &'static str)| {
                 let (policy, label) = (*policy, *label);
-                scope.spawn(move || {
-                    report::markdown(label, &report::run(seed, policy, make(seed)))
-                })
+                scope.spawn(move || report::markdown(label, &report::run(seed, policy, make(seed))))
             };
             let threads: Vec<_> = POLICIES.iter().map(run).collect();
             let join = |t: thread::ScopedJoinHandle<'_, String>| t.join().expect("a trial's run");
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -73,8 +73,11 @@
 
 const MINUTE: u64 = 60_000;
 
+/// Makes a trace from a seed.
+pub type Make = fn(u64) -> Trace;
+
 /// The traces of the policy trial.
-pub const TRACES: &[(&str, fn(u64) -> Trace)] = &[
+pub const TRACES: &[(&str, Make)] = &[
     ("calm, Hrísey", calm_hrisey),
     ("calm, Southern Plains", calm_plains),
     ("nearly drained", drained),
@@ -192,7 +195,9 @@
     };
     let mut rng = ChaCha8Rng::seed_from_u64(seed + 1);
     let customers = HRISEY.customers;
-    trace.arrivals.retain(|a| a.at < 2 * MINUTE || a.account < 3);
+    trace
+        .arrivals
+        .retain(|a| a.at < 2 * MINUTE || a.account < 3);
     let mut at = 2 * MINUTE;
     while at < trace.length {
         at += rng.random_range(0..40);
@@ -244,7 +249,10 @@
         }
         5 => (Fault::Lose(rng.random_range(5..60)), Some(Fault::Lose(0))),
         6 => (Fault::Cut(zone, true), Some(Fault::Cut(zone, false))),
-        7 => (Fault::CutPeers(zone, true), Some(Fault::CutPeers(zone, false))),
+        7 => (
+            Fault::CutPeers(zone, true),
+            Some(Fault::CutPeers(zone, false)),
+        ),
         _ => {
             let account = rng.random_range(0..customers);
             let tokens = rng.random_range(1_000..20_000);
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -88,9 +88,17 @@
 #[derive(Clone, Debug)]
 enum Call {
     Read,
-    Write { base: i64, record: Record },
-    Segment { name: String, segment: budget::record::Segment },
-    ReadSegment { name: String },
+    Write {
+        base: i64,
+        record: Record,
+    },
+    Segment {
+        name: String,
+        segment: budget::record::Segment,
+    },
+    ReadSegment {
+        name: String,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -99,20 +107,73 @@
     Fault(usize),
     Tick(usize),
     Members,
-    Bank { node: usize, shard: u32, event: Event },
-    Exec { node: usize, shard: u32, call: Call, answered: bool },
-    Reserve { node: usize, job: usize, tries: usize },
-    Reply { job: usize, tries: usize, reply: ReserveReply },
-    ReserveLate { job: usize, tries: usize },
-    Void { node: usize, job: usize, left: u32 },
-    EngineEnd { job: usize },
-    SettleRound { job: usize, round: usize },
-    Settle { node: usize, job: usize, post: Post },
-    Settled { job: usize },
-    Recall { node: usize, from: usize, account: usize, tokens: u64 },
-    Recalled { node: usize, from: usize, account: usize, sent: Option<u64>, ask: u64 },
-    Keep { node: usize, from: usize, account: usize, post: Post },
-    Comeback { request: usize },
+    Bank {
+        node: usize,
+        shard: u32,
+        event: Event,
+    },
+    Exec {
+        node: usize,
+        shard: u32,
+        call: Call,
+        answered: bool,
+    },
+    Reserve {
+        node: usize,
+        job: usize,
+        tries: usize,
+    },
+    Reply {
+        job: usize,
+        tries: usize,
+        reply: ReserveReply,
+    },
+    ReserveLate {
+        job: usize,
+        tries: usize,
+    },
+    Void {
+        node: usize,
+        job: usize,
+        left: u32,
+    },
+    EngineEnd {
+        job: usize,
+    },
+    SettleRound {
+        job: usize,
+        round: usize,
+    },
+    Settle {
+        node: usize,
+        job: usize,
+        post: Post,
+    },
+    Settled {
+        job: usize,
+    },
+    Recall {
+        node: usize,
+        from: usize,
+        account: usize,
+        tokens: u64,
+    },
+    Recalled {
+        node: usize,
+        from: usize,
+        account: usize,
+        sent: Option<u64>,
+        ask: u64,
+    },
+    Keep {
+        node: usize,
+        from: usize,
+        account: usize,
+        post: Post,
+    },
+    Comeback {
+        request: usize,
+    },
     Restart(usize),
 }
 
@@ -471,7 +532,9 @@
             let candidates = candidates.collect();
             self.nodes[node].silent = silent;
             self.nodes[node].bank.set_members(candidates);
-            self.nodes[node].bank.set_presence(self.now, &present, &left);
+            self.nodes[node]
+                .bank
+                .set_presence(self.now, &present, &left);
             for other in news {
                 let entry = self.nodes[other].id.clone();
                 let event = Event::Gone { entry };
@@ -495,7 +558,10 @@
     /// Returns the sum of an account's top-ups that are in force.
     pub fn total(&self, account: usize) -> u64 {
         let name = self.account(account);
-        let accounts = self.platform.records().filter_map(|r| r.accounts.get(&name));
+        let accounts = self
+            .platform
+            .records()
+            .filter_map(|r| r.accounts.get(&name));
         accounts.map(|a| a.total()).sum()
     }
 
@@ -599,7 +665,9 @@
     /// Starts an entry's work on a request, at an instance that the balancer picks.
     fn begin(&mut self, request: usize) {
         let takes = |n: &Node| n.state == State::Up && n.frozen_until <= self.now;
-        let up: Vec<usize> = (0..self.nodes.len()).filter(|n| takes(&self.nodes[*n])).collect();
+        let up: Vec<usize> = (0..self.nodes.len())
+            .filter(|n| takes(&self.nodes[*n]))
+            .collect();
         if up.is_empty() {
             self.requests[request].fate = Fate::Lost;
             return;
@@ -696,7 +764,14 @@
             return;
         }
         let node = self.jobs[job].homes[tries];
-        self.put(self.now, Item::Void { node, job, left: 60 });
+        self.put(
+            self.now,
+            Item::Void {
+                node,
+                job,
+                left: 60,
+            },
+        );
         self.jobs[job].tries += 1;
         self.ask_home(job);
     }
@@ -802,7 +877,13 @@
     fn remainder(&self, account: usize) -> u64 {
         let now = self.now;
         let own = self.runs.iter().filter(|r| r.account == account);
-        let taken = |r: &Run| if r.ends() > now { r.bound } else { r.served(now) };
+        let taken = |r: &Run| {
+            if r.ends() > now {
+                r.bound
+            } else {
+                r.served(now)
+            }
+        };
         let taken: u64 = own.map(taken).sum();
         self.total(account).saturating_sub(taken)
     }
@@ -833,7 +914,9 @@
             return;
         };
         let request = &self.requests[self.jobs[job].request];
-        let tokens = self.jobs[job].run.map_or(0, |r| self.runs[r].served(self.now));
+        let tokens = self.jobs[job]
+            .run
+            .map_or(0, |r| self.runs[r].served(self.now));
         let post = Post {
             holder: holder.clone(),
             hold,
@@ -845,7 +928,12 @@
             at_ms: self.now,
         };
         let entry = self.jobs[job].entry;
-        let mut to: Vec<usize> = self.nodes.iter().position(|n| n.id == holder).into_iter().collect();
+        let mut to: Vec<usize> = self
+            .nodes
+            .iter()
+            .position(|n| n.id == holder)
+            .into_iter()
+            .collect();
         if round >= 1 {
             to.extend(self.homes(entry, request.account));
         }
@@ -1013,7 +1101,10 @@
 
     /// Answers go by the recall's cumulative counter, so a lost one harms nothing.
     fn hand(&mut self, node: usize, to: usize, account: usize, sent: u64) {
-        let open = self.recall_asks.iter().find(|(_, n)| **n == node * 1_000 + to);
+        let open = self
+            .recall_asks
+            .iter()
+            .find(|(_, n)| **n == node * 1_000 + to);
         let Some(ask) = open.map(|(a, _)| *a) else {
             return;
         };
