--- a/crates/budget/src/decide.rs
+++ b/crates/budget/src/decide.rs
@@ -26,7 +26,8 @@
 impl Home {
     pub(crate) fn serve_waiting(&mut self, now: u64, out: &mut Vec<Action>) {
         let waits = |(n, l): (&String, &Local)| (!l.waiting.is_empty()).then(|| n.clone());
-        let names: Vec<String> = self.locals.iter().filter_map(waits).collect();
+        let hot = self.hot.iter().filter_map(|n| self.locals.get_key_value(n));
+        let names: Vec<String> = hot.filter_map(waits).collect();
         for name in names {
             self.hold_what_fits(&name, out);
             self.judge_rest(now, &name, out);
--- a/crates/budget/src/home.rs
+++ b/crates/budget/src/home.rs
@@ -3,7 +3,7 @@
 //! The machine has at most one platform call open. It never repeats a write blindly: after an
 //! unknown outcome it reads, and finds its own write again by the number it carries.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -29,6 +29,8 @@
 const RECOPY_MS: u64 = 500;
 /// How long a call for tokens waits for a step of a joint grant, in milliseconds.
 const CALL_MS: u64 = 300;
+/// How long an account that was used is looked at, in milliseconds.
+const HOT_MS: u64 = 5_000;
 
 /// What an instance is to a shard.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -67,7 +69,7 @@
             sizing: Sizing::Share,
             recall: true,
             joint: true,
-            standby_pct: 5,
+            standby_pct: 15,
             standby_ms: 10_000,
             copy_ms: 25,
             orphan_ms: 15_000,
@@ -120,6 +122,10 @@
     pub(crate) io: Io,
     pub(crate) doubtful: Vec<Proposal>,
     pub(crate) locals: BTreeMap<String, Local>,
+    /// Accounts that something may have to be done for.
+    pub(crate) hot: BTreeSet<String>,
+    /// Whether a standby's own grants are to be looked at.
+    pub(crate) standby_due: bool,
     pub(crate) next_hold: u64,
     pub(crate) next_write: u64,
     pub(crate) failures: u32,
@@ -149,6 +155,8 @@
             io: Io::Idle,
             doubtful: Vec::new(),
             locals: BTreeMap::new(),
+            hot: BTreeSet::new(),
+            standby_due: false,
             next_hold: 1,
             next_write: 1,
             failures: 0,
@@ -169,6 +177,8 @@
         self.witness_of.silent.retain(|h| !peers.contains(h));
         self.peers = peers;
         self.witness = witness;
+        self.standby_due = true;
+        self.hot.extend(self.locals.keys().cloned());
     }
 
     /// Returns what this instance is to the shard.
@@ -243,6 +253,9 @@
 
     /// Takes one event and appends what follows from it.
     pub fn step(&mut self, now: u64, event: Event, pacer: &mut Pacer, out: &mut Vec<Action>) {
+        if let Some(account) = event.account() {
+            self.hot.insert(account.to_string());
+        }
         match event {
             Event::Reserve { ask, req, deadline } => self.reserve(now, ask, req, deadline, out),
             Event::Extend {
@@ -319,6 +332,24 @@
             Event::Tick => self.tick(now, out),
         }
         self.pump(now, pacer, out);
+        self.cool(now);
+    }
+
+    /// Forgets the accounts that nothing has to be done for.
+    ///
+    /// Without this every event would cost time by the number of budgets in the shard.
+    fn cool(&mut self, now: u64) {
+        let hot = std::mem::take(&mut self.hot);
+        let busy = |n: &String| {
+            let Some(l) = self.locals.get(n) else {
+                return false;
+            };
+            let unwatched = l.joint.as_ref().is_some_and(|j| !j.is_watched);
+            let waits = !l.is_quiet() || !l.acts.is_empty() || !l.calls.is_empty() || l.giving > 0;
+            let recent = now < l.used_at + HOT_MS;
+            unwatched || waits || recent || self.must_close(n) || self.has_unwritten_transfers(n)
+        };
+        self.hot = hot.into_iter().filter(busy).collect();
     }
 
     fn reserve(&mut self, now: u64, ask: u64, req: Reserve, deadline: u64, out: &mut Vec<Action>) {
@@ -423,6 +454,7 @@
             reply_settled(ask, Settled::Recorded, out);
             return;
         }
+        self.hot.insert(account.to_string());
         let copy_at = now
             + if self.failures > 0 {
                 0
@@ -632,7 +664,8 @@
         self.post_kept(now);
         self.open_ahead(now, out);
         let called = |(n, l): (&String, &Local)| (!l.calls.is_empty()).then(|| n.clone());
-        let called: Vec<String> = self.locals.iter().filter_map(called).collect();
+        let hot = self.hot.iter().filter_map(|n| self.locals.get_key_value(n));
+        let called: Vec<String> = hot.filter_map(called).collect();
         for name in called {
             self.answer_calls(now, &name, false, out);
         }
@@ -697,6 +730,7 @@
             return;
         }
         let names: Vec<String> = self.locals.keys().cloned().collect();
+        self.hot.extend(names.iter().cloned());
         for name in names {
             let available = self.available(&name);
             let local = self.locals.get_mut(&name).expect("listed above");
--- a/crates/budget/src/joint.rs
+++ b/crates/budget/src/joint.rs
@@ -27,8 +27,10 @@
     pub key: String,
     /// Tokens opened, cumulative.
     pub opened: u64,
-    /// When the witness was asked for the next step, in milliseconds.
-    pub asked_at: Option<u64>,
+    /// When the witness was asked for a step, in milliseconds, and up to where.
+    pub asked: Option<(u64, u64)>,
+    /// Whether the witness knows of it, and so hands it back when this holder falls silent.
+    pub is_watched: bool,
     /// Set when no step is opened any more.
     pub closing: bool,
 }
@@ -124,18 +126,19 @@
             return;
         };
         let step = (local.rate(now) * STEP_MS / 1000.0) as u64;
-        let Some(joint) = local.joint.as_mut().filter(|j| j.asked_at.is_none()) else {
+        let Some(joint) = local.joint.as_mut().filter(|j| j.asked.is_none()) else {
             return;
         };
         let Some((_, witness)) = joint_parts(&joint.key).filter(|_| left > 0) else {
             return;
         };
-        joint.asked_at = Some(now);
+        let upto = joint.opened + lack.max(step).min(left);
+        joint.asked = Some((now, upto));
         out.push(Action::Open {
             account: name.to_string(),
             witness: witness.to_string(),
             key: joint.key.clone(),
-            upto: joint.opened + lack.max(step).min(left),
+            upto,
         });
     }
 
@@ -147,21 +150,29 @@
             // It is being handed back: a step that comes now must not be spent.
             return;
         };
-        joint.asked_at = None;
+        let Some((_, upto)) = joint.asked.take() else {
+            return;
+        };
         match opened {
-            Some(opened) if opened > joint.opened => joint.opened = opened,
+            Some(opened) if opened >= upto => {
+                joint.opened = joint.opened.max(opened);
+                joint.is_watched = true;
+            }
             // The witness has closed it, or does not answer: another one is needed.
             Some(_) | None => joint.closing = true,
         }
     }
 
-    /// Opens the next step before the last one is used up.
+    /// Opens the next step before the last one is used up, and tells witnesses of new grants.
     pub(crate) fn open_ahead(&mut self, now: u64, out: &mut Vec<Action>) {
-        let runs_low = |(n, l): (&String, &crate::local::Local)| {
-            let low = self.available(n) < (l.rate(now) * STEP_MS / 2000.0) as u64;
-            low.then(|| n.clone())
+        let due = |n: &&String| {
+            let Some(local) = self.locals.get(*n) else {
+                return false;
+            };
+            let unwatched = local.joint.as_ref().is_some_and(|j| !j.is_watched);
+            unwatched || self.available(n) < (local.rate(now) * STEP_MS / 2000.0) as u64
         };
-        let names: Vec<String> = self.locals.iter().filter_map(runs_low).collect();
+        let names: Vec<String> = self.hot.iter().filter(due).cloned().collect();
         for name in names {
             self.ask_step(now, &name, 0, out);
         }
@@ -182,7 +193,7 @@
     /// A step that came while the write is on its way would be handed back and spent as well.
     pub(crate) fn end_steps(&mut self) {
         let ends = |n: &String| self.must_close(n);
-        let names: Vec<String> = self.locals.keys().filter(|n| ends(n)).cloned().collect();
+        let names: Vec<String> = self.hot.iter().filter(|n| ends(n)).cloned().collect();
         for name in names {
             let local = self.locals.get_mut(&name).expect("listed above");
             local.joint.as_mut().expect("must_close found it").closing = true;
@@ -244,6 +255,18 @@
         account.joints.entry(key).or_default().granted += adds;
     }
 
+    /// Forgets silent holders whose joint grants are all handed back.
+    pub(crate) fn forget_silent(&mut self) {
+        let Some(record) = self.known.as_ref().map(|(s, _)| &s.record) else {
+            return;
+        };
+        let keys = record.accounts.values().flat_map(|a| a.joints.keys());
+        let pairs: Vec<_> = keys.filter_map(|k| joint_parts(k)).collect();
+        let me = self.me.as_str();
+        let silent = &mut self.witness_of.silent;
+        silent.retain(|h| pairs.iter().any(|(holder, w)| h == holder && *w == me));
+    }
+
     /// Takes over which joint grant the record shows for each account.
     pub(crate) fn adopt_joints(&mut self) {
         let Some((stored, _)) = &self.known else {
@@ -256,10 +279,12 @@
             };
             let local = self.locals.entry(name.clone()).or_default();
             if local.joint.as_ref().is_none_or(|j| j.key != *key) {
+                self.hot.insert(name.clone());
                 local.joint = Some(JointLocal {
                     key: key.clone(),
                     opened: joint.opened,
-                    asked_at: None,
+                    asked: None,
+                    is_watched: false,
                     closing: false,
                 });
             }
@@ -277,5 +302,5 @@
 }
 
 fn is_late(now: u64, joint: &JointLocal) -> bool {
-    joint.asked_at.is_some_and(|at| now > at + PATIENCE_MS)
+    joint.asked.is_some_and(|(at, _)| now > at + PATIENCE_MS)
 }
--- a/crates/budget/src/msg.rs
+++ b/crates/budget/src/msg.rs
@@ -311,6 +311,27 @@
     pub record: Record,
 }
 
+impl Event {
+    /// Returns the customer that it is about, if it is about one.
+    pub fn account(&self) -> Option<&str> {
+        match self {
+            Event::Reserve { req, .. } => Some(&req.account),
+            Event::Extend { account, .. }
+            | Event::Void { account, .. }
+            | Event::DropOut { account, .. }
+            | Event::Keep { account, .. }
+            | Event::Settle { account, .. }
+            | Event::Recall { account, .. }
+            | Event::Recalled { account, .. }
+            | Event::Opened { account, .. }
+            | Event::Act { account, .. }
+            | Event::Copied { account, .. }
+            | Event::Proof { account, .. } => Some(account),
+            _ => None,
+        }
+    }
+}
+
 /// An output of the decisions.
 #[derive(Clone, Debug)]
 pub enum Action {
--- a/crates/budget/src/propose.rs
+++ b/crates/budget/src/propose.rs
@@ -38,7 +38,7 @@
     /// Returns the segment of older bills to load before more is held or settled.
     fn lacks_older(&mut self) -> Option<String> {
         let needs = |l: &Local| !l.pending.is_empty() || !l.waiting.is_empty();
-        if !self.locals.values().any(needs) {
+        if !self.hot_locals().any(|(_, l)| needs(l)) {
             return None;
         }
         let (stored, _) = self.known.as_ref()?;
@@ -58,14 +58,20 @@
     }
 
     /// Returns whether the record lacks something that only a write can bring.
-    fn has_work(&self, now: u64) -> bool {
+    fn has_work(&mut self, now: u64) -> bool {
+        self.standby_due = self.standby_due && self.standby_lacks(now);
         let any = |(name, l): (&String, &Local)| {
             let local = !l.pending.is_empty() || !l.acts.is_empty() || l.giving > 0;
             let lacks = self.wants(now, name) > 0 || self.has_unwritten_transfers(name);
             local || lacks || self.must_close(name)
         };
-        let own = self.rolled.is_some() || self.locals.iter().any(any);
-        own || self.standby_lacks(now) || self.has_silent_joints()
+        let own = self.rolled.is_some() || self.hot_locals().any(any);
+        own || self.standby_due || self.has_silent_joints()
+    }
+
+    fn hot_locals(&self) -> impl Iterator<Item = (&String, &Local)> {
+        let hot = self.hot.iter();
+        hot.filter_map(|n| self.locals.get_key_value(n))
     }
 
     /// Returns whether a transfer is not in the record yet.
@@ -117,6 +123,12 @@
         if self.role != Role::Standby || self.params.standby_pct == 0 {
             return 0;
         }
+        let can_be_joint = self.params.joint && self.witness.is_some();
+        if can_be_joint && !self.grants_jointly(now, name) {
+            // Its joint grant is being handed back: a standby can wait for the next one, and a
+            // grant of its own would strand whole.
+            return 0;
+        }
         let pct = u128::from(self.params.standby_pct);
         let target = (u128::from(account.free()) * pct / 100) as u64;
         let has = self.available(name) + self.joint_left(now, name);
@@ -160,7 +172,7 @@
         self.next_write += 1;
         let mut giving = BTreeMap::new();
         self.end_steps();
-        for (name, local) in &self.locals {
+        for (name, local) in self.hot_locals() {
             self.write_account(now, number, name, &mut record);
             if local.giving > 0 {
                 giving.insert(name.clone(), local.giving);
@@ -313,7 +325,9 @@
         self.land(&stored);
         self.end_roll(&stored.record);
         self.known = Some((stored, since));
+        self.standby_due = true;
         self.drop_folded();
+        self.forget_silent();
         self.adopt_joints();
         self.merge_transfers();
         self.drop_posted(out);
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -2,12 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use crate::upstream::{Key, Kind, Load, Spec, Upstream};
 use serde::Serialize;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::upstream::{Key, Kind, Load, Spec, Upstream};
-
 /// An upstream that a prefix is tied to may have this many percent of the mean load.
 const AFFINITY_LOAD_PCT: u32 = 125;
 /// At least this share of the candidates, in percent, stays in use whatever fails.
@@ -59,6 +58,11 @@
     pub random: u64,
 }
 
+/// Mixes the bits of a number, so that its order says nothing of the number's.
+fn mix(n: u64) -> u64 {
+    xxh3_64(&n.to_le_bytes())
+}
+
 /// All upstreams, in an arena that keys point into.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -197,13 +201,12 @@
         let prefix = ask.prefix?;
         let load: u32 = all.iter().map(|k| self.get(*k).occupancy(now)).sum();
         let bound = (load * AFFINITY_LOAD_PCT / 100).div_ceil(all.len() as u32) + 1;
-        let rank = |k: &Key| xxh3_64(format!("{prefix}/{}", self.get(*k).spec.id).as_bytes());
-        let mut order: SmallVec<[Key; 32]> = all.iter().copied().collect();
-        order.sort_by_key(|k| std::cmp::Reverse(rank(k)));
-        order
-            .into_iter()
-            .take(2)
-            .find(|k| self.get(*k).occupancy(now) < bound)
+        let rank = |k: &Key| mix(prefix ^ self.get(*k).hash);
+        let first = all.iter().copied().max_by_key(rank)?;
+        let second = all.iter().copied().filter(|k| *k != first).max_by_key(rank);
+        let order = std::iter::once(first).chain(second);
+        let mut within = order.filter(|k| self.get(*k).occupancy(now) < bound);
+        within.next()
     }
 
     fn least_of_two(&self, now: u64, from: &[Key], random: u64) -> Key {
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One upstream: what the instance list, its own reports and our own requests say of it.
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Failures in a row after which an upstream is left alone for a while.
 const EJECT_FAILURES: u32 = 3;
@@ -62,6 +63,9 @@
 pub struct Upstream {
     /// As the instance list shows it.
     pub spec: Spec,
+    /// Hash of its name.
+    #[serde(skip)]
+    pub hash: u64,
     /// Its last report.
     pub load: Load,
     /// When that came, in milliseconds.
@@ -85,6 +89,7 @@
     pub fn new(spec: Spec) -> Upstream {
         Upstream {
             leaving: spec.leaving,
+            hash: xxh3_64(spec.id.as_bytes()),
             spec,
             load: Load::default(),
             load_at: None,
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -14,8 +14,8 @@
     Chosen,
     /// As chosen, without standbys.
     NoStandby,
-    /// As chosen, standbys with a large part.
-    WideStandby,
+    /// As chosen, standbys with a small part.
+    ThinStandby,
     /// As chosen, grants sized by demand over some seconds.
     Demand,
     /// As chosen, every grant its holder's alone.
@@ -32,7 +32,7 @@
     (Policy::Swap, "swap per request"),
     (Policy::Chosen, "chosen"),
     (Policy::NoStandby, "no standby"),
-    (Policy::WideStandby, "standby 15 %"),
+    (Policy::ThinStandby, "standby 5 %"),
     (Policy::Demand, "demand 10 s"),
     (Policy::Sole, "no joint grants"),
     (Policy::NoRecall, "no recall"),
@@ -68,8 +68,8 @@
                 standby_pct: 0,
                 ..base
             },
-            Policy::WideStandby => Params {
-                standby_pct: 15,
+            Policy::ThinStandby => Params {
+                standby_pct: 5,
                 ..base
             },
             Policy::Demand => Params {
