Routing under load; orders to engines; smaller gossip; copies of bills after 5 ms

Waiting for 2 s raised the priority by one, so old long reads outran fresh questions: replaced by every eighth release for the oldest. Prefixes count only for prompts from 2 KB. Orders: the configuration's versions become orders, fenced by its revision, level-triggered by what engines report; requests go only to engines that report the version.

--- a/crates/budget/src/home.rs
+++ b/crates/budget/src/home.rs
@@ -71,7 +71,7 @@
             joint: true,
             standby_pct: 15,
             standby_ms: 10_000,
-            copy_ms: 25,
+            copy_ms: 5,
             orphan_ms: 15_000,
         }
     }
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -5,7 +5,7 @@
 
 use err::{Error, Kind};
 use route::queue::{Queue, Ticket, Verdict};
-use route::upstream;
+use route::{upstream, Rooms};
 use tokio::sync::oneshot;
 
 use crate::shared::Shared;
@@ -61,11 +61,11 @@
 ) -> Result<(), Error> {
     let pool = (kind, serves.to_string());
     let now = shared.clock.now();
-    let room = room(shared, &pool);
+    let rooms = rooms(shared, &pool);
     let (ticket, rx) = {
         let mut admission = shared.admission.lock().expect("no panic inside");
         let line = admission.0.entry(pool_key(&pool)).or_default();
-        match line.queue.arrive(now, room, priority, deadline) {
+        match line.queue.arrive(now, &rooms, priority, deadline) {
             Verdict::Go => return Ok(()),
             Verdict::Refuse { retry_ms } => {
                 let message =
@@ -111,10 +111,10 @@
     }
 }
 
-fn room(shared: &Shared, (kind, serves): &Pool) -> u32 {
+fn rooms(shared: &Shared, (kind, serves): &Pool) -> Rooms {
     let now = shared.clock.now();
     let pool = shared.pool.lock().expect("no panic inside");
-    pool.room(now, *kind, serves)
+    pool.rooms(now, *kind, serves)
 }
 
 /// Counts the end of a request and lets in who waits.
@@ -146,8 +146,8 @@
         } else {
             upstream::Kind::Service
         };
-        let room = room(shared, &(kind, key.1.clone()));
-        for ticket in line.queue.release(now, room) {
+        let rooms = rooms(shared, &(kind, key.1.clone()));
+        for ticket in line.queue.release(&rooms) {
             line.tell(ticket, true);
         }
     }
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use peer::{Member, Standing};
+use peer::{Member, Standing, Told};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
@@ -13,7 +13,7 @@
 use crate::rpc::{method, GossipMsg};
 use crate::shared::Shared;
 
-const EVERY: Duration = Duration::from_millis(500);
+const EVERY: Duration = Duration::from_millis(1_000);
 
 /// Spawns the task.
 pub fn spawn(shared: Arc<Shared>) {
@@ -32,16 +32,22 @@
             members.beat(now, &mut rng)
         };
         settle_members(&shared, &mut silent);
-        let Some((partner, members)) = partner else {
+        let Some((partner, told)) = partner else {
             continue;
         };
-        tokio::spawn(talk(Arc::clone(&shared), partner, members));
+        tokio::spawn(talk(Arc::clone(&shared), partner, told));
     }
 }
 
 /// Takes over who lives, who fell silent and who came back.
 fn settle_members(shared: &Arc<Shared>, silent: &mut BTreeSet<String>) {
     shared.bank.set_members(shared.candidates());
+    let live = shared.live().len();
+    shared
+        .pool
+        .lock()
+        .expect("no panic inside")
+        .set_sharers(live);
     let now = shared.clock.now();
     let quiet = shared.members.lock().expect("no panic inside").silent(now);
     let quiet: BTreeSet<String> = quiet.into_iter().collect();
@@ -55,8 +61,8 @@
     *silent = quiet;
 }
 
-async fn talk(shared: Arc<Shared>, partner: Member, members: Vec<Member>) {
-    let msg = message(&shared, members);
+async fn talk(shared: Arc<Shared>, partner: Member, told: Told) {
+    let msg = message(&shared, told);
     let addr = &partner.peer_addr;
     let reply = shared
         .peers
@@ -67,9 +73,9 @@
     }
 }
 
-fn message(shared: &Shared, members: Vec<Member>) -> GossipMsg {
+fn message(shared: &Shared, told: Told) -> GossipMsg {
     GossipMsg {
-        members,
+        told,
         revision: shared.revision(),
         leaving: shared.pool.lock().expect("no panic inside").leaving(),
     }
@@ -77,22 +83,22 @@
 
 /// Answers a partner.
 pub fn answer(shared: &Arc<Shared>, msg: GossipMsg) -> GossipMsg {
-    let addr = msg.members.first().map(|m| m.peer_addr.clone());
+    let addr = msg.told.members.first().map(|m| m.peer_addr.clone());
     take(shared, msg, &addr.unwrap_or_default());
     let now = shared.clock.now();
     let mut rng = StdRng::from_os_rng();
-    let members = {
+    let told = {
         let members = shared.members.lock().expect("no panic inside");
         members.tell(now, &mut rng)
     };
-    message(shared, members)
+    message(shared, told)
 }
 
 fn take(shared: &Arc<Shared>, msg: GossipMsg, addr: &str) {
     let now = shared.clock.now();
     let news = {
         let mut members = shared.members.lock().expect("no panic inside");
-        members.hear(now, msg.members)
+        members.hear(now, msg.told)
     };
     for member in &news {
         let detail = format!("{} {:?}", member.id, member.standing);
@@ -123,7 +129,14 @@
     };
     let mut talks = Vec::new();
     for member in live.into_iter().filter(|m| m.id != shared.me).take(16) {
-        let talk = talk(Arc::clone(shared), member, vec![me.clone()]);
+        let talk = talk(
+            Arc::clone(shared),
+            member,
+            Told {
+                members: vec![me.clone()],
+                beats: Vec::new(),
+            },
+        );
         talks.push(tokio::spawn(talk));
     }
     for talk in talks {
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -11,13 +11,13 @@
 use tokio::sync::watch;
 
 use crate::admission::Admission;
-use crate::clock::Clock;
+use crate::clock::{wall_ms, Clock};
 use crate::event::Event;
 use crate::journal::Journal;
 use crate::metric::Metrics;
 use crate::rpc::{self, Peers};
 use crate::shared::Shared;
-use crate::{admin, bankd, callers, configd, gossip, loads, registry};
+use crate::{admin, bankd, callers, configd, gossip, loads, orders, registry};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const ADMIN_BODY_LIMIT: usize = 64 << 20;
@@ -64,6 +64,7 @@
         configd::spawn(&shared);
         gossip::spawn(Arc::clone(&shared));
         loads::spawn(Arc::clone(&shared));
+        orders::spawn(Arc::clone(&shared));
         let detail = format!("callers {}, operators {}", callers.addr(), admin.addr());
         shared.log(Event::Started, detail);
         Ok(Instance {
@@ -147,7 +148,8 @@
 }
 
 fn share(settings: Settings, peer_addr: SocketAddr, bank: bankd::Handle) -> Result<Shared> {
-    let start = uuid::Uuid::now_v7().simple().to_string();
+    // Half of it names the time of the start, the other half is random.
+    let start = format!("{:08x}{:08x}", wall_ms() / 1000, rand::random::<u32>());
     let me = format!("{}.{start}", settings.name);
     let member = Member {
         id: me.clone(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod journal;
 pub mod loads;
 pub mod metric;
+pub mod orders;
 pub mod pipe;
 pub mod registry;
 pub mod rpc;
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -1,5 +1,6 @@
 //! Asks upstreams for their load: those in use often, the others now and then.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,10 @@
 }
 
 fn due(shared: &Shared, round: u64) -> Vec<(Key, String)> {
+    let active = shared.active();
+    let wanted = active
+        .map(|a| a.config.versions.clone())
+        .unwrap_or_default();
     let pool = shared.pool.lock().expect("no panic inside");
     let all: Vec<_> = pool.all().filter(|(_, u)| !u.leaving).collect();
     if all.is_empty() {
@@ -42,7 +47,11 @@
     let idle_turn = round % IDLE_ROUNDS == 0;
     let mut due = Vec::new();
     for (i, (key, up)) in all.iter().enumerate() {
-        let used = up.inflight > 0 || up.since_report > 0 || up.load_at.is_none();
+        // One that does not report the wanted version yet gets no requests until it does.
+        let changing = wanted.iter().any(|(model, version)| {
+            up.spec.serves.contains(model) && up.versions.get(model) != Some(version)
+        });
+        let used = up.inflight > 0 || up.since_report > 0 || up.load_at.is_none() || changing;
         if used || (idle_turn && i == turn) {
             due.push((*key, up.spec.url.clone()));
         }
@@ -50,7 +59,8 @@
     due
 }
 
-async fn ask(shared: Arc<Shared>, key: Key, url: String) {
+/// Asks one upstream.
+pub async fn ask(shared: Arc<Shared>, key: Key, url: String) {
     let sent = shared
         .http
         .get(format!("{url}/load"))
@@ -72,6 +82,7 @@
     let mut pool = shared.pool.lock().expect("no panic inside");
     let left = pool.get(key).leaving;
     pool.report(now, key, load);
+    pool.get_mut(key).versions = versions(&value["versions"]);
     let id = pool.get(key).spec.id.clone();
     drop(pool);
     if load.draining && !left {
@@ -79,6 +90,19 @@
     }
 }
 
+fn versions(value: &Value) -> BTreeMap<String, String> {
+    let row = |(model, v): (&String, &Value)| {
+        let version = v["version"].as_str()?;
+        Some((model.clone(), version.to_string()))
+    };
+    value
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter_map(row)
+        .collect()
+}
+
 fn number(value: &Value) -> u32 {
     value.as_u64().unwrap_or_default() as u32
 }
--- a/crates/entry/src/pipe/auth.rs
+++ b/crates/entry/src/pipe/auth.rs
@@ -43,7 +43,7 @@
         id: request_id(req)?,
         customer: customer.clone(),
         policy,
-        revision: active.bundle.head.revision,
+        active: Arc::clone(&active),
         began_us: shared.clock.now_us(),
         deadline: now + wait_ms.min(shared.settings.request_ms()),
         body: req.body.clone(),
--- a/crates/entry/src/pipe/chat.rs
+++ b/crates/entry/src/pipe/chat.rs
@@ -60,9 +60,10 @@
         ..Spent::default()
     };
     loop {
-        if let Err(error) = prepare(cx, chat, &spent).await {
+        // Boxed, as all that is not relaying: a stream would keep their large states as it lasts.
+        if let Err(error) = Box::pin(prepare(cx, chat, &spent)).await {
             choose::done(cx, ENGINE, &chat.model, true);
-            settle(cx, spent.clone()).await;
+            Box::pin(settle(cx, spent.clone())).await;
             return Err(blame(error, &spent));
         }
         cx.attempts += 1;
@@ -71,7 +72,7 @@
         let end = relay(cx, chat, out, joined).await;
         cx.step(format!("attempt {} ended: {end:?}", cx.attempts));
         let ok = matches!(end, End::Whole(_) | End::CallerLeft | End::Late | End::Gone);
-        match after(cx, chat, out, end, &mut spent).await {
+        match Box::pin(after(cx, chat, out, end, &mut spent)).await {
             Next::Whole => {
                 choose::done(cx, ENGINE, &chat.model, ok);
                 return Ok(());
@@ -95,7 +96,7 @@
 
 /// Chooses an upstream and has its cost held back.
 async fn prepare(cx: &mut Cx, chat: &Chat, spent: &Spent) -> Result<(), Error> {
-    choose::choose(cx, ENGINE, &chat.model, Some(chat.prefix)).await?;
+    choose::choose(cx, ENGINE, &chat.model, chat.prefix).await?;
     if let Some(hold) = &cx.hold {
         // The hold still stands, less what the earlier attempts spent or may have spent.
         let doubted: u64 = spent.doubts.iter().map(|d| d.tokens).sum();
--- a/crates/entry/src/pipe/choose.rs
+++ b/crates/entry/src/pipe/choose.rs
@@ -41,6 +41,7 @@
         &Ask {
             kind,
             serves,
+            version: cx.active.config.versions.get(serves).map(String::as_str),
             prefix,
             zone: &shared.settings.zone,
             tried: &cx.tried,
--- a/crates/entry/src/pipe/cx.rs
+++ b/crates/entry/src/pipe/cx.rs
@@ -8,7 +8,7 @@
 use route::{Choice, Key};
 use smallvec::SmallVec;
 
-use crate::shared::Shared;
+use crate::shared::{Active, Shared};
 
 /// A hold of tokens at its holder.
 #[derive(Clone, Debug)]
@@ -35,8 +35,8 @@
     pub customer: String,
     /// What holds for the customer, from the configuration that the request began with.
     pub policy: Policy,
-    /// The revision of that configuration.
-    pub revision: u64,
+    /// The configuration that the request began with.
+    pub active: Arc<Active>,
     /// When the request came, in microseconds.
     pub began_us: u64,
     /// Whether the caller chose the id, and so may come back for the answer.
--- a/crates/entry/src/pipe/parse.rs
+++ b/crates/entry/src/pipe/parse.rs
@@ -7,6 +7,8 @@
 
 /// A message costs at most this many tokens besides those of its bytes.
 const MESSAGE_TOKENS: u64 = 16;
+/// A prompt shorter than this, in bytes, is read faster than its cached prefix is worth.
+const PREFIX_WORTH: u64 = 2_048;
 /// Bytes of the first message by which prompts with one prefix find each other.
 const PREFIX_BYTES: usize = 256;
 
@@ -23,8 +25,8 @@
     pub stream: bool,
     /// Whether a streamed answer ends with its usage.
     pub usage: bool,
-    /// Hash of the prompt's prefix.
-    pub prefix: u64,
+    /// Hash of the prompt's prefix, where the prompt is long enough for a cache to matter.
+    pub prefix: Option<u64>,
     /// Hash of the whole request.
     pub hash: u64,
     /// The body for the engine.
@@ -67,7 +69,7 @@
         prompt_bound,
         stream,
         usage,
-        prefix,
+        prefix: Some(prefix).filter(|_| prompt_bound >= PREFIX_WORTH),
         hash: xxh3_64(bytes),
         body,
     })
--- a/crates/entry/src/pipe/relay.rs
+++ b/crates/entry/src/pipe/relay.rs
@@ -151,7 +151,8 @@
     let mut grace = None;
     loop {
         let fresh = resumes == 0 && !joined;
-        let end = match connect(cx, chat, out.at, fresh).await {
+        // Boxed: its state is large, and would be kept for as long as the stream lasts.
+        let end = match Box::pin(connect(cx, chat, out.at, fresh)).await {
             Link::Up(events) => read(cx, chat, out, events, &mut grace).await,
             Link::NotRun(why) => return End::NotRun(why),
             Link::Gone => return End::Gone,
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -14,7 +14,7 @@
 use jsonrpsee_core::RpcResult;
 use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee_server::{RpcModule, ServerBuilder, ServerConfig, ServerHandle};
-use peer::Member;
+use peer::Told;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -116,8 +116,8 @@
 /// What two instances tell each other again and again.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GossipMsg {
-    /// Some of the instances that the sender knows, itself first.
-    pub members: Vec<Member>,
+    /// What the sender knows of instances, itself first.
+    pub told: Told,
     /// The revision of the sender's configuration.
     pub revision: u64,
     /// Upstreams that are leaving.
--- a/crates/oriolehitch/tests/scenario/act.rs
+++ b/crates/oriolehitch/tests/scenario/act.rs
@@ -39,6 +39,7 @@
         "stop" => stage.signal(line.word(1)?, Signal::TERM),
         "restart" => stage.restart(line.word(1)?),
         "fault" => fault(stage, line).await,
+        "order" => order(stage, line).await,
         "cut" => cut(stage, Some(line.word(1)?)).await,
         "heal" => cut(stage, None).await,
         "sleep" => {
@@ -400,6 +401,20 @@
     }
 }
 
+/// Gives an engine an order, as an instance would.
+async fn order(stage: &Stage, line: &Line) -> Result<(), String> {
+    let url = format!("{}/orders", stage.process(line.word(1)?)?.url);
+    let fence = line.number("fence", 0)?;
+    let body = json!({"model": "birch-7b", "version": line.word(2)?, "fence": fence});
+    let res = stage.http.post(url).json(&body).send().await;
+    let status = res.map_err(|e| e.to_string())?.status().as_u16();
+    if u64::from(status) == line.number("status", 200)? {
+        Ok(())
+    } else {
+        Err(format!("status {status}"))
+    }
+}
+
 /// Cuts a zone from the others, or heals all cuts.
 async fn cut(stage: &Stage, zone: Option<&str>) -> Result<(), String> {
     let instances = stage.instances();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -12,10 +12,12 @@
 const SUSPECT_MS: u64 = 4_000;
 /// Silence after which an instance is forgotten, in milliseconds.
 const FORGET_MS: u64 = 120_000;
-/// Members in one message: bounds its bytes, whatever the fleet's size.
+/// Heartbeats in one message: bounds its bytes, whatever the fleet's size.
 const MESSAGE_MOST: usize = 24;
-/// Members that a message lists because they changed lately.
+/// Members that a message lists whole because they changed lately.
 const NEWS_MOST: usize = 8;
+/// How long a change is told, in milliseconds.
+const NEWS_MS: u64 = 10_000;
 
 /// What an instance says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -55,6 +57,26 @@
     }
 }
 
+/// A heartbeat of an instance that the listener knows: a fourth of a whole member's bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat(
+    /// Its incarnation.
+    pub String,
+    /// The heartbeat.
+    pub u64,
+    /// The revision of the configuration that is in force there.
+    pub u64,
+);
+
+/// What one instance tells another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The teller first, then the instances that changed lately.
+    pub members: Vec<Member>,
+    /// Heartbeats of some others.
+    pub beats: Vec<Beat>,
+}
+
 #[derive(Clone, Debug)]
 struct Seen {
     member: Member,
@@ -96,7 +118,7 @@
     }
 
     /// Beats, and returns the partner to talk to and what to tell it.
-    pub fn beat(&mut self, now: u64, rng: &mut impl Rng) -> Option<(Member, Vec<Member>)> {
+    pub fn beat(&mut self, now: u64, rng: &mut impl Rng) -> Option<(Member, Told)> {
         self.me.beat += 1;
         self.seen.retain(|_, s| now < s.heard_at + FORGET_MS);
         let partners = self
@@ -109,21 +131,35 @@
     }
 
     /// Returns what to tell a partner: oneself, the news, and some others.
-    pub fn tell(&self, now: u64, rng: &mut impl Rng) -> Vec<Member> {
+    pub fn tell(&self, now: u64, rng: &mut impl Rng) -> Told {
         let live = |s: &&Seen| now < s.heard_at + SUSPECT_MS || s.member.standing == Standing::Left;
         let mut known: Vec<&Seen> = self.seen.values().filter(live).collect();
         known.sort_by_key(|s| std::cmp::Reverse(s.changed_at));
-        let news = known.len().min(NEWS_MOST);
-        known[news..].shuffle(rng);
-        known.truncate(MESSAGE_MOST - 1);
+        let is_news = |s: &&&Seen| now < s.changed_at + NEWS_MS;
+        let news = known.iter().take(NEWS_MOST).take_while(is_news).count();
+        let mut rest = known.split_off(news);
+        rest.shuffle(rng);
+        rest.truncate(MESSAGE_MOST);
+        let beat = |s: &Seen| Beat(s.member.id.clone(), s.member.beat, s.member.revision);
         let others = known.into_iter().map(|s| s.member.clone());
-        std::iter::once(self.me.clone()).chain(others).collect()
+        Told {
+            members: std::iter::once(self.me.clone()).chain(others).collect(),
+            beats: rest.into_iter().map(beat).collect(),
+        }
     }
 
     /// Takes in what a partner told; returns the members that are new or changed their standing.
-    pub fn hear(&mut self, now: u64, told: Vec<Member>) -> Vec<Member> {
+    pub fn hear(&mut self, now: u64, told: Told) -> Vec<Member> {
+        for Beat(id, beat, revision) in told.beats {
+            // One that is not known is told whole by somebody, or is in the instance list.
+            if let Some(seen) = self.seen.get_mut(&id).filter(|s| s.member.beat < beat) {
+                seen.heard_at = now;
+                seen.member.beat = beat;
+                seen.member.revision = revision;
+            }
+        }
         let mut news = Vec::new();
-        for member in told {
+        for member in told.members {
             if member.id == self.me.id {
                 continue;
             }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -14,6 +14,29 @@
 /// Requests per slot up to which an upstream takes more.
 const OVERCOMMIT_PCT: u32 = 150;
 
+/// Requests per slot, in percent, up to which an upstream takes more of priority 0, and how much
+/// further by the square of the priority: engines run what is first, so that should be there early.
+const COMMIT_PCT: u32 = 110;
+const COMMIT_STEP_PCT: u32 = 5;
+/// Slots that an upstream is thought to have before its first report.
+const UNKNOWN_SLOTS: u32 = 4;
+
+/// How many more requests of each priority some upstreams can take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Rooms([u32; 10]);
+
+impl Rooms {
+    /// Makes rooms that are the same for every priority.
+    pub fn all(room: u32) -> Rooms {
+        Rooms([room; 10])
+    }
+
+    /// Returns the room for a priority.
+    pub fn at(&self, priority: u8) -> u32 {
+        self.0[priority.min(9) as usize]
+    }
+}
+
 /// Why an upstream was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -48,6 +71,8 @@
     pub kind: Kind,
     /// The model or service.
     pub serves: &'a str,
+    /// The version of the model, where the configuration names one.
+    pub version: Option<&'a str>,
     /// Hash of the prompt's prefix.
     pub prefix: Option<u64>,
     /// The own availability zone.
@@ -68,6 +93,7 @@
 pub struct Pool {
     slots: Vec<Upstream>,
     by_id: BTreeMap<String, Key>,
+    sharers: u32,
 }
 
 impl Pool {
@@ -140,7 +166,10 @@
     /// Returns the upstreams that may serve, without those that fail unless too many do.
     fn candidates(&self, now: u64, ask: &Ask<'_>) -> SmallVec<[Key; 32]> {
         let serves = |u: &Upstream| {
-            u.spec.kind == ask.kind && !u.leaving && u.spec.serves.iter().any(|s| s == ask.serves)
+            let serves = u.spec.serves.iter().any(|s| s == ask.serves);
+            let version = u.versions.get(ask.serves).map(String::as_str);
+            let fits = ask.version.is_none() || ask.version == version;
+            u.spec.kind == ask.kind && !u.leaving && serves && fits
         };
         let fits =
             |(key, u): (Key, &Upstream)| (serves(u) && !ask.tried.contains(&key)).then_some(key);
@@ -215,7 +244,10 @@
         let b = from[((random >> 32) % len) as usize];
         let rank = |k: Key| {
             let up = self.get(k);
-            up.occupancy(now) * 1000 / up.slots()
+            // Reports are late, and all instances that go by them alone run to one upstream. What
+            // runs there from here, times the instances, is never late.
+            let own = up.inflight * self.sharers.max(1);
+            (own + up.occupancy(now)) * 1000 / up.slots()
         };
         if rank(b) < rank(a) {
             b
@@ -229,25 +261,44 @@
         up.load_at.is_none() || up.occupancy(now) * 100 < up.slots() * OVERCOMMIT_PCT
     }
 
-    /// Returns how many more requests the upstreams of a kind can take.
-    pub fn room(&self, now: u64, kind: Kind, serves: &str) -> u32 {
+    /// Returns how many more requests of each priority the upstreams of a kind can take.
+    pub fn rooms(&self, now: u64, kind: Kind, serves: &str) -> Rooms {
         let ask = Ask {
             kind,
             serves,
+            version: None,
             prefix: None,
             zone: "",
             tried: &[],
             random: 0,
         };
-        let room = |k: &Key| {
-            let up = self.get(*k);
-            let most = if up.load_at.is_none() {
-                up.slots().max(4)
+        let (mut slots, mut own, mut taken) = (0, 0, 0);
+        for key in self.candidates(now, &ask) {
+            let up = self.get(key);
+            slots += if up.load_at.is_none() {
+                UNKNOWN_SLOTS
             } else {
-                up.slots() * OVERCOMMIT_PCT / 100
+                up.slots()
             };
-            most.saturating_sub(up.occupancy(now))
-        };
-        self.candidates(now, &ask).iter().map(room).sum()
+            own += up.inflight;
+            taken += up.occupancy(now);
+        }
+        let sharers = self.sharers.max(1);
+        let mut rooms = Rooms::default();
+        for (priority, room) in rooms.0.iter_mut().enumerate() {
+            let priority = priority as u32;
+            let most = slots * (COMMIT_PCT + COMMIT_STEP_PCT * priority * priority) / 100;
+            // Its share is an instance's whatever the late reports say. All of them filling the
+            // room that the same report shows would overfill the upstreams by their number.
+            let share = most.div_ceil(sharers).saturating_sub(own);
+            let spare = most.saturating_sub(taken) / sharers;
+            *room = share.max(spare);
+        }
+        rooms
+    }
+
+    /// Sets the number of instances that share the upstreams.
+    pub fn set_sharers(&mut self, sharers: usize) {
+        self.sharers = sharers as u32;
     }
 }
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -1,13 +1,20 @@
 //! Who waits for an upstream: by priority, then by deadline, bounded by the time they have.
 
-use std::collections::BTreeMap;
-
-/// Waiting this long counts as one priority more, in milliseconds, so that nobody starves.
-const AGE_MS: u64 = 2_000;
-/// Requests that may wait for one model at one instance.
-const QUEUE_MOST: usize = 1_000;
-/// How strongly one finished request moves the mean time between finishes, in percent.
-const PACE_PCT: f64 = 0.1;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::pool::Rooms;
+
+/// Every so many releases one goes to whoever has waited longest, so that nobody starves.
+const OLDEST_EVERY: u64 = 8;
+/// Requests that may wait for one model at one instance: bounds the memory, time bounds the rest.
+const QUEUE_MOST: usize = 20_000;
+/// How strongly one finished request moves the mean time between finishes.
+const PACE_WEIGHT: f64 = 0.05;
+/// The mean time between finishes before any was seen, in milliseconds.
+const PACE_FIRST_MS: f64 = 20.0;
+/// Shortest time after which a refused request may come back, in milliseconds.
+const RETRY_LEAST_MS: u64 = 1_000;
 
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -30,7 +37,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     priority: u8,
-    since: u64,
     deadline: u64,
 }
 
@@ -38,8 +44,14 @@
 #[derive(Debug)]
 pub struct Queue {
     next: u64,
+    /// In the order in which they came.
     waiting: BTreeMap<Ticket, Waiting>,
-    /// Mean time between two finishes, in milliseconds.
+    /// First things first.
+    order: BTreeSet<(Reverse<u8>, u64, Ticket)>,
+    by_deadline: BTreeSet<(u64, Ticket)>,
+    by_priority: [usize; 10],
+    released: u64,
+    /// Mean time between two finishes while somebody waits, in milliseconds.
     pace_ms: f64,
     finished_at: Option<u64>,
 }
@@ -49,33 +61,35 @@
         Queue {
             next: 1,
             waiting: BTreeMap::new(),
-            pace_ms: 50.0,
+            order: BTreeSet::new(),
+            by_deadline: BTreeSet::new(),
+            by_priority: [0; 10],
+            released: 0,
+            pace_ms: PACE_FIRST_MS,
             finished_at: None,
         }
     }
 }
 
 impl Queue {
-    /// Takes a request; `room` is how many more the upstreams can take.
-    pub fn arrive(&mut self, now: u64, room: u32, priority: u8, deadline: u64) -> Verdict {
-        if room > 0 && self.waiting.is_empty() {
+    /// Takes a request; `rooms` is how many more of each priority the upstreams can take.
+    pub fn arrive(&mut self, now: u64, rooms: &Rooms, priority: u8, deadline: u64) -> Verdict {
+        let priority = priority.min(9);
+        let ahead = self.ahead(priority);
+        if ahead == 0 && rooms.at(priority) > 0 {
             return Verdict::Go;
         }
-        let ahead = self.ahead(now, priority);
         let wait_ms = ((ahead + 1) as f64 * self.pace_ms) as u64;
         if now + wait_ms >= deadline || self.waiting.len() >= QUEUE_MOST {
-            return Verdict::Refuse {
-                retry_ms: wait_ms.max(1_000),
-            };
+            let retry_ms = wait_ms.max(RETRY_LEAST_MS);
+            return Verdict::Refuse { retry_ms };
         }
         let ticket = Ticket(self.next);
         self.next += 1;
-        let waiting = Waiting {
-            priority,
-            since: now,
-            deadline,
-        };
-        self.waiting.insert(ticket, waiting);
+        self.waiting.insert(ticket, Waiting { priority, deadline });
+        self.order.insert((Reverse(priority), deadline, ticket));
+        self.by_deadline.insert((deadline, ticket));
+        self.by_priority[priority as usize] += 1;
         Verdict::Wait(ticket)
     }
 
@@ -84,43 +98,53 @@
         if let Some(last) = self.finished_at {
             let gap = now.saturating_sub(last) as f64;
             if !self.waiting.is_empty() {
-                self.pace_ms += (gap - self.pace_ms) * PACE_PCT;
+                self.pace_ms += (gap - self.pace_ms) * PACE_WEIGHT;
             }
         }
         self.finished_at = Some(now);
     }
 
-    /// Returns who goes on now: at most `room`, first things first.
-    pub fn release(&mut self, now: u64, room: u32) -> Vec<Ticket> {
-        let mut order: Vec<_> = self.waiting.iter().map(|(t, w)| (*t, *w)).collect();
-        order.sort_by_key(|(t, w)| (std::cmp::Reverse(rank(now, w)), w.deadline, *t));
-        let first: Vec<Ticket> = order
-            .into_iter()
-            .take(room as usize)
-            .map(|(t, _)| t)
-            .collect();
-        for ticket in &first {
-            self.waiting.remove(ticket);
+    /// Returns who goes on now, first things first.
+    pub fn release(&mut self, rooms: &Rooms) -> Vec<Ticket> {
+        let mut out = Vec::new();
+        while let Some(ticket) = self.pick(rooms, out.len() as u32) {
+            self.leave(ticket);
+            self.released += 1;
+            out.push(ticket);
+        }
+        out
+    }
+
+    /// Returns the next to go on when some have gone already.
+    fn pick(&self, rooms: &Rooms, gone: u32) -> Option<Ticket> {
+        let fits = |t: &Ticket| rooms.at(self.waiting[t].priority) > gone;
+        let first = self.order.first().map(|(_, _, t)| *t)?;
+        if self.released % OLDEST_EVERY == OLDEST_EVERY - 1 {
+            let oldest = self.waiting.keys().next().copied();
+            if let Some(oldest) = oldest.filter(fits) {
+                return Some(oldest);
+            }
         }
-        first
+        Some(first).filter(fits)
     }
 
     /// Returns who has waited past the deadline, and removes them.
     pub fn expire(&mut self, now: u64) -> Vec<Ticket> {
-        let late = |w: &Waiting| w.deadline <= now;
-        let out: Vec<Ticket> = self
-            .waiting
-            .iter()
-            .filter(|(_, w)| late(w))
-            .map(|(t, _)| *t)
-            .collect();
-        self.waiting.retain(|_, w| !late(w));
-        out
+        let late = self.by_deadline.iter().take_while(|(d, _)| *d <= now);
+        let late: Vec<Ticket> = late.map(|(_, t)| *t).collect();
+        late.iter().for_each(|t| self.leave(*t));
+        late
     }
 
-    /// Forgets a request whose caller left.
+    /// Forgets a request that goes on, or whose caller left.
     pub fn leave(&mut self, ticket: Ticket) {
-        self.waiting.remove(&ticket);
+        let Some(w) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        self.order
+            .remove(&(Reverse(w.priority), w.deadline, ticket));
+        self.by_deadline.remove(&(w.deadline, ticket));
+        self.by_priority[w.priority as usize] -= 1;
     }
 
     /// Returns the number of waiting requests.
@@ -133,17 +157,7 @@
         self.waiting.is_empty()
     }
 
-    /// Returns the milliseconds that the backlog needs.
-    pub fn backlog_ms(&self) -> u64 {
-        (self.waiting.len() as f64 * self.pace_ms) as u64
-    }
-
-    fn ahead(&self, now: u64, priority: u8) -> usize {
-        let before = |w: &&Waiting| rank(now, w) >= u64::from(priority);
-        self.waiting.values().filter(before).count()
+    fn ahead(&self, priority: u8) -> usize {
+        self.by_priority[priority as usize..].iter().sum()
     }
 }
-
-fn rank(now: u64, waiting: &Waiting) -> u64 {
-    u64::from(waiting.priority) + now.saturating_sub(waiting.since) / AGE_MS
-}
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -1,5 +1,7 @@
 //! One upstream: what the instance list, its own reports and our own requests say of it.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -66,6 +68,8 @@
     /// Hash of its name.
     #[serde(skip)]
     pub hash: u64,
+    /// Versions of models that it says it serves.
+    pub versions: BTreeMap<String, String>,
     /// Its last report.
     pub load: Load,
     /// When that came, in milliseconds.
@@ -91,6 +95,7 @@
             leaving: spec.leaving,
             hash: xxh3_64(spec.id.as_bytes()),
             spec,
+            versions: BTreeMap::new(),
             load: Load::default(),
             load_at: None,
             inflight: 0,
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod fault;
 pub mod job;
+pub mod load;
 pub mod platform;
 pub mod policy;
 pub mod report;
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::thread;
 
+use trial::load::{LoadWorld, Mix, WAYS};
 use trial::policy::POLICIES;
 use trial::trace::TRACES;
 use trial::{check, report, trace, Policy, World};
@@ -22,6 +23,11 @@
             /// Seeds.
             optional --seeds count: u64
         }
+        /// Choice, queues and retries under load, as a table in Markdown.
+        cmd load {
+            /// Seed.
+            optional --seed seed: u64
+        }
         /// One seed, with its whole history.
         cmd show {
             /// The seed.
@@ -46,6 +52,7 @@
     match flags.subcommand {
         TrialCmd::Random(cmd) => random(cmd.from.unwrap_or(1), cmd.seeds.unwrap_or(SEEDS)),
         TrialCmd::Show(cmd) => show(cmd.seed),
+        TrialCmd::Load(cmd) => load(cmd.seed.unwrap_or(1)),
         TrialCmd::Policies(cmd) => policies(cmd.seed.unwrap_or(1), &cmd.trace.unwrap_or_default()),
     }
 }
@@ -95,6 +102,82 @@
     }
 }
 
+/// Requests a second that 20 engines can just bear with a fifth of long reads.
+const CAPACITY: f64 = 620.0;
+const LOAD_MS: u64 = 60_000;
+
+fn load(seed: u64) -> ExitCode {
+    let base = Mix {
+        engines: 20,
+        per_sec: CAPACITY,
+        long_pct: 20,
+        fails: false,
+        length: LOAD_MS,
+    };
+    let mixes = [
+        ("at capacity", base),
+        (
+            "at 2 x capacity",
+            Mix {
+                per_sec: CAPACITY * 2.0,
+                length: 3 * LOAD_MS,
+                ..base
+            },
+        ),
+        (
+            "at 0.6 x, quick questions only",
+            Mix {
+                per_sec: CAPACITY * 0.6,
+                long_pct: 0,
+                ..base
+            },
+        ),
+        (
+            "at 0.6 x, with long reads",
+            Mix {
+                per_sec: CAPACITY * 0.6,
+                ..base
+            },
+        ),
+        (
+            "at 0.6 x, a third fails for 20 s",
+            Mix {
+                per_sec: CAPACITY * 0.6,
+                fails: true,
+                ..base
+            },
+        ),
+        (
+            "3 engines at 2 x",
+            Mix {
+                engines: 3,
+                per_sec: CAPACITY * 0.3,
+                length: 3 * LOAD_MS,
+                ..base
+            },
+        ),
+    ];
+    for (name, mix) in mixes {
+        println!("\n### 20 engines, {name}, seed {seed}\n");
+        println!("| way | requests | goodput/s | refused, % | quick first token p95, ms | upstream requests per request while failing | prefix hits, % | recovery, ms |");
+        println!("|---|---|---|---|---|---|---|---|");
+        for (way, label) in WAYS {
+            let seen = LoadWorld::open(seed, *way, mix).run();
+            println!(
+                "| {label} | {} | {:.1} | {:.1} | {} | {:.3} | {:.1} | {} |",
+                seen.requests,
+                seen.goodput,
+                seen.refused_pct,
+                seen.quick_first,
+                seen.amplification,
+                seen.hit_pct,
+                seen.recovery,
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 fn show(seed: u64) -> ExitCode {
     let mut world = World::open(seed, Policy::Chosen, trace::random(seed));
     world.keep_all = true;
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -24,6 +24,10 @@
     NoRecall,
     /// As chosen, every zone its own home.
     ZoneHomes,
+    /// As chosen, copies of bills after 25 ms.
+    LateCopies,
+    /// As chosen, no copies of bills: only the record counts.
+    NoCopies,
 }
 
 /// All policies.
@@ -37,6 +41,8 @@
     (Policy::Sole, "no joint grants"),
     (Policy::NoRecall, "no recall"),
     (Policy::ZoneHomes, "home per zone"),
+    (Policy::LateCopies, "copies after 25 ms"),
+    (Policy::NoCopies, "no copies"),
 ];
 
 impl Policy {
@@ -80,6 +86,14 @@
                 recall: false,
                 ..base
             },
+            Policy::LateCopies => Params {
+                copy_ms: 25,
+                ..base
+            },
+            Policy::NoCopies => Params {
+                copy_ms: u64::MAX / 2,
+                ..base
+            },
             Policy::Chosen | Policy::ZoneHomes => base,
         }
     }
