--- a/crates/budget/src/bank.rs
+++ b/crates/budget/src/bank.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::grant::Sizing;
 use crate::home::{Home, Params, Role};
 use crate::msg::{Action, Event};
 use crate::pacer::Pacer;
@@ -63,7 +64,10 @@
             homes += u32::from(self.role(shard) == Role::Home);
         }
         // Homes write most, so the fleet's share is split by the shards at home.
-        let part = f64::from(homes) / f64::from(self.shards);
+        let part = match self.params.sizing {
+            Sizing::Split { parts } => 1.0 / parts as f64,
+            _ => f64::from(homes) / f64::from(self.shards),
+        };
         self.pacer.resize(self.writes_per_sec, part);
     }
 
--- a/crates/budget/src/home.rs
+++ b/crates/budget/src/home.rs
@@ -8,10 +8,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::grant::Sizing;
-use crate::joint::{WaitingCall, Witness};
-use crate::local::{Done, Held, Local, Pending, Waiting, Want};
+use crate::joint::Witness;
+use crate::local::{Done, Held, Local, Waiting, Want};
 use crate::msg::{
-    Act, ActReply, Action, Doubt, Event, Note, Post, Reserve, ReserveReply, RunAt, Settled, Stored,
+    Act, ActReply, Action, Doubt, Event, Post, Reserve, ReserveReply, RunAt, Settled, Stored,
 };
 use crate::older::Older;
 use crate::pacer::Pacer;
@@ -24,11 +24,11 @@
 /// How long a copy of another holder's settlement is kept before it is posted from here.
 const KEEP_MS: u64 = 3_000;
 /// Pause between two attempts to learn what an orphaned request spent, in milliseconds.
-const PROBE_MS: u64 = 5_000;
+pub(crate) const PROBE_MS: u64 = 5_000;
 /// Pause between two requests for a copy of a settlement, in milliseconds.
-const RECOPY_MS: u64 = 500;
+pub(crate) const RECOPY_MS: u64 = 500;
 /// How long a call for tokens waits for a step of a joint grant, in milliseconds.
-const CALL_MS: u64 = 300;
+pub(crate) const CALL_MS: u64 = 300;
 /// How long an account that was used is looked at, in milliseconds.
 const HOT_MS: u64 = 5_000;
 
@@ -338,7 +338,7 @@
     /// Forgets the accounts that nothing has to be done for.
     ///
     /// Without this every event would cost time by the number of budgets in the shard.
-    fn cool(&mut self, now: u64) {
+    pub(crate) fn cool(&mut self, now: u64) {
         let hot = std::mem::take(&mut self.hot);
         let busy = |n: &String| {
             let Some(l) = self.locals.get(n) else {
@@ -352,7 +352,14 @@
         self.hot = hot.into_iter().filter(busy).collect();
     }
 
-    fn reserve(&mut self, now: u64, ask: u64, req: Reserve, deadline: u64, out: &mut Vec<Action>) {
+    pub(crate) fn reserve(
+        &mut self,
+        now: u64,
+        ask: u64,
+        req: Reserve,
+        deadline: u64,
+        out: &mut Vec<Action>,
+    ) {
         let me = self.me.clone();
         let account = req.account;
         let local = self.locals.entry(account.clone()).or_default();
@@ -378,7 +385,7 @@
         });
     }
 
-    fn extend(
+    pub(crate) fn extend(
         &mut self,
         now: u64,
         ask: u64,
@@ -407,236 +414,6 @@
         });
     }
 
-    /// Frees a reservation whose answer reached its entry too late, or never.
-    ///
-    /// Without this the tokens would stay reserved with nobody to settle them.
-    fn void(&mut self, now: u64, account: &str, request: &str, entry: &str) {
-        let me = self.me.clone();
-        let local = self.locals.entry(account.to_string()).or_default();
-        local.void(entry, request);
-        local.waiting.retain(|w| match &w.want {
-            Want::New {
-                request: r,
-                entry: e,
-                ..
-            } => r != request || e != entry,
-            Want::More { .. } => true,
-        });
-        let Some(hold) = local.by_request.get(request).copied() else {
-            return;
-        };
-        let only = |h: &Held| h.entries.len() == 1 && h.entries[0] == entry;
-        if local.held.get(&hold).is_some_and(only) {
-            let post = Post {
-                holder: me,
-                hold,
-                request: request.to_string(),
-                tokens: 0,
-                billed: false,
-                body: 0,
-                at: RunAt::default(),
-                at_ms: 0,
-            };
-            self.settle(now, None, account, post, &[], &mut Vec::new());
-        }
-    }
-
-    pub(crate) fn settle(
-        &mut self,
-        now: u64,
-        ask: Option<u64>,
-        account: &str,
-        mut post: Post,
-        doubts: &[Doubt],
-        out: &mut Vec<Action>,
-    ) {
-        if self.is_posted(account, &post) {
-            reply_settled(ask, Settled::Recorded, out);
-            return;
-        }
-        self.hot.insert(account.to_string());
-        let copy_at = now
-            + if self.failures > 0 {
-                0
-            } else {
-                self.params.copy_ms
-            };
-        let local = self.locals.entry(account.to_string()).or_default();
-        let same = |p: &&mut Pending| p.post.holder == post.holder && p.post.hold == post.hold;
-        if let Some(pending) = local.pending.iter_mut().find(same) {
-            pending.asks.extend(ask);
-            return;
-        }
-        if post.holder == self.me {
-            let Some(held) = local.held.remove(&post.hold) else {
-                // An unknown number of this holder: an earlier settlement is already forgotten.
-                reply_settled(ask, Settled::Recorded, out);
-                return;
-            };
-            if post.tokens > held.tokens {
-                let account = account.to_string();
-                let tokens = post.tokens - held.tokens;
-                out.push(Action::Note(Note::Excess { account, tokens }));
-                post.tokens = held.tokens;
-            }
-            self.next_hold = close_hold(now, local, held, &post, doubts, self.next_hold);
-        }
-        local.pending.push(Pending {
-            post,
-            asks: ask.into_iter().collect(),
-            copy_at,
-        });
-    }
-
-    fn is_posted(&self, account: &str, post: &Post) -> bool {
-        let record = self.record();
-        record.is_some_and(|r| r.has_post(account, &post.holder, post.hold))
-    }
-
-    /// Takes another holder's call for tokens; opens a step first where that is needed.
-    fn call(
-        &mut self,
-        now: u64,
-        ask: u64,
-        account: &str,
-        to: String,
-        tokens: u64,
-        out: &mut Vec<Action>,
-    ) {
-        let lack = tokens.saturating_sub(self.available(account));
-        if lack == 0 || self.joint_left(now, account) == 0 {
-            self.hand_over(ask, account, &to, tokens, out);
-            return;
-        }
-        let until = now + CALL_MS;
-        let local = self.locals.entry(account.to_string()).or_default();
-        local.calls.push(WaitingCall {
-            ask,
-            to,
-            tokens,
-            until,
-        });
-        self.ask_step(now, account, lack, out);
-    }
-
-    /// Answers calls that waited for a step, all of them or those whose time is over.
-    fn answer_calls(&mut self, now: u64, account: &str, all: bool, out: &mut Vec<Action>) {
-        let Some(local) = self.locals.get_mut(account) else {
-            return;
-        };
-        let (due, later) = std::mem::take(&mut local.calls)
-            .into_iter()
-            .partition(|c| all || c.until <= now);
-        local.calls = later;
-        for call in due {
-            self.hand_over(call.ask, account, &call.to, call.tokens, out);
-        }
-    }
-
-    /// Hands unspent tokens to a holder that lacks them: debited here before it is told.
-    fn hand_over(&mut self, ask: u64, account: &str, to: &str, tokens: u64, out: &mut Vec<Action>) {
-        let available = self.available(account);
-        let waiting = self
-            .locals
-            .get(account)
-            .is_some_and(|l| !l.waiting.is_empty());
-        let give = match (waiting, self.role) {
-            (true, _) => 0,
-            (false, Role::None) => available,
-            (false, _) => available.min(tokens.saturating_mul(2)),
-        };
-        let local = self.locals.entry(account.to_string()).or_default();
-        let sent = local.sent.entry(to.to_string()).or_default();
-        *sent += give;
-        out.push(Action::Handed { ask, sent: *sent });
-    }
-
-    fn recalled(&mut self, account: &str, from: String, sent: Option<u64>) {
-        let folded = self.record().is_some_and(|r| r.tombstones.contains(&from));
-        let local = self.locals.entry(account.to_string()).or_default();
-        local.recalls = local.recalls.saturating_sub(1);
-        if folded {
-            // What it handed over is a grant by now: counting it again would double it.
-            return;
-        }
-        if let Some(sent) = sent.filter(|s| *s > 0) {
-            let got = local.got.entry(from).or_default();
-            *got = sent.max(*got);
-        }
-    }
-
-    /// Takes an entry off a request; the last one must cancel and settle it instead.
-    fn drop_out(&mut self, ask: u64, account: &str, hold: u64, entry: &str, out: &mut Vec<Action>) {
-        let local = self.locals.get_mut(account);
-        let held = local.and_then(|l| l.held.get_mut(&hold));
-        let others = held.is_some_and(|h| {
-            let at = h.entries.iter().position(|e| e == entry);
-            let others = h.entries.len() > 1;
-            if let (Some(at), true) = (at, others) {
-                h.entries.remove(at);
-            }
-            others
-        });
-        out.push(Action::DroppedOut { ask, others });
-    }
-
-    fn copied(&mut self, account: &str, hold: u64, out: &mut Vec<Action>) {
-        let Some(local) = self.locals.get_mut(account) else {
-            return;
-        };
-        for pending in local.pending.iter_mut().filter(|p| p.post.hold == hold) {
-            for ask in pending.asks.drain(..) {
-                reply_settled(Some(ask), Settled::Copied, out);
-            }
-        }
-    }
-
-    /// Starts the wait for the callers of an entry that is gone.
-    ///
-    /// The reservation is not freed: the entry may be paused, and dispatch later.
-    fn entry_gone(&mut self, now: u64, entry: &str) {
-        if self.witness_of.watches(entry) {
-            self.witness_of.silent.insert(entry.to_string());
-            self.want_read = true;
-        }
-        let probe_at = now + self.params.orphan_ms;
-        for local in self.locals.values_mut() {
-            for held in local.held.values_mut() {
-                let before = held.entries.len();
-                held.entries.retain(|e| e != entry);
-                if before > 0 && held.entries.is_empty() {
-                    held.probe_at = Some(probe_at);
-                }
-            }
-        }
-    }
-
-    fn proof(
-        &mut self,
-        now: u64,
-        account: &str,
-        hold: u64,
-        tokens: u64,
-        at_ms: u64,
-        out: &mut Vec<Action>,
-    ) {
-        let local = self.locals.get(account);
-        let Some(held) = local.and_then(|l| l.held.get(&hold)) else {
-            return;
-        };
-        let post = Post {
-            holder: self.me.clone(),
-            hold,
-            request: held.request.clone(),
-            tokens: tokens.saturating_sub(held.paid),
-            billed: !held.uncertain && tokens > 0,
-            body: held.body,
-            at: held.at.clone(),
-            at_ms,
-        };
-        self.settle(now, None, account, post, &[], out);
-    }
-
     pub(crate) fn failed(&mut self, now: u64) {
         self.io = Io::Idle;
         self.failures += 1;
@@ -645,12 +422,12 @@
     }
 
     /// Spreads retries, so that the instances don't all come back at once after an outage.
-    fn jitter(&self, most: u64) -> u64 {
+    pub(crate) fn jitter(&self, most: u64) -> u64 {
         let seed = format!("{}/{}/{}", self.me, self.next_write, self.failures);
         xxh3_64(seed.as_bytes()) % most.max(1)
     }
 
-    fn segment_written(&mut self, now: u64, done: bool) {
+    pub(crate) fn segment_written(&mut self, now: u64, done: bool) {
         if done {
             self.io = Io::Idle;
             self.failures = 0;
@@ -660,7 +437,7 @@
         }
     }
 
-    fn tick(&mut self, now: u64, out: &mut Vec<Action>) {
+    pub(crate) fn tick(&mut self, now: u64, out: &mut Vec<Action>) {
         self.post_kept(now);
         self.open_ahead(now, out);
         let called = |(n, l): (&String, &Local)| (!l.calls.is_empty()).then(|| n.clone());
@@ -679,67 +456,6 @@
         }
     }
 
-    /// Posts copies whose holder did not get them into the record in time.
-    ///
-    /// The record is read first: mostly the holder was faster, and no write is needed.
-    fn post_kept(&mut self, now: u64) {
-        let read_at = self.known.as_ref().map_or(0, |(_, since)| *since);
-        self.want_read |= self.kept.iter().any(|(at, ..)| *at <= now && *at > read_at);
-        let (due, later) = std::mem::take(&mut self.kept)
-            .into_iter()
-            .partition(|(at, ..)| *at <= read_at);
-        self.kept = later;
-        for (_, account, post) in due {
-            self.settle(now, None, &account, post, &[], &mut Vec::new());
-        }
-    }
-
-    fn copy_again(&mut self, now: u64, out: &mut Vec<Action>) {
-        for (account, local) in &mut self.locals {
-            for pending in &mut local.pending {
-                let waits = !pending.asks.is_empty() && pending.post.holder == self.me;
-                if waits && pending.copy_at <= now {
-                    pending.copy_at = now + RECOPY_MS;
-                    out.push(Action::Copy {
-                        account: account.clone(),
-                        post: pending.post.clone(),
-                    });
-                }
-            }
-        }
-    }
-
-    fn probe(&mut self, now: u64, out: &mut Vec<Action>) {
-        for (account, local) in &mut self.locals {
-            for (hold, held) in &mut local.held {
-                if held.probe_at.is_some_and(|at| at <= now) {
-                    held.probe_at = Some(now + PROBE_MS);
-                    out.push(Action::Probe {
-                        account: account.clone(),
-                        hold: *hold,
-                        at: held.at.clone(),
-                    });
-                }
-            }
-        }
-    }
-
-    /// Hands unspent tokens back to the record when this instance is nothing to the shard.
-    fn give_back(&mut self) {
-        if self.role != Role::None || self.failures > 0 {
-            return;
-        }
-        let names: Vec<String> = self.locals.keys().cloned().collect();
-        self.hot.extend(names.iter().cloned());
-        for name in names {
-            let available = self.available(&name);
-            let local = self.locals.get_mut(&name).expect("listed above");
-            if local.waiting.is_empty() {
-                local.giving += available;
-            }
-        }
-    }
-
     /// Returns the answer for a request that the record, or an older bill, shows as billed.
     pub(crate) fn billed_before(
         &self,
@@ -803,7 +519,7 @@
 }
 
 /// Moves a hold to the finished requests; what is in doubt stays held under new numbers.
-fn close_hold(
+pub(crate) fn close_hold(
     now: u64,
     local: &mut Local,
     held: Held,
@@ -844,7 +560,7 @@
     next_hold
 }
 
-fn reply_settled(ask: Option<u64>, how: Settled, out: &mut Vec<Action>) {
+pub(crate) fn reply_settled(ask: Option<u64>, how: Settled, out: &mut Vec<Action>) {
     out.extend(ask.map(|ask| Action::Settled { ask, how }));
 }
 
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bank;
 mod decide;
 pub mod grant;
+mod handover;
 pub mod home;
 pub mod joint;
 pub mod local;
@@ -16,6 +17,7 @@
 mod propose;
 pub mod ranges;
 pub mod record;
+mod settle;
 
 pub use bank::{Bank, Output};
 pub use home::{Home, Role};
--- /dev/null
+++ b/crates/budget/src/settle.rs
@@ -0,0 +1,217 @@
+//! How holds end: settled by entries, given up, proved by upstreams, or posted from copies.
+
+use crate::home::{close_hold, reply_settled, Home, PROBE_MS, RECOPY_MS};
+use crate::local::{Held, Pending, Want};
+use crate::msg::{Action, Doubt, Note, Post, RunAt, Settled};
+
+impl Home {
+    /// Frees a reservation whose answer reached its entry too late, or never.
+    ///
+    /// Without this the tokens would stay reserved with nobody to settle them.
+    pub(crate) fn void(&mut self, now: u64, account: &str, request: &str, entry: &str) {
+        let me = self.me.clone();
+        let local = self.locals.entry(account.to_string()).or_default();
+        local.void(entry, request);
+        local.waiting.retain(|w| match &w.want {
+            Want::New {
+                request: r,
+                entry: e,
+                ..
+            } => r != request || e != entry,
+            Want::More { .. } => true,
+        });
+        let Some(hold) = local.by_request.get(request).copied() else {
+            return;
+        };
+        let only = |h: &Held| h.entries.len() == 1 && h.entries[0] == entry;
+        if local.held.get(&hold).is_some_and(only) {
+            let post = Post {
+                holder: me,
+                hold,
+                request: request.to_string(),
+                tokens: 0,
+                billed: false,
+                body: 0,
+                at: RunAt::default(),
+                at_ms: 0,
+            };
+            self.settle(now, None, account, post, &[], &mut Vec::new());
+        }
+    }
+
+    pub(crate) fn settle(
+        &mut self,
+        now: u64,
+        ask: Option<u64>,
+        account: &str,
+        mut post: Post,
+        doubts: &[Doubt],
+        out: &mut Vec<Action>,
+    ) {
+        if self.is_posted(account, &post) {
+            reply_settled(ask, Settled::Recorded, out);
+            return;
+        }
+        self.hot.insert(account.to_string());
+        let copy_at = now
+            + if self.failures > 0 {
+                0
+            } else {
+                self.params.copy_ms
+            };
+        let local = self.locals.entry(account.to_string()).or_default();
+        let same = |p: &&mut Pending| p.post.holder == post.holder && p.post.hold == post.hold;
+        if let Some(pending) = local.pending.iter_mut().find(same) {
+            pending.asks.extend(ask);
+            return;
+        }
+        if post.holder == self.me {
+            let Some(held) = local.held.remove(&post.hold) else {
+                // An unknown number of this holder: an earlier settlement is already forgotten.
+                reply_settled(ask, Settled::Recorded, out);
+                return;
+            };
+            if post.tokens > held.tokens {
+                let account = account.to_string();
+                let tokens = post.tokens - held.tokens;
+                out.push(Action::Note(Note::Excess { account, tokens }));
+                post.tokens = held.tokens;
+            }
+            self.next_hold = close_hold(now, local, held, &post, doubts, self.next_hold);
+        }
+        local.pending.push(Pending {
+            post,
+            asks: ask.into_iter().collect(),
+            copy_at,
+        });
+    }
+
+    pub(crate) fn is_posted(&self, account: &str, post: &Post) -> bool {
+        let record = self.record();
+        record.is_some_and(|r| r.has_post(account, &post.holder, post.hold))
+    }
+
+    /// Takes an entry off a request; the last one must cancel and settle it instead.
+    pub(crate) fn drop_out(
+        &mut self,
+        ask: u64,
+        account: &str,
+        hold: u64,
+        entry: &str,
+        out: &mut Vec<Action>,
+    ) {
+        let local = self.locals.get_mut(account);
+        let held = local.and_then(|l| l.held.get_mut(&hold));
+        let others = held.is_some_and(|h| {
+            let at = h.entries.iter().position(|e| e == entry);
+            let others = h.entries.len() > 1;
+            if let (Some(at), true) = (at, others) {
+                h.entries.remove(at);
+            }
+            others
+        });
+        out.push(Action::DroppedOut { ask, others });
+    }
+
+    pub(crate) fn copied(&mut self, account: &str, hold: u64, out: &mut Vec<Action>) {
+        let Some(local) = self.locals.get_mut(account) else {
+            return;
+        };
+        for pending in local.pending.iter_mut().filter(|p| p.post.hold == hold) {
+            for ask in pending.asks.drain(..) {
+                reply_settled(Some(ask), Settled::Copied, out);
+            }
+        }
+    }
+
+    /// Starts the wait for the callers of an entry that is gone.
+    ///
+    /// The reservation is not freed: the entry may be paused, and dispatch later.
+    pub(crate) fn entry_gone(&mut self, now: u64, entry: &str) {
+        if self.witness_of.watches(entry) {
+            self.witness_of.silent.insert(entry.to_string());
+            self.want_read = true;
+        }
+        let probe_at = now + self.params.orphan_ms;
+        for local in self.locals.values_mut() {
+            for held in local.held.values_mut() {
+                let before = held.entries.len();
+                held.entries.retain(|e| e != entry);
+                if before > 0 && held.entries.is_empty() {
+                    held.probe_at = Some(probe_at);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn proof(
+        &mut self,
+        now: u64,
+        account: &str,
+        hold: u64,
+        tokens: u64,
+        at_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let local = self.locals.get(account);
+        let Some(held) = local.and_then(|l| l.held.get(&hold)) else {
+            return;
+        };
+        let post = Post {
+            holder: self.me.clone(),
+            hold,
+            request: held.request.clone(),
+            tokens: tokens.saturating_sub(held.paid),
+            billed: !held.uncertain && tokens > 0,
+            body: held.body,
+            at: held.at.clone(),
+            at_ms,
+        };
+        self.settle(now, None, account, post, &[], out);
+    }
+
+    /// Posts copies whose holder did not get them into the record in time.
+    ///
+    /// The record is read first: mostly the holder was faster, and no write is needed.
+    pub(crate) fn post_kept(&mut self, now: u64) {
+        let read_at = self.known.as_ref().map_or(0, |(_, since)| *since);
+        self.want_read |= self.kept.iter().any(|(at, ..)| *at <= now && *at > read_at);
+        let (due, later) = std::mem::take(&mut self.kept)
+            .into_iter()
+            .partition(|(at, ..)| *at <= read_at);
+        self.kept = later;
+        for (_, account, post) in due {
+            self.settle(now, None, &account, post, &[], &mut Vec::new());
+        }
+    }
+
+    pub(crate) fn copy_again(&mut self, now: u64, out: &mut Vec<Action>) {
+        for (account, local) in &mut self.locals {
+            for pending in &mut local.pending {
+                let waits = !pending.asks.is_empty() && pending.post.holder == self.me;
+                if waits && pending.copy_at <= now {
+                    pending.copy_at = now + RECOPY_MS;
+                    out.push(Action::Copy {
+                        account: account.clone(),
+                        post: pending.post.clone(),
+                    });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn probe(&mut self, now: u64, out: &mut Vec<Action>) {
+        for (account, local) in &mut self.locals {
+            for (hold, held) in &mut local.held {
+                if held.probe_at.is_some_and(|at| at <= now) {
+                    held.probe_at = Some(now + PROBE_MS);
+                    out.push(Action::Probe {
+                        account: account.clone(),
+                        hold: *hold,
+                        at: held.at.clone(),
+                    });
+                }
+            }
+        }
+    }
+}
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 use web::{Req, Res};
 
-use crate::bankd::record_key;
+use crate::bank_io::{record_key, segment_key};
 use crate::callers::refusal;
 use crate::configd::{self, Wish};
 use crate::event::Event;
@@ -291,7 +291,7 @@
     let mut bills = Vec::new();
     let mut next = record.last_segment.clone();
     while let Some(segment) = next {
-        let key = crate::bankd::segment_key(shard, &segment);
+        let key = segment_key(shard, &segment);
         let found = shared.kv.get(&key).await.ok().flatten();
         let found = found.ok_or_else(|| Error::new(Kind::PlatformDown, "a segment is missing"))?;
         let broken = |e: serde_json::Error| Error::new(Kind::Internal, e.to_string());
--- a/crates/entry/src/bankd.rs
+++ b/crates/entry/src/bankd.rs
@@ -5,23 +5,23 @@
 use std::time::Duration;
 
 use budget::home::Params;
-use budget::msg::{Note, Reserve, RunAt, Stored};
+use budget::msg::{Note, Reserve};
 use budget::place::Candidate;
-use budget::{Act, ActReply, Action, Bank, Event, Output, Post, Record, ReserveReply, Settled};
-use kv::{Failure, Found, Swap};
+use budget::{Act, ActReply, Action, Bank, Event, Output, ReserveReply, Settled};
+use kv::Swap;
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::bank_io::{ask_witness, copy, probe, read, recall, segment_key, write};
 use crate::clock::{wall_ms, Clock};
 use crate::event;
-use crate::rpc::{method, DropOutMsg, ExtendMsg, KeepMsg, OpenMsg, RecallMsg, SettleMsg, VoidMsg};
+use crate::rpc::{DropOutMsg, ExtendMsg, KeepMsg, OpenMsg, RecallMsg, SettleMsg, VoidMsg};
 use crate::shared::Shared;
 
 /// Ticks while something waits for time or for the platform.
 const TICK_BUSY: Duration = Duration::from_millis(5);
 /// Ticks otherwise.
 const TICK_IDLE: Duration = Duration::from_millis(250);
-const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 enum Cmd {
     Reserve(Reserve, u64, oneshot::Sender<ReserveReply>),
@@ -155,16 +155,6 @@
     }
 }
 
-/// Returns the key of a shard's record.
-pub fn record_key(shard: u32) -> String {
-    format!("/oriolehitch/budget/{shard:04}")
-}
-
-/// Returns the key of a segment of older bills.
-pub fn segment_key(shard: u32, name: &str) -> String {
-    format!("/oriolehitch/bill/{shard:04}/{name}")
-}
-
 /// Spawns the task.
 pub fn spawn(inbox: Inbox, shared: &Arc<Shared>) {
     let settings = &shared.settings;
@@ -499,102 +489,3 @@
         let _ = tx.send(reply);
     }
 }
-
-fn stored(found: Option<Found>) -> Result<Option<Stored>, String> {
-    let Some(found) = found else {
-        return Ok(None);
-    };
-    let record: Record = serde_json::from_slice(&found.value).map_err(|e| e.to_string())?;
-    let revision = found.revision;
-    Ok(Some(Stored { revision, record }))
-}
-
-async fn read(cx: &Shared, shard: u32) -> Event {
-    let got = cx.kv.get(&record_key(shard)).await;
-    match got.map(stored) {
-        Ok(Ok(stored)) => Event::Read(stored),
-        Ok(Err(_)) | Err(_) => Event::ReadFailed,
-    }
-}
-
-async fn write(cx: &Shared, shard: u32, base: i64, record: &Record) -> Event {
-    let text = serde_json::to_vec(record).expect("a record is JSON");
-    match cx.kv.swap(&record_key(shard), base, &text, 0).await {
-        Ok(Swap::Done(revision)) => Event::Written { revision },
-        Ok(Swap::Lost(found)) => match stored(found) {
-            Ok(stored) => Event::WriteLost(stored),
-            Err(_) => Event::WriteRefused,
-        },
-        Err(Failure::Refused(_)) => Event::WriteRefused,
-        Err(Failure::Unknown(_)) => Event::WriteUnknown,
-    }
-}
-
-async fn recall(cx: &Shared, account: &str, from: &str, tokens: u64) -> Option<u64> {
-    let addr = addr(cx, from)?;
-    let msg = RecallMsg {
-        account: account.to_string(),
-        to: cx.me.clone(),
-        tokens,
-    };
-    let reply = cx.peers.call(cx, &addr, method::RECALL, &msg).await;
-    reply.unwrap_or(None)
-}
-
-async fn ask_witness(
-    cx: &Shared,
-    account: &str,
-    witness: &str,
-    key: &str,
-    upto: u64,
-) -> Option<u64> {
-    let addr = addr(cx, witness)?;
-    let msg = OpenMsg {
-        account: account.to_string(),
-        key: key.to_string(),
-        upto,
-    };
-    let reply = cx.peers.call(cx, &addr, method::OPEN, &msg).await;
-    reply.unwrap_or(None)
-}
-
-fn addr(cx: &Shared, id: &str) -> Option<String> {
-    let members = cx.members.lock().expect("no panic inside");
-    members.get(id).map(|m| m.peer_addr.clone())
-}
-
-/// Gives a copy of a settlement to an instance in another availability zone.
-async fn copy(cx: &Shared, account: &str, post: Post) -> bool {
-    let msg = KeepMsg {
-        account: account.to_string(),
-        post,
-    };
-    let zone = &cx.settings.zone;
-    for member in cx.live().into_iter().filter(|m| m.zone != *zone) {
-        let kept = cx
-            .peers
-            .call::<_, bool>(cx, &member.peer_addr, method::KEEP, &msg)
-            .await;
-        if kept == Ok(true) {
-            return true;
-        }
-    }
-    false
-}
-
-/// Cancels a request at its upstream and returns what it spent.
-pub async fn probe(cx: &Shared, at: &RunAt) -> Option<u64> {
-    let url = {
-        let pool = cx.pool.lock().expect("no panic inside");
-        let key = pool.find(&at.upstream)?;
-        pool.get(key).spec.url.clone()
-    };
-    let url = format!("{url}/v1/requests/{}/cancel", at.run);
-    let sent = cx.http.post(url).timeout(PROBE_TIMEOUT).send().await;
-    let usage: Value = sent.ok()?.json().await.ok()?;
-    match usage["known"].as_bool()? {
-        true => usage["total_tokens"].as_u64(),
-        // The upstream will refuse it if it still comes, so it can have spent nothing.
-        false => (usage["refused_from_now"] == true).then_some(0),
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod admission;
+pub mod bank_io;
 pub mod bankd;
 pub mod callers;
 pub mod clock;
--- a/crates/entry/src/pipe/chat.rs
+++ b/crates/entry/src/pipe/chat.rs
@@ -13,7 +13,7 @@
 use super::relay::{relay, End, Out};
 use super::settle::{settle, Spent};
 use super::{auth, choose, reserve};
-use crate::bankd;
+use crate::bank_io;
 use crate::event::Event;
 use crate::rpc::{method, DropOutMsg};
 use crate::shared::Shared;
@@ -205,7 +205,7 @@
 /// Cancels the current attempt and adds what it spent, or may have spent.
 async fn stop_run(cx: &Cx, chat: &Chat, out: &Out, spent: &mut Spent) {
     let at = cx.run_at();
-    match bankd::probe(&cx.shared, &at).await {
+    match bank_io::probe(&cx.shared, &at).await {
         Some(tokens) => spent.tokens += tokens,
         None => {
             let paid = out.at;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -231,8 +231,7 @@
     /// Returns the instances that are silent, or have left.
     pub fn silent(&self, now: u64) -> Vec<String> {
         let suspect = self.suspect_ms();
-        let gone =
-            |s: &&Seen| now >= s.heard_at + suspect || s.member.standing == Standing::Left;
+        let gone = |s: &&Seen| now >= s.heard_at + suspect || s.member.standing == Standing::Left;
         let ids = self.seen.values().filter(gone);
         ids.map(|s| s.member.id.clone()).collect()
     }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -3,9 +3,11 @@
 //! The fakes stand at the interfaces of the decisions: a platform, a network between instances,
 //! engines that count what they serve, and callers. Time is a number; nothing waits.
 
+mod caller;
 pub mod check;
 pub mod fault;
 pub mod job;
+mod link;
 pub mod load;
 pub mod platform;
 pub mod policy;
