--- a/crates/budget/src/local.rs
+++ b/crates/budget/src/local.rs
@@ -117,6 +117,8 @@
     pub asks: SmallVec<[u64; 2]>,
     /// When to ask for a copy in another zone, while replies wait.
     pub copy_at: u64,
+    /// How often a copy was asked for.
+    pub copies: u32,
 }
 
 /// One account at one home.
--- a/crates/budget/src/settle.rs
+++ b/crates/budget/src/settle.rs
@@ -83,6 +83,7 @@
             post,
             asks: ask.into_iter().collect(),
             copy_at,
+            copies: 0,
         });
     }
 
@@ -190,7 +191,10 @@
             for pending in &mut local.pending {
                 let waits = !pending.asks.is_empty() && pending.post.holder == self.me;
                 if waits && pending.copy_at <= now {
-                    pending.copy_at = now + RECOPY_MS;
+                    // In a zone that is cut off for long, thousands of bills wait: asking for all of
+                    // them again and again would drown the instances of the zone.
+                    pending.copy_at = now + (RECOPY_MS << pending.copies.min(7));
+                    pending.copies += 1;
                     out.push(Action::Copy {
                         account: account.clone(),
                         post: pending.post.clone(),
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -10,8 +10,16 @@
 
 use crate::shared::Shared;
 
+/// What a request waits for: a kind of upstream, and the model or service.
 type Pool = (upstream::Kind, String);
 
+/// Who waits for one pool.
+#[derive(Default)]
+struct Line {
+    queue: Queue,
+    waiters: BTreeMap<Ticket, oneshot::Sender<bool>>,
+}
+
 impl Line {
     fn tell(&mut self, ticket: Ticket, go: bool) {
         if let Some(tx) = self.waiters.remove(&ticket) {
@@ -21,27 +29,14 @@
     }
 }
 
-#[derive(Default)]
-struct Line {
-    queue: Queue,
-    waiters: BTreeMap<Ticket, oneshot::Sender<bool>>,
-}
-
 /// The queues of one instance, by what upstreams serve.
 #[derive(Default)]
-pub struct Admission(BTreeMap<PoolKey, Line>);
-
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct PoolKey(u8, String);
-
-fn pool_key((kind, serves): &Pool) -> PoolKey {
-    PoolKey(*kind as u8, serves.clone())
-}
+pub struct Admission(BTreeMap<Pool, Line>);
 
 impl Admission {
     /// Returns how many wait, by what they wait for.
     pub fn waiting(&self) -> BTreeMap<String, usize> {
-        let row = |(k, l): (&PoolKey, &Line)| (k.1.clone(), l.queue.len());
+        let row = |(k, l): (&Pool, &Line)| (k.1.clone(), l.queue.len());
         self.0.iter().map(row).collect()
     }
 }
@@ -64,7 +59,7 @@
     let rooms = rooms(shared, &pool);
     let (ticket, rx) = {
         let mut admission = shared.admission.lock().expect("no panic inside");
-        let line = admission.0.entry(pool_key(&pool)).or_default();
+        let line = admission.0.entry(pool.clone()).or_default();
         match line.queue.arrive(now, &rooms, priority, deadline) {
             Verdict::Go => return Ok(()),
             Verdict::Refuse { retry_ms } => {
@@ -104,7 +99,7 @@
 impl Drop for Left {
     fn drop(&mut self) {
         let mut admission = self.shared.admission.lock().expect("no panic inside");
-        if let Some(line) = admission.0.get_mut(&pool_key(&self.pool)) {
+        if let Some(line) = admission.0.get_mut(&self.pool) {
             line.queue.leave(self.ticket);
             line.waiters.remove(&self.ticket);
         }
@@ -123,7 +118,7 @@
     let pool = (kind, serves.to_string());
     {
         let mut admission = shared.admission.lock().expect("no panic inside");
-        if let Some(line) = admission.0.get_mut(&pool_key(&pool)) {
+        if let Some(line) = admission.0.get_mut(&pool) {
             line.queue.finished(now);
         }
     }
@@ -134,19 +129,14 @@
 pub fn wake(shared: &Shared) {
     let now = shared.clock.now();
     let mut admission = shared.admission.lock().expect("no panic inside");
-    for (key, line) in &mut admission.0 {
+    for (pool, line) in &mut admission.0 {
         if line.queue.is_empty() {
             continue;
         }
         for ticket in line.queue.expire(now) {
             line.tell(ticket, false);
         }
-        let kind = if key.0 == upstream::Kind::Engine as u8 {
-            upstream::Kind::Engine
-        } else {
-            upstream::Kind::Service
-        };
-        let rooms = rooms(shared, &(kind, key.1.clone()));
+        let rooms = rooms(shared, pool);
         for ticket in line.queue.release(&rooms) {
             line.tell(ticket, true);
         }
--- a/crates/entry/src/configd.rs
+++ b/crates/entry/src/configd.rs
@@ -297,17 +297,13 @@
     shared.log(Event::ConfigAccepted, format!("revision {revision}"));
     let cx = Arc::clone(shared);
     tokio::spawn(async move {
-        let began = shared_now(&cx);
+        let began = cx.clock.now();
         gossip::tell_all(&cx, None).await;
         follow_spread(&cx, revision, began).await;
     });
     revision
 }
 
-fn shared_now(shared: &Shared) -> u64 {
-    shared.clock.now()
-}
-
 /// Measures when the last living instance has a revision in force.
 async fn follow_spread(shared: &Shared, revision: u64, began: u64) {
     let look = async {
--- a/crates/entry/src/pipe/settle.rs
+++ b/crates/entry/src/pipe/settle.rs
@@ -14,7 +14,7 @@
 use crate::shared::Shared;
 
 /// How long an end marker waits for its bill.
-const WAIT: Duration = Duration::from_secs(10);
+const WAIT: Duration = Duration::from_secs(2);
 /// Pause after a round in which no instance took the bill.
 const ROUND_PAUSE: Duration = Duration::from_millis(500);
 /// Rounds at the home alone before others are asked to post the bill.
@@ -51,7 +51,7 @@
     let id = cx.id.clone();
     let busy = shared.begin();
     let carried = tokio::spawn(async move {
-        let how = carry(&busy_shared(&shared), &hold, msg).await;
+        let how = carry(&shared, &hold, msg).await;
         drop(busy);
         how
     });
@@ -64,10 +64,6 @@
     shared.metrics.bill_wait.observe(took as f64 / 1e6);
 }
 
-fn busy_shared(shared: &std::sync::Arc<Shared>) -> std::sync::Arc<Shared> {
-    std::sync::Arc::clone(shared)
-}
-
 fn message(cx: &Cx, hold: &Hold, spent: Spent) -> SettleMsg {
     if spent.tokens > hold.tokens {
         let extra = spent.tokens - hold.tokens;
--- a/crates/oriolehitch/src/dev.rs
+++ b/crates/oriolehitch/src/dev.rs
@@ -5,7 +5,7 @@
 use anyhow::{anyhow, bail, Context, Result};
 use conf::{Config, Settings};
 use entry::Instance;
-use serde_json::json;
+use serde_json::{json, Value};
 use stub::engine::{self, Engine};
 use stub::platform::Platform;
 use stub::service::{self, Service};
@@ -63,7 +63,12 @@
     prepare(&admin, &parsed).await?;
     wait_ready(&instances).await?;
     println!("ready http://{} admin {admin}", instances[0].addr());
-    println!("{}", hint(&instances[0], &parsed));
+    let body = sample(&parsed);
+    println!(
+        "curl -s http://{}/v1/chat/completions -H 'Authorization: Bearer {SAMPLE_KEY}' -d '{body}'",
+        instances[0].addr()
+    );
+    println!("answer {}", ask(&instances[0], &body).await?);
     signals.next().await;
     for instance in instances {
         instance.stop(signals.next()).await;
@@ -157,17 +162,24 @@
     bail!("the instances did not get their configuration");
 }
 
-fn hint(instance: &Instance, config: &Config) -> String {
+/// Returns a request of the first customer.
+fn sample(config: &Config) -> Value {
     let first = config.customers.keys().next();
     let policy = first.and_then(|n| config.policy(n));
     let model = policy.and_then(|p| p.models.first().cloned());
-    let body = json!({
+    json!({
         "model": model,
         "messages": [{"role": "user", "content": "How far apart do birches stand? len=12"}],
         "max_tokens": 64,
-    });
-    format!(
-        "curl -s http://{}/v1/chat/completions -H 'Authorization: Bearer {SAMPLE_KEY}' -d '{body}'",
-        instance.addr()
-    )
+    })
+}
+
+/// Sends the sample request once, as its caller would.
+async fn ask(instance: &Instance, body: &Value) -> Result<String> {
+    let url = format!("http://{}/v1/chat/completions", instance.addr());
+    let req = reqwest::Client::new()
+        .post(url)
+        .bearer_auth(SAMPLE_KEY)
+        .json(body);
+    Ok(req.send().await?.text().await?)
 }
--- a/crates/oriolehitch/tests/scenario/act.rs
+++ b/crates/oriolehitch/tests/scenario/act.rs
@@ -106,6 +106,16 @@
         .join(file)
 }
 
+/// Checks an answer's status: 200, unless the line states another.
+fn answered(res: reqwest::Result<reqwest::Response>, line: &Line) -> Result<(), String> {
+    let status = res.map_err(|e| e.to_string())?.status().as_u16();
+    if u64::from(status) == line.number("status", 200)? {
+        Ok(())
+    } else {
+        Err(format!("status {status}"))
+    }
+}
+
 /// Puts a file in force through an instance.
 async fn config(stage: &mut Stage, line: &Line) -> Result<(), String> {
     let file = data(line.word(1)?);
@@ -119,13 +129,7 @@
         .header("if-match", line.field("expect").unwrap_or("0"))
         .send()
         .await;
-    let status = res.map_err(|e| e.to_string())?.status().as_u16();
-    let wanted = line.number("status", 200)?;
-    if u64::from(status) == wanted {
-        Ok(())
-    } else {
-        Err(format!("status {status}"))
-    }
+    answered(res, line)
 }
 
 async fn top_up(stage: &mut Stage, line: &Line) -> Result<(), String> {
@@ -135,13 +139,7 @@
     let url = format!("{at}/admin/v1/budgets/{customer}/topups");
     let body = json!({"id": line.field("id").unwrap_or("t1"), "tokens": tokens});
     let res = stage.http.post(url).json(&body).send().await;
-    let status = res.map_err(|e| e.to_string())?.status().as_u16();
-    let wanted = line.number("status", 200)?;
-    if u64::from(status) == wanted {
-        Ok(())
-    } else {
-        Err(format!("status {status}"))
-    }
+    answered(res, line)
 }
 
 /// Returns the id that a line wants: a new one, an old one, another request's, or a given one.
@@ -407,12 +405,7 @@
     let fence = line.number("fence", 0)?;
     let body = json!({"model": "birch-7b", "version": line.word(2)?, "fence": fence});
     let res = stage.http.post(url).json(&body).send().await;
-    let status = res.map_err(|e| e.to_string())?.status().as_u16();
-    if u64::from(status) == line.number("status", 200)? {
-        Ok(())
-    } else {
-        Err(format!("status {status}"))
-    }
+    answered(res, line)
 }
 
 /// Cuts a zone from the others, or heals all cuts.
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -19,7 +19,7 @@
 pub struct Key(pub u32);
 
 /// What an upstream serves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// Models.
