--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -38,6 +38,10 @@
 pub(crate) const TICK: u64 = 20;
 pub(crate) const MEMBERS_EVERY: u64 = 500;
 pub(crate) const HISTORY: usize = 200;
+/// Traces above this length, in milliseconds, are looked at for overspend more seldom: each look
+/// costs time by all runs so far, and what is served never becomes less.
+pub(crate) const LONG_TRACE: u64 = 120_000;
+pub(crate) const WATCH_LONG_EVERY: u64 = 10_000;
 /// Time after the trace in which everything is healed and settles, in milliseconds.
 pub const AFTER: u64 = 90_000;
 
@@ -572,7 +576,10 @@
                 }
             }
         }
-        self.watch_overspend();
+        let is_long = self.trace.length > LONG_TRACE;
+        if !is_long || self.now % WATCH_LONG_EVERY == 0 {
+            self.watch_overspend();
+        }
     }
 
     pub(crate) fn watch_overspend(&mut self) {
