--- a/crates/budget/src/home.rs
+++ b/crates/budget/src/home.rs
@@ -7,7 +7,6 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::grant::Sizing;
 use crate::joint::Witness;
 use crate::local::{Done, Held, Local, Waiting, Want};
 use crate::msg::{
@@ -15,6 +14,7 @@
 };
 use crate::older::Older;
 use crate::pacer::Pacer;
+pub use crate::params::{Params, Role};
 use crate::record::{Account, Record, Segment};
 
 /// First wait after a failed platform call, in milliseconds.
@@ -32,51 +32,6 @@
 /// How long an account that was used is looked at, in milliseconds.
 const HOT_MS: u64 = 5_000;
 
-/// What an instance is to a shard.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Role {
-    /// Entries ask it first.
-    Home,
-    /// Entries of its zone ask it when they can't reach the home.
-    Standby,
-    /// It hands back what it holds.
-    #[default]
-    None,
-}
-
-/// Parameters of a home.
-#[derive(Clone, Copy, Debug)]
-pub struct Params {
-    /// How grants are sized.
-    pub sizing: Sizing,
-    /// Whether other holders are asked before a refusal.
-    pub recall: bool,
-    /// Whether grants are joint, where the zone has another instance.
-    pub joint: bool,
-    /// Percentage of the free budget that a standby holds; 0 for none.
-    pub standby_pct: u8,
-    /// How often a standby looks at the record, in milliseconds.
-    pub standby_ms: u64,
-    /// How long a settlement may wait for the record before a copy is made, in milliseconds.
-    pub copy_ms: u64,
-    /// How long an orphaned request waits for its caller, in milliseconds.
-    pub orphan_ms: u64,
-}
-
-impl Default for Params {
-    fn default() -> Self {
-        Params {
-            sizing: Sizing::Share,
-            recall: true,
-            joint: true,
-            standby_pct: 15,
-            standby_ms: 10_000,
-            copy_ms: 5,
-            orphan_ms: 15_000,
-        }
-    }
-}
-
 /// The platform call that is open.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Io {
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod msg;
 mod older;
 pub mod pacer;
+pub mod params;
 pub mod place;
 mod propose;
 pub mod ranges;
--- a/crates/oriolehitch/tests/scenario/act.rs
+++ b/crates/oriolehitch/tests/scenario/act.rs
@@ -204,6 +204,11 @@
     };
     stage.ids.extend(id.map(|id| (name.clone(), id)));
     let task = tokio::spawn(send_one(stage.http.clone(), send));
+    if line.field("leave").is_some() {
+        tokio::time::sleep(Duration::from_millis(line.number("leave", 0)?)).await;
+        task.abort();
+        return Ok(());
+    }
     stage.open.insert(name.clone(), task);
     if line.field("background") != Some("yes") {
         wait(stage, &name).await?;
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -168,10 +168,14 @@
 /// Reads a request; tells whether it was too large if that fails.
 async fn take(req: &mut Request, limit: usize) -> Result<Req, bool> {
     let remote = req.remote_addr().clone().into_std();
+    let announced: usize = req.header("content-length").unwrap_or(0);
+    if announced > limit {
+        return Err(true);
+    }
     let read = req.payload_with_max_size(limit);
     let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
         Ok(Ok(body)) => body.clone(),
-        Ok(Err(e)) => return Err(e.to_string().contains("too large")),
+        Ok(Err(e)) => return Err(is_too_large(&e)),
         Err(_) => return Err(false),
     };
     Ok(Req {
@@ -184,6 +188,11 @@
     })
 }
 
+/// The library wraps its limit's error without a kind of its own; its name is all there is.
+fn is_too_large(error: &impl std::fmt::Debug) -> bool {
+    format!("{error:?}").contains("LengthLimitError")
+}
+
 fn give(answer: Res, res: &mut Response) {
     res.status_code(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY));
     for (name, value) in answer.headers {
