--- a/crates/entry/src/pipe/relay.rs
+++ b/crates/entry/src/pipe/relay.rs
@@ -245,11 +245,7 @@
                 *grace = Some(clock.now() + cx.shared.settings.orphan_grace_ms());
             }
             item = events.next() => {
-                let ended = item == Item::Done;
                 if let Some(end) = take(cx, chat, out, item).await {
-                    if ended {
-                        tokio::spawn(events.drain());
-                    }
                     return end;
                 }
             }
--- a/crates/entry/src/pipe/sse.rs
+++ b/crates/entry/src/pipe/sse.rs
@@ -1,7 +1,5 @@
 //! Reads an engine's stream of server-sent events.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
 use futures_util::StreamExt;
@@ -9,7 +7,6 @@
 
 /// Longest event; a longer one is a fault of the engine.
 const EVENT_MOST: usize = 1 << 20;
-const DRAIN: Duration = Duration::from_secs(1);
 
 /// One event of a stream.
 #[derive(Clone, Debug, PartialEq)]
@@ -57,15 +54,6 @@
         }
     }
 
-    /// Reads what follows the end mark, so that the connection can be used again.
-    ///
-    /// Dropped with a rest unread, a connection is closed, and every request opens a new one.
-    pub async fn drain(mut self) {
-        let rest = async { while let Some(Ok(_)) = self.bytes.next().await {} };
-        // An upstream that keeps it open loses it.
-        let _ = tokio::time::timeout(DRAIN, rest).await;
-    }
-
     fn take_line(&mut self) -> Option<Vec<u8>> {
         let end = self.buf.iter().position(|b| *b == b'\n')?;
         let rest = self.buf.split_off(end + 1);
