--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -47,7 +47,8 @@
     Ok(())
 }
 
-async fn totals(stage: &Stage) -> Result<(f64, f64, f64, f64)> {
+/// Returns peer bytes, platform reads, platform writes and processor seconds of all instances so far.
+pub(crate) async fn totals(stage: &Stage) -> Result<(f64, f64, f64, f64)> {
     let mut bytes = 0.0;
     let mut cpu = 0.0;
     for instance in &stage.instances {
--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -7,6 +7,7 @@
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
 
+use crate::fleet;
 use crate::stage::{Size, Stage};
 
 /// Rounds that only open connections and fetch the first grant.
@@ -55,6 +56,8 @@
     for (i, instance) in stage.instances.iter().enumerate() {
         paths.push((format!("through instance {i}"), instance.url.clone()));
     }
+    let before = fleet::totals(&stage).await?;
+    let began = Instant::now();
     for stream in [true, false] {
         // Interleaved, so that both see the same machine.
         let mut seen: Vec<[Histogram<u64>; 3]> = paths.iter().map(|_| histograms()).collect();
@@ -76,6 +79,20 @@
             println!("| {name}, {kind} | {} |", cells.join(" | "));
         }
     }
+    let secs = began.elapsed().as_secs_f64();
+    let after = fleet::totals(&stage).await?;
+    let count = (2 * (WARM + ROUNDS) * ABREAST * stage.instances.len()) as f64;
+    let each = |a: f64, b: f64| (b - a) / secs / stage.instances.len() as f64;
+    println!("\n### Control under that load, each figure per instance\n");
+    println!("| requests/s | peer bytes/s | platform reads/s | platform writes/s |");
+    println!("|---|---|---|---|");
+    println!(
+        "| {:.0} | {:.0} | {:.2} | {:.2} |",
+        count / secs / stage.instances.len() as f64,
+        each(before.0, after.0),
+        each(before.1, after.1),
+        each(before.2, after.2),
+    );
     Ok(())
 }
 
