A failed invariant of the budgets ends the process

Cause, noticed while reading: the assertions say that stopping the instance is safe, but a panic ended only the task that owns the budgets; the instance stayed ready and refused everything. Ruled out: going on with a new task, since holds and steps of the old one would be lost. Event 1005, exit 101. Not shown by a scenario: no known way to break an invariant from outside.

--- a/crates/entry/src/bankd.rs
+++ b/crates/entry/src/bankd.rs
@@ -22,6 +22,8 @@
 const TICK_BUSY: Duration = Duration::from_millis(5);
 /// Ticks otherwise.
 const TICK_IDLE: Duration = Duration::from_millis(250);
+/// The exit code after a failed invariant, as after a panic of the whole program.
+const EXIT_BROKEN: i32 = 101;
 
 enum Cmd {
     Reserve(Reserve, u64, oneshot::Sender<ReserveReply>),
@@ -182,7 +184,16 @@
         recalls: BTreeMap::new(),
         acts: BTreeMap::new(),
     };
-    tokio::spawn(task.run(inbox));
+    let me = shared.me.clone();
+    tokio::spawn(async move {
+        let ended = tokio::spawn(task.run(inbox)).await;
+        if ended.is_err_and(|e| e.is_panic()) {
+            // Whatever it believes about money is wrong. Its grants stay charged in the record;
+            // going on without it would leave an instance that looks ready and serves nobody.
+            event::Event::Broken.log(&me, "the log above says which one");
+            std::process::exit(EXIT_BROKEN);
+        }
+    });
 }
 
 struct Task {
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -15,6 +15,8 @@
     Stopped,
     /// A planned stop was cut short.
     Cut,
+    /// An invariant of the budgets failed: the process ends at once.
+    Broken,
     /// Another configuration is in force.
     ConfigInForce,
     /// A configuration in the platform is broken.
@@ -85,6 +87,12 @@
     row(Event::Stopping, 1002, Level::INFO, "planned stop begun"),
     row(Event::Stopped, 1003, Level::INFO, "planned stop ended"),
     row(Event::Cut, 1004, Level::WARN, "planned stop cut short"),
+    row(
+        Event::Broken,
+        1005,
+        Level::ERROR,
+        "invariant of the budgets failed, process ends",
+    ),
     row(
         Event::ConfigInForce,
         1101,
