Read once more: one address look-up, one spec builder, shared fields, messages written once

Found in the whole change: - the look-up of a peer's address stood twice (bank_io, reserve): now Shared::peer_addr; - engines' list entries were built alike in the route tests, the load trial and the bench: Spec::engine; - a customer's shape repeated a template's six fields: objects are groups of fields now, same messages; - every message between instances, and every answer, was turned into text a second time only to count its bytes: it is written once, as a raw value; - code that nothing called: health marks of the platform's client, Ranges::pieces, Pacer::wait_ms, relay::ran. Not measured again.

--- a/crates/bench/src/micro.rs
+++ b/crates/bench/src/micro.rs
@@ -211,13 +211,12 @@
     println!("|---|---|---|");
     for count in [23, 290, 2_900] {
         let mut pool = Pool::default();
-        let spec = |i: usize| Spec {
-            id: format!("engine-{i}.01234567"),
-            kind: Kind::Engine,
-            url: String::new(),
-            zone: format!("zone-{}", i % 17),
-            serves: vec!["m".to_string()],
-            leaving: false,
+        let spec = |i: usize| {
+            Spec::engine(
+                &format!("engine-{i}.01234567"),
+                &format!("zone-{}", i % 17),
+                "m",
+            )
         };
         pool.set_list((0..count).map(spec).collect());
         let ask = Ask {
--- a/crates/budget/src/pacer.rs
+++ b/crates/budget/src/pacer.rs
@@ -49,13 +49,6 @@
         self.level >= self.burst / 2.0
     }
 
-    /// Returns the milliseconds until the next write may go.
-    pub fn wait_ms(&mut self, now: u64) -> u64 {
-        self.refill(now);
-        let lack = (1.0 - self.level).max(0.0);
-        (lack * 1000.0 / self.per_sec).ceil() as u64
-    }
-
     fn refill(&mut self, now: u64) {
         let passed = now.saturating_sub(self.at) as f64 / 1000.0;
         self.level = (self.level + passed * self.per_sec).min(self.burst);
--- a/crates/budget/src/ranges.rs
+++ b/crates/budget/src/ranges.rs
@@ -33,9 +33,4 @@
         }
         true
     }
-
-    /// Returns the number of ranges, which is what the set costs.
-    pub fn pieces(&self) -> usize {
-        self.0.len()
-    }
 }
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -72,8 +72,8 @@
             }
             None => wrong(value, "an object", path, out),
         },
-        Shape::Object(fields) => match value.as_object() {
-            Some(map) => object(map, fields, path, out),
+        Shape::Object(groups) => match value.as_object() {
+            Some(map) => object(map, groups, path, out),
             None => wrong(value, "an object", path, out),
         },
         leaf => {
@@ -86,11 +86,12 @@
 
 fn object(
     map: &serde_json::Map<String, Value>,
-    fields: &[Field],
+    groups: &[&[Field]],
     path: &str,
     out: &mut Vec<Fault>,
 ) {
-    for field in fields {
+    let fields = || groups.iter().copied().flatten();
+    for field in fields() {
         match map.get(field.name) {
             Some(v) => walk(v, &field.shape, &child(path, field.name), out),
             None if field.required => out.push(Fault {
@@ -101,8 +102,8 @@
         }
     }
     for name in map.keys() {
-        if !fields.iter().any(|f| f.name == name) {
-            let known: Vec<_> = fields.iter().map(|f| f.name).collect();
+        if !fields().any(|f| f.name == name) {
+            let known: Vec<_> = fields().map(|f| f.name).collect();
             out.push(Fault {
                 path: child(path, name),
                 what: format!("unknown field; allowed are {}", known.join(", ")),
--- a/crates/conf/src/shape.rs
+++ b/crates/conf/src/shape.rs
@@ -23,8 +23,8 @@
     List(&'static Shape),
     /// An object with free names.
     Map(&'static Shape),
-    /// An object with fixed fields.
-    Object(&'static [Field]),
+    /// An object with fixed fields, in groups that objects share.
+    Object(&'static [&'static [Field]]),
 }
 
 /// A field of an object.
@@ -58,7 +58,7 @@
 const MAX_TOKENS: u64 = 1_000_000_000;
 
 /// The settings of one process.
-pub static SETTINGS: Shape = Shape::Object(&[
+pub static SETTINGS: Shape = Shape::Object(&[&[
     must("name", Shape::Name),
     must("region", Shape::Text),
     must("zone", Shape::Text),
@@ -77,7 +77,7 @@
     may("writes_per_sec", Shape::Uint(1, 100_000)),
     may("faults", Shape::Bool),
     may("orphan_grace_ms", Shape::Uint(100, 3_600_000)),
-]);
+]]);
 
 /// A template, or what a customer overrides of it.
 const POLICY: &[Field] = &[
@@ -89,21 +89,15 @@
     may("weight", Shape::Uint(1, 100)),
 ];
 
+/// What a customer has besides.
+const CUSTOMER: &[Field] = &[
+    must("template", Shape::Text),
+    must("key_hashes", Shape::List(&Shape::KeyHash)),
+];
+
 /// The operators' configuration.
-pub static CONFIG: Shape = Shape::Object(&[
-    must("templates", Shape::Map(&Shape::Object(POLICY))),
-    must(
-        "customers",
-        Shape::Map(&Shape::Object(&[
-            must("template", Shape::Text),
-            must("key_hashes", Shape::List(&Shape::KeyHash)),
-            may("models", Shape::List(&Shape::Text)),
-            may("services", Shape::List(&Shape::Text)),
-            may("not_repeatable", Shape::List(&Shape::Text)),
-            may("priority", Shape::Uint(0, 9)),
-            may("max_tokens", Shape::Uint(1, MAX_TOKENS)),
-            may("weight", Shape::Uint(1, 100)),
-        ])),
-    ),
+pub static CONFIG: Shape = Shape::Object(&[&[
+    must("templates", Shape::Map(&Shape::Object(&[POLICY]))),
+    must("customers", Shape::Map(&Shape::Object(&[CUSTOMER, POLICY]))),
     may("versions", Shape::Map(&Shape::Text)),
-]);
+]]);
--- a/crates/entry/src/bank_io.rs
+++ b/crates/entry/src/bank_io.rs
@@ -53,7 +53,7 @@
 }
 
 pub(crate) async fn recall(cx: &Shared, account: &str, from: &str, tokens: u64) -> Option<u64> {
-    let addr = addr(cx, from)?;
+    let addr = cx.peer_addr(from)?;
     let msg = RecallMsg {
         account: account.to_string(),
         to: cx.me.clone(),
@@ -70,7 +70,7 @@
     key: &str,
     upto: u64,
 ) -> Option<u64> {
-    let addr = addr(cx, witness)?;
+    let addr = cx.peer_addr(witness)?;
     let msg = OpenMsg {
         account: account.to_string(),
         key: key.to_string(),
@@ -80,11 +80,6 @@
     reply.unwrap_or(None)
 }
 
-pub(crate) fn addr(cx: &Shared, id: &str) -> Option<String> {
-    let members = cx.members.lock().expect("no panic inside");
-    members.get(id).map(|m| m.peer_addr.clone())
-}
-
 /// Gives a copy of a settlement to an instance in another availability zone.
 pub(crate) async fn copy(cx: &Shared, account: &str, post: Post) -> bool {
     let msg = KeepMsg {
--- a/crates/entry/src/pipe/chat.rs
+++ b/crates/entry/src/pipe/chat.rs
@@ -233,7 +233,7 @@
     if holder == shared.me {
         return shared.bank.drop_out(msg).await.unwrap_or(true);
     }
-    let Some(addr) = reserve::peer_addr(shared, &holder) else {
+    let Some(addr) = shared.peer_addr(&holder) else {
         return true;
     };
     let reply = shared
--- a/crates/entry/src/pipe/claim.rs
+++ b/crates/entry/src/pipe/claim.rs
@@ -10,7 +10,6 @@
 use web::Req;
 
 use super::cx::Cx;
-use super::reserve::peer_addr;
 use crate::clock::wall_ms;
 use crate::event::Event;
 use crate::rpc::method;
@@ -166,7 +165,7 @@
             .copied()
             .unwrap_or(Word::Unknown);
     }
-    let Some(addr) = peer_addr(shared, &theirs.entry) else {
+    let Some(addr) = shared.peer_addr(&theirs.entry) else {
         return Word::Silent;
     };
     let asked = shared
--- a/crates/entry/src/pipe/relay.rs
+++ b/crates/entry/src/pipe/relay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use err::{Error, Ran};
+use err::Error;
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until};
@@ -322,11 +322,3 @@
         _ => End::Broken(format!("an end after {} of {produced:?} tokens", out.at)),
     }
 }
-
-/// Returns what is known of a run that ended so.
-pub fn ran(end: &End) -> Ran {
-    match end {
-        End::NotRun(_) => Ran::No,
-        _ => Ran::Unknown,
-    }
-}
--- a/crates/entry/src/pipe/reserve.rs
+++ b/crates/entry/src/pipe/reserve.rs
@@ -152,7 +152,7 @@
     if home == shared.me {
         return shared.bank.reserve(msg.req.clone(), msg.wait_ms).await;
     }
-    let addr = peer_addr(shared, home)?;
+    let addr = shared.peer_addr(home)?;
     shared
         .peers
         .call(shared, &addr, method::RESERVE, msg)
@@ -160,12 +160,6 @@
         .ok()
 }
 
-/// Returns where an instance listens for its peers.
-pub fn peer_addr(shared: &Shared, id: &str) -> Option<String> {
-    let members = shared.members.lock().expect("no panic inside");
-    members.get(id).map(|m| m.peer_addr.clone())
-}
-
 /// Tells a home that did not answer in time that its reservation will not be used.
 fn give_up(cx: &Cx, home: &str) {
     let shared = cx.shared.clone();
@@ -177,7 +171,7 @@
     };
     tokio::spawn(async move {
         for _ in 0..VOID_TRIES {
-            let Some(addr) = peer_addr(&shared, &home) else {
+            let Some(addr) = shared.peer_addr(&home) else {
                 return;
             };
             let done = shared
@@ -210,7 +204,7 @@
     let reply = if hold.holder == shared.me {
         shared.bank.extend(msg).await
     } else {
-        let addr = peer_addr(shared, &hold.holder).ok_or_else(gone)?;
+        let addr = shared.peer_addr(&hold.holder).ok_or_else(gone)?;
         let called = shared.peers.call(shared, &addr, method::EXTEND, &msg).await;
         called.ok()
     };
--- a/crates/entry/src/pipe/settle.rs
+++ b/crates/entry/src/pipe/settle.rs
@@ -7,7 +7,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use super::cx::{Cx, Hold};
-use super::reserve::{homes, peer_addr};
+use super::reserve::homes;
 use crate::clock::wall_ms;
 use crate::event::Event;
 use crate::rpc::{method, SettleMsg};
@@ -113,7 +113,7 @@
     if to == shared.me {
         return shared.bank.settle(msg.clone()).await;
     }
-    let addr = peer_addr(shared, to)?;
+    let addr = shared.peer_addr(to)?;
     let reply: Result<Option<Settled>, String> =
         shared.peers.call(shared, &addr, method::SETTLE, msg).await;
     reply.ok().flatten()
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -17,6 +17,7 @@
 use peer::Told;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::{to_raw_value, RawValue};
 
 use crate::shared::Shared;
 
@@ -204,7 +205,7 @@
     /// # Errors
     ///
     /// Returns why there is no answer; the call may have been carried out.
-    pub async fn call<P: Serialize, R: DeserializeOwned + Serialize>(
+    pub async fn call<P: Serialize, R: DeserializeOwned>(
         &self,
         shared: &Shared,
         addr: &str,
@@ -215,16 +216,16 @@
             return Err("the link is cut".to_string());
         }
         let client = self.client(addr)?;
+        // As raw texts, so that their bytes are counted without writing them a second time.
+        let text = to_raw_value(msg).map_err(|e| e.to_string())?;
+        let sent = text.get().len();
         let mut params = ArrayParams::new();
-        params.insert(msg).map_err(|e| e.to_string())?;
-        let sent = serde_json::to_vec(msg).map_or(0, |v| v.len() as u64);
-        let reply: R = client
-            .request(name, params)
-            .await
-            .map_err(|e| e.to_string())?;
-        let got = serde_json::to_vec(&reply).map_or(0, |v| v.len() as u64);
-        shared.metrics.message(name, sent + got);
-        Ok(reply)
+        params.insert(text).map_err(|e| e.to_string())?;
+        let called = client.request(name, params).await;
+        let reply: Box<RawValue> = called.map_err(|e| e.to_string())?;
+        let got = reply.get().len();
+        shared.metrics.message(name, (sent + got) as u64);
+        serde_json::from_str(reply.get()).map_err(|e| e.to_string())
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -145,6 +145,12 @@
         self.live().into_iter().filter(own).map(candidate).collect()
     }
 
+    /// Returns where an instance listens for its peers.
+    pub fn peer_addr(&self, id: &str) -> Option<String> {
+        let members = self.members.lock().expect("no panic inside");
+        members.get(id).map(|m| m.peer_addr.clone())
+    }
+
     /// Logs an event.
     pub fn log(&self, event: Event, detail: impl std::fmt::Display) {
         event.log(&self.me, detail);
--- a/crates/kv/src/client.rs
+++ b/crates/kv/src/client.rs
@@ -1,20 +1,17 @@
 //! The client: bounded calls, each with one of three ends — done, refused, or unknown.
 
-use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use serde_json::{json, Value};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use crate::wire::{self, KeyValue};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// A call that took longer than this counts as a sign of trouble in `healthy`.
-const RECENT: Duration = Duration::from_secs(3);
 
 /// Why a call has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,10 +59,6 @@
     url: String,
     http: reqwest::Client,
     counts: Counts,
-    started: Instant,
-    /// Milliseconds after `started` of the last answer and the last failure.
-    last_ok: AtomicI64,
-    last_bad: AtomicI64,
 }
 
 /// A handle on the platform's service; clones share it.
@@ -88,9 +81,6 @@
             url: url.to_string(),
             http,
             counts: Counts::default(),
-            started: Instant::now(),
-            last_ok: AtomicI64::new(-1),
-            last_bad: AtomicI64::new(-1),
         }))
     }
 
@@ -99,23 +89,6 @@
         &self.0.counts
     }
 
-    /// Returns whether the last call that ended was answered.
-    pub fn healthy(&self) -> bool {
-        let ok = self.0.last_ok.load(Ordering::Relaxed);
-        let bad = self.0.last_bad.load(Ordering::Relaxed);
-        ok >= bad && ok >= 0
-    }
-
-    /// Returns whether a call was answered a moment ago.
-    pub fn heard_recently(&self) -> bool {
-        let ok = self.0.last_ok.load(Ordering::Relaxed);
-        ok >= 0 && self.now_ms() - ok < RECENT.as_millis() as i64
-    }
-
-    fn now_ms(&self) -> i64 {
-        self.0.started.elapsed().as_millis() as i64
-    }
-
     async fn call(&self, path: &str, body: &Value) -> Result<Value, Failure> {
         let url = format!("{}{path}", self.0.url);
         let sent = self.0.http.post(url).json(body).timeout(CALL_TIMEOUT);
@@ -132,16 +105,12 @@
             Err(e) => Err(e),
         };
         match res {
-            Ok(value) => {
-                self.0.last_ok.store(self.now_ms(), Ordering::Relaxed);
-                Ok(value)
-            }
+            Ok(value) => Ok(value),
             Err(e) => self.fail(Failure::Unknown(e.to_string())),
         }
     }
 
     fn fail<T>(&self, failure: Failure) -> Result<T, Failure> {
-        self.0.last_bad.store(self.now_ms(), Ordering::Relaxed);
         self.0.counts.failures.fetch_add(1, Ordering::Relaxed);
         Err(failure)
     }
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -46,6 +46,20 @@
     pub leaving: bool,
 }
 
+impl Spec {
+    /// Makes the entry of an engine that serves one model.
+    pub fn engine(id: &str, zone: &str, model: &str) -> Spec {
+        Spec {
+            id: id.to_string(),
+            kind: Kind::Engine,
+            url: String::new(),
+            zone: zone.to_string(),
+            serves: vec![model.to_string()],
+            leaving: false,
+        }
+    }
+}
+
 /// A load report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
--- a/crates/route/tests/decide.rs
+++ b/crates/route/tests/decide.rs
@@ -6,14 +6,7 @@
 
 fn pool(count: usize) -> Pool {
     let mut pool = Pool::default();
-    let spec = |i: usize| Spec {
-        id: format!("e{i}"),
-        kind: Kind::Engine,
-        url: String::new(),
-        zone: format!("z{}", i % 3),
-        serves: vec!["m".to_string()],
-        leaving: false,
-    };
+    let spec = |i: usize| Spec::engine(&format!("e{i}"), &format!("z{}", i % 3), "m");
     pool.set_list((0..count).map(spec).collect());
     for i in 0..count {
         let key = pool.find(&format!("e{i}")).expect("listed");
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -142,14 +142,7 @@
     pub fn open(seed: u64, way: Way, mix: Mix) -> LoadWorld {
         let entry = || {
             let mut pool = Pool::default();
-            let spec = |i: usize| Spec {
-                id: format!("e{i}"),
-                kind: Kind::Engine,
-                url: String::new(),
-                zone: format!("z{}", i % 3),
-                serves: vec!["m".to_string()],
-                leaving: false,
-            };
+            let spec = |i: usize| Spec::engine(&format!("e{i}"), &format!("z{}", i % 3), "m");
             pool.set_list((0..mix.engines).map(spec).collect());
             pool.set_sharers(ENTRIES);
             Entry {
