--- a/crates/entry/src/clock.rs
+++ b/crates/clock/src/lib.rs
@@ -1,4 +1,4 @@
-//! Time: monotonic for deadlines, wall-clock only for what people and ids read.
+//! Time since a start: monotonic for deadlines, wall-clock only for what people and ids read.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -8,6 +8,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock(Instant);
 
+impl Default for Clock {
+    fn default() -> Self {
+        Clock::start()
+    }
+}
+
 impl Clock {
     /// Starts a clock.
     pub fn start() -> Clock {
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -122,6 +122,10 @@
             value.as_u64().is_some_and(|n| n >= *lo && n <= *hi),
             format!("a whole number from {lo} to {hi}"),
         ),
+        Shape::Number(lo, hi) => (
+            value.as_f64().is_some_and(|n| n >= *lo && n <= *hi),
+            format!("a number from {lo} to {hi}"),
+        ),
         Shape::Bool => (value.is_boolean(), "true or false".to_string()),
         Shape::Addr => (
             text.parse::<SocketAddr>().is_ok(),
--- /dev/null
+++ b/crates/conf/src/routing.rs
@@ -0,0 +1,195 @@
+//! The operators' routes: which service answers which path, for whom, and within which bounds.
+
+use std::collections::{BTreeMap, HashMap};
+
+/// What may be done with a request besides sending it once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// It may run any number of times.
+    Idempotent,
+    /// It runs once at most.
+    Never,
+    /// Its answer is a stream of events that another run may go on with after the last one.
+    Resumable,
+}
+
+/// Part of a route's requests that goes to one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: String,
+    /// Its weight among the route's shares.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The host that it belongs to.
+    pub host: String,
+    /// The beginning of its paths; begins and ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// Whether its answers are streams of events.
+    pub streamed: bool,
+    /// Longest time that a caller is kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// Latency objective: time to the answer, or to its first event, in milliseconds.
+    pub objective_ms: u64,
+    /// Upstreams that one request may be sent to.
+    pub attempts: u32,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Whether callers need no key.
+    pub public: bool,
+    /// The services that answer it.
+    pub shares: Vec<Share>,
+}
+
+impl Route {
+    /// Chooses a service by the weights; `random` is uniform over all values.
+    pub fn service(&self, random: u64) -> Option<&str> {
+        let total: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
+        let mut at = random % total.max(1);
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if at < weight {
+                return Some(&share.service);
+            }
+            at -= weight;
+        }
+        None
+    }
+}
+
+/// One service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Service {
+    /// Connections that one of its upstreams takes from all instances together.
+    pub connections: u32,
+    /// Requests that one of its upstreams runs at once; 0 when unknown.
+    pub slots: u32,
+    /// Tokens that one of its engines can keep; 0 for a plain service.
+    pub cache_tokens: u64,
+    /// Tokens in one event of a stream; 0 when unknown.
+    pub tokens_per_event: u64,
+}
+
+/// What callers may send, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request's head, in milliseconds.
+    pub header_ms: u64,
+    /// Longest time that a connection stays open between requests, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_ms: 10_000,
+            idle_ms: 60_000,
+        }
+    }
+}
+
+/// One customer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Account {
+    /// Its name.
+    pub name: String,
+    /// Its keys.
+    pub keys: Vec<String>,
+    /// Rank, instead of the route's; 0 goes first.
+    pub priority: Option<u8>,
+    /// Tokens that it may spend altogether; none for no bound.
+    pub prepaid: Option<u64>,
+}
+
+/// All routes, services and customers of one version.
+#[derive(Clone, Debug, Default)]
+pub struct Routing {
+    /// The version; a higher one replaces a lower one, never the other way round.
+    pub version: u64,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// What callers may send.
+    pub limits: Limits,
+    /// Customers.
+    pub accounts: Vec<Account>,
+    routes: Vec<Route>,
+    /// By host, then by prefix: indices into `routes`.
+    by_host: HashMap<String, HashMap<String, usize>>,
+    /// By key: indices into `accounts`.
+    by_key: HashMap<String, usize>,
+}
+
+impl Routing {
+    /// Joins the parts of one version.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: BTreeMap<String, Service>,
+        limits: Limits,
+        accounts: Vec<Account>,
+    ) -> Routing {
+        let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        for (i, route) in routes.iter().enumerate() {
+            let host = by_host.entry(route.host.clone()).or_default();
+            host.insert(route.prefix.clone(), i);
+        }
+        let mut by_key = HashMap::new();
+        for (i, account) in accounts.iter().enumerate() {
+            for key in &account.keys {
+                by_key.insert(key.clone(), i);
+            }
+        }
+        Routing {
+            version,
+            services,
+            limits,
+            accounts,
+            routes,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// Returns the routes.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// Returns the route with the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let prefixes = self.by_host.get(host)?;
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(i) = prefixes.get(&path[..=slash]) {
+                return Some(&self.routes[*i]);
+            }
+            end = slash;
+        }
+        None
+    }
+
+    /// Returns the customer that holds a key.
+    pub fn account(&self, key: &str) -> Option<&Account> {
+        self.by_key.get(key).map(|i| &self.accounts[*i])
+    }
+
+    /// Returns a customer's prepaid tokens; none when there is no bound.
+    pub fn prepaid(&self, customer: &str) -> Option<u64> {
+        let account = self.accounts.iter().find(|a| a.name == customer)?;
+        account.prepaid
+    }
+}
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -16,7 +16,7 @@
 const DEFAULT_ORPHAN_GRACE_MS: u64 = 15_000;
 
 /// What a process is told at its start.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the instance; each start adds its own incarnation to it.
@@ -55,6 +55,30 @@
     pub faults: Option<bool>,
     /// How long a vanished entry's stream waits for its caller, in milliseconds.
     pub orphan_grace_ms: Option<u64>,
+    /// What callers, upstreams and the platform speak: `openai` (the own interface) or `platform`.
+    pub dialect: Option<String>,
+    /// Bounds that the instances keep together.
+    pub fleet: Option<Fleet>,
+}
+
+/// Bounds that the instances of a fleet keep together.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Listener that says whether new connections are wanted.
+    pub ready_listen: Option<SocketAddr>,
+    /// Listener for metrics and the dump; none means that there are none.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Time from the sign to stop until the process is killed, in seconds.
+    pub stop_secs: Option<f64>,
+    /// Repetitions that a service gets from all instances, as a share of its requests.
+    pub retry_ratio: Option<f64>,
+    /// The span in which repetitions and requests are counted, in seconds.
+    pub retry_window_secs: Option<f64>,
+    /// Repetitions that all instances may make in a span besides the share.
+    pub retry_slack: Option<f64>,
+    /// Shortest lease that the platform grants, in milliseconds.
+    pub lease_least_ms: Option<u64>,
 }
 
 impl Settings {
--- a/crates/conf/src/shape.rs
+++ b/crates/conf/src/shape.rs
@@ -9,6 +9,8 @@
     Name,
     /// A whole number between two bounds, both included.
     Uint(u64, u64),
+    /// A number between two bounds, both included.
+    Number(f64, f64),
     /// True or false.
     Bool,
     /// An IP address with a port.
@@ -77,8 +79,21 @@
     may("writes_per_sec", Shape::Uint(1, 100_000)),
     may("faults", Shape::Bool),
     may("orphan_grace_ms", Shape::Uint(100, 3_600_000)),
+    may("dialect", Shape::Word(&["openai", "platform"])),
+    may("fleet", Shape::Object(&[FLEET])),
 ]]);
 
+/// The bounds that the instances of a fleet keep together.
+const FLEET: &[Field] = &[
+    may("ready_listen", Shape::Addr),
+    may("metrics_listen", Shape::Addr),
+    may("stop_secs", Shape::Number(0.1, 86_400.0)),
+    may("retry_ratio", Shape::Number(0.0, 1.0)),
+    may("retry_window_secs", Shape::Number(0.1, 3_600.0)),
+    may("retry_slack", Shape::Number(0.0, 1_000_000.0)),
+    may("lease_least_ms", Shape::Uint(1, 600_000)),
+];
+
 /// A template, or what a customer overrides of it.
 const POLICY: &[Field] = &[
     may("models", Shape::List(&Shape::Text)),
--- /dev/null
+++ b/crates/dial/src/pool.rs
@@ -0,0 +1,233 @@
+//! Kept connections by upstream.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+use crate::conn::Conn;
+
+/// A connection to an upstream opens within a few milliseconds, or the upstream is not there.
+/// Leaves room for one lost packet, which is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Bytes that stay unacknowledged this long mean that the other side is gone: without it a cut link
+/// shows only after minutes. Leaves room for three lost packets in a row.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Pause after which a silent connection is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Connections kept for later requests are closed after this time where the upstream names none.
+const IDLE_DEFAULT: Duration = Duration::from_millis(2_000);
+/// An idle connection is closed this long before the upstream would: a request that crosses the
+/// upstream's close has an unknown outcome.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// Longest time that a connection is kept, whatever the upstream names.
+const IDLE_MOST: Duration = Duration::from_secs(20);
+
+/// Where to connect to.
+#[derive(Clone, Copy, Debug)]
+pub struct Target<'a> {
+    /// The upstream's incarnation: another one may have its address later.
+    pub upstream: &'a str,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Connections that it may have from here.
+    pub most: usize,
+}
+
+/// Why there is no connection; nothing was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConnectError {
+    /// All that it may have from here are in use.
+    Full,
+    /// It refused, or can't be reached.
+    Refused(String),
+    /// It did not answer in time.
+    TimedOut,
+}
+
+struct Idle {
+    conn: Conn,
+    until: Instant,
+}
+
+/// The connections of one upstream.
+#[derive(Default)]
+struct Pool {
+    idle: Vec<Idle>,
+    open: usize,
+}
+
+/// The connections of all upstreams.
+#[derive(Default)]
+pub(crate) struct Pools(HashMap<String, Pool>);
+
+impl Pools {
+    pub(crate) fn closed(&mut self, upstream: &str) {
+        if let Some(pool) = self.0.get_mut(upstream) {
+            pool.open -= 1;
+            if pool.open == 0 {
+                self.0.remove(upstream);
+            }
+        }
+    }
+}
+
+/// Opens connections and keeps them for later requests.
+#[derive(Clone, Default)]
+pub struct Dialer(Arc<Mutex<Pools>>);
+
+impl Dialer {
+    /// Returns a kept connection that is clean, the latest used first.
+    pub fn kept(&self, upstream: &str) -> Option<Conn> {
+        let now = Instant::now();
+        loop {
+            // Dropped outside of the lock, which their drop takes.
+            let idle = {
+                let mut pools = self.0.lock().expect("no panic inside");
+                pools.0.get_mut(upstream)?.idle.pop()?
+            };
+            if idle.until > now && idle.conn.is_clean() {
+                return Some(idle.conn);
+            }
+        }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub async fn open(&self, to: Target<'_>, deadline: Instant) -> Result<Conn, ConnectError> {
+        self.take_place(to)?;
+        let place = Place {
+            pools: &self.0,
+            upstream: to.upstream,
+            kept: false,
+        };
+        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let refused = |e: std::io::Error| ConnectError::Refused(e.to_string());
+        let stream = timeout_at(deadline, TcpStream::connect(to.addr))
+            .await
+            .map_err(|_| ConnectError::TimedOut)?
+            .map_err(refused)?;
+        tune(&stream).map_err(refused)?;
+        let handshake = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| ConnectError::Refused(e.to_string()))?;
+        let (send, conn) = handshake;
+        // An error of the connection shows at its request; between requests it only ends.
+        let task = tokio::spawn(async move {
+            let _ = conn.await;
+        });
+        place.keep();
+        Ok(Conn {
+            upstream: to.upstream.to_string(),
+            send,
+            task: task.abort_handle(),
+            pools: Arc::clone(&self.0),
+            fresh: true,
+        })
+    }
+
+    fn take_place(&self, to: Target<'_>) -> Result<(), ConnectError> {
+        let mut pools = self.0.lock().expect("no panic inside");
+        let pool = pools.0.entry(to.upstream.to_string()).or_default();
+        if pool.open >= to.most.max(1) {
+            return Err(ConnectError::Full);
+        }
+        pool.open += 1;
+        Ok(())
+    }
+
+    /// Keeps a connection whose answer was read to its end; `keep_alive` is the upstream's word on
+    /// how long it keeps idle ones.
+    pub fn keep(&self, mut conn: Conn, keep_alive: Option<Duration>) {
+        let keep = match keep_alive {
+            Some(named) => named.saturating_sub(IDLE_MARGIN).min(IDLE_MOST),
+            None => IDLE_DEFAULT,
+        };
+        conn.fresh = false;
+        let upstream = conn.upstream.clone();
+        let idle = Idle {
+            conn,
+            until: Instant::now() + keep,
+        };
+        let mut pools = self.0.lock().expect("no panic inside");
+        if let Some(pool) = pools.0.get_mut(&upstream) {
+            pool.idle.push(idle);
+        }
+    }
+
+    /// Closes the kept connections of an upstream that is gone.
+    pub fn forget(&self, upstream: &str) {
+        let dropped = {
+            let mut pools = self.0.lock().expect("no panic inside");
+            let pool = pools.0.get_mut(upstream);
+            pool.map(|p| std::mem::take(&mut p.idle))
+        };
+        drop(dropped);
+    }
+
+    /// Closes the kept connections that have been idle for too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut dropped = Vec::new();
+        {
+            let mut pools = self.0.lock().expect("no panic inside");
+            for pool in pools.0.values_mut() {
+                let (keep, drop) = std::mem::take(&mut pool.idle)
+                    .into_iter()
+                    .partition(|i| i.until > now && !i.conn.send.is_closed());
+                pool.idle = keep;
+                let drop: Vec<Idle> = drop;
+                dropped.extend(drop);
+            }
+        }
+        drop(dropped);
+    }
+
+    /// Returns how many connections are open.
+    pub fn count(&self) -> usize {
+        let pools = self.0.lock().expect("no panic inside");
+        pools.0.values().map(|p| p.open).sum()
+    }
+}
+
+/// A place in an upstream's share that is given back when no connection comes of it.
+struct Place<'a> {
+    pools: &'a Mutex<Pools>,
+    upstream: &'a str,
+    kept: bool,
+}
+
+impl Place<'_> {
+    fn keep(mut self) {
+        self.kept = true;
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if !self.kept {
+            let mut pools = self.pools.lock().expect("no panic inside");
+            pools.closed(self.upstream);
+        }
+    }
+}
+
+fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_AFTER);
+    socket.set_tcp_keepalive(&probes)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod bank_io;
 pub mod bankd;
 pub mod callers;
-pub mod clock;
 pub mod configd;
 pub mod event;
 pub mod gossip;
@@ -19,4 +18,5 @@
 pub mod rpc;
 pub mod shared;
 
+pub use ::clock;
 pub use instance::Instance;
--- /dev/null
+++ b/crates/escrow/src/holding.rs
@@ -0,0 +1,277 @@
+//! One customer's tokens at one instance.
+
+use std::collections::BTreeSet;
+
+use crate::rate::Rate;
+use crate::record::{Line, Record};
+
+/// Demand that a grant covers, in milliseconds: the store may be out of reach for nine seconds and
+/// more, and nothing can be taken meanwhile. What a crash strands grows with it.
+const HORIZON_MS: u64 = 10_000;
+/// Percentage of what the fleet may still spend that grants may hold together: the rest outlives a
+/// crash of all instances at once.
+const POOL_PCT: u64 = 70;
+/// Percentage of the pool that an instance without demand takes at first, so that its first
+/// requests need not wait for the store.
+const FIRST_PCT: u64 = 1;
+/// A grant below this percentage of its target is filled up.
+const LOW_PCT: u64 = 85;
+/// A grant above this percentage of its target is cut down to it.
+const HIGH_PCT: u64 = 150;
+/// Changes smaller than this are not worth a call, in tokens.
+const STEP_LEAST: u64 = 4_000;
+/// The store's word on what is spent is renewed this often, in milliseconds, for refusals elsewhere.
+const REPORT_MS: u64 = 3_000;
+
+/// What is known of the record.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// The record.
+    pub record: Record,
+    /// The store's revision of it; 0 when it does not exist yet.
+    pub revision: i64,
+    /// When it was read, in milliseconds.
+    pub at: u64,
+}
+
+/// Why tokens can't be reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Short {
+    /// What is spent on record and the request together pass what is prepaid.
+    Exhausted,
+    /// Tokens may remain elsewhere.
+    OutOfReach,
+}
+
+/// One customer's tokens at one instance.
+#[derive(Clone, Debug, Default)]
+pub struct Holding {
+    prepaid: u64,
+    /// The own line, as the store confirmed it.
+    line: Line,
+    /// Charged for this incarnation in lines that were folded.
+    carried: u64,
+    /// Handed back, cumulative: debited here before the store hears of it.
+    returned: u64,
+    /// Came from other instances.
+    received: u64,
+    /// Went to other instances.
+    given: u64,
+    spent: u64,
+    reserved: u64,
+    demand: Rate,
+    /// Tokens that waiting requests lack.
+    lacking: u64,
+    known: Option<Known>,
+    reported_at: u64,
+}
+
+impl Holding {
+    /// Sets what is prepaid.
+    pub fn set_prepaid(&mut self, prepaid: u64) {
+        self.prepaid = prepaid;
+    }
+
+    /// Returns the tokens that are neither spent nor reserved.
+    ///
+    /// # Panics
+    ///
+    /// Panics when more is spent and reserved than was ever granted: the budget would be exceeded.
+    pub fn balance(&self) -> u64 {
+        let covered = self.carried + self.line.granted + self.received;
+        let used = self.returned + self.given + self.spent + self.reserved;
+        covered
+            .checked_sub(used)
+            .expect("never more used than granted")
+    }
+
+    /// Returns the tokens that may be used: less than the balance after what is prepaid was lowered
+    /// below what is charged, until all instances have handed back their part of it.
+    fn usable(&self) -> u64 {
+        let balance = self.balance();
+        let Some(known) = &self.known else {
+            return balance;
+        };
+        let over = known.record.charged().saturating_sub(self.prepaid);
+        if over == 0 {
+            return balance;
+        }
+        let unspent = known.record.charged().saturating_sub(known.record.spent());
+        let own = u128::from(balance + self.reserved);
+        let cut = (u128::from(over) * own).div_ceil(u128::from(unspent.max(1)));
+        balance.saturating_sub(cut.try_into().unwrap_or(u64::MAX))
+    }
+
+    /// Counts a request's demand.
+    pub fn ask(&mut self, now: u64, tokens: u64) {
+        self.demand.add(now, tokens);
+    }
+
+    /// Reserves tokens for a request.
+    pub fn reserve(&mut self, tokens: u64) -> bool {
+        let fits = self.usable() >= tokens;
+        if fits {
+            self.reserved += tokens;
+        }
+        fits
+    }
+
+    /// Ends a reservation; what was not spent is free again.
+    ///
+    /// # Panics
+    ///
+    /// Panics when more was spent than reserved, or more reserved than ever was: the budget would
+    /// be exceeded.
+    pub fn settle(&mut self, reserved: u64, spent: u64) {
+        assert!(spent <= reserved, "never more spent than reserved");
+        let rest = self.reserved.checked_sub(reserved);
+        self.reserved = rest.expect("a reservation ends once");
+        self.spent += spent;
+    }
+
+    /// Counts tokens that a waiting request lacks.
+    pub fn lack(&mut self, tokens: u64) {
+        self.lacking += tokens;
+    }
+
+    /// Counts the end of a wait.
+    pub fn lack_no_more(&mut self, tokens: u64) {
+        self.lacking = self.lacking.saturating_sub(tokens);
+    }
+
+    /// Returns the tokens that waiting requests lack beyond the balance.
+    pub fn missing(&self) -> u64 {
+        self.lacking.saturating_sub(self.usable())
+    }
+
+    /// Returns why a request of some tokens is refused.
+    pub fn refusal(&self, tokens: u64) -> Short {
+        let spent = self.known.as_ref().map_or(0, |k| k.record.spent());
+        let newer = self.spent.saturating_sub(self.line.spent);
+        if spent + newer + tokens > self.prepaid {
+            Short::Exhausted
+        } else {
+            Short::OutOfReach
+        }
+    }
+
+    /// Takes the record as the store has it; `me` is this incarnation.
+    pub fn learn(&mut self, me: &str, known: Known) {
+        if self
+            .known
+            .as_ref()
+            .is_some_and(|k| k.revision > known.revision)
+        {
+            return;
+        }
+        match known.record.lines.get(me) {
+            Some(line) => {
+                // A write whose answer was lost shows here: its tokens are charged, so they count.
+                assert!(line.granted >= self.line.granted, "own line went back");
+                self.line = *line;
+            }
+            None if self.line.granted > 0 => {
+                // The line was folded: its tokens stay charged, but nothing can be handed back, also
+                // not what was debited for a write that has not landed.
+                let unconfirmed = self.returned - self.line.returned;
+                self.carried += self.line.charged() - unconfirmed;
+                self.returned = 0;
+                self.line = Line::default();
+            }
+            None => {}
+        }
+        self.known = Some(known);
+    }
+
+    /// Returns the tokens that this instance should hold.
+    fn target(&self, now: u64, me: &str, live: &BTreeSet<String>) -> u64 {
+        let Some(known) = &self.known else {
+            return 0;
+        };
+        let rate = self.demand.get(now);
+        let pool = self.prepaid.saturating_sub(known.record.spent()) * POOL_PCT / 100;
+        let mut others = live.clone();
+        others.remove(me);
+        let rates = known.record.rate_of(&others) + rate;
+        let first = pool * FIRST_PCT / 100;
+        let wanted = (rate * HORIZON_MS / 1000).max(first);
+        let share = u128::from(pool) * u128::from(rate) / u128::from(rates.max(1));
+        let share = u64::try_from(share).unwrap_or(u64::MAX).max(first);
+        wanted.min(share)
+    }
+
+    /// Returns the own line as it should stand in the store, when that is worth a write.
+    ///
+    /// Tokens to hand back are debited here at once: were the answer lost, the write may yet land.
+    pub fn plan(&mut self, now: u64, me: &str, live: &BTreeSet<String>) -> Option<Line> {
+        let target = self.target(now, me, live);
+        let known = self.known.as_ref()?;
+        let free = self.prepaid.saturating_sub(known.record.charged());
+        let have = self.balance();
+        let missing = self.lacking.saturating_sub(have);
+        let mut line = Line {
+            granted: self.line.granted,
+            returned: self.returned,
+            spent: self.spent,
+            rate: self.demand.get(now),
+        };
+        let low = have < target * LOW_PCT / 100 && target - have >= STEP_LEAST;
+        if (low || missing > 0) && free > 0 {
+            line.granted += (target.saturating_sub(have)).max(missing).min(free);
+        } else if have > target * HIGH_PCT / 100 && have - target >= STEP_LEAST {
+            let back = have - target.max(self.lacking.min(have));
+            // Tokens that came from others are charged to them: only the own line's go back.
+            let back = back.min(self.line.granted.saturating_sub(self.returned));
+            self.returned += back;
+            line.returned = self.returned;
+        }
+        let moved = line.granted != self.line.granted || line.returned != self.line.returned;
+        let news = line.spent != self.line.spent && now >= self.reported_at + REPORT_MS;
+        if !moved && !news {
+            return None;
+        }
+        self.reported_at = now;
+        Some(line)
+    }
+
+    /// Returns the own line with everything handed back that can be: the last word before a stop.
+    pub fn leave(&mut self) -> Line {
+        let back = self.balance();
+        let back = back.min(self.line.granted.saturating_sub(self.returned));
+        self.returned += back;
+        Line {
+            granted: self.line.granted,
+            returned: self.returned,
+            spent: self.spent,
+            rate: 0,
+        }
+    }
+
+    /// Returns the record as last read.
+    pub fn known(&self) -> Option<&Known> {
+        self.known.as_ref()
+    }
+
+    /// Returns the demand, in tokens a second.
+    pub fn rate(&self, now: u64) -> u64 {
+        self.demand.get(now)
+    }
+
+    /// Debits tokens for another instance, which asks for `wanted` and has `balance` left at a
+    /// demand of `rate`: so many that both then last equally long.
+    pub fn give(&mut self, now: u64, wanted: u64, balance: u64, rate: u64) -> u64 {
+        let own = self.usable().saturating_sub(self.lacking);
+        let own_rate = self.demand.get(now).max(1);
+        let all = u128::from(own) + u128::from(balance);
+        let theirs = all * u128::from(rate) / u128::from(rate + own_rate);
+        let theirs = u64::try_from(theirs).unwrap_or(u64::MAX);
+        let give = theirs.saturating_sub(balance).max(wanted).min(own);
+        self.given += give;
+        give
+    }
+
+    /// Credits tokens from another instance.
+    pub fn receive(&mut self, tokens: u64) {
+        self.received += tokens;
+    }
+}
--- /dev/null
+++ b/crates/escrow/src/rate.rs
@@ -0,0 +1,38 @@
+//! How many tokens a second are asked for.
+
+/// Time over which the demand is averaged, in milliseconds: long enough to smooth single prompts of
+/// a hundred thousand tokens, short enough that a customer's jump shows within seconds.
+const WINDOW_MS: f64 = 4_000.0;
+
+/// An average that forgets, corrected for its short past at the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rate {
+    sum: f64,
+    at: u64,
+    since: Option<u64>,
+}
+
+impl Rate {
+    /// Counts tokens asked for.
+    pub fn add(&mut self, now: u64, tokens: u64) {
+        self.sum = self.sum_at(now) + tokens as f64;
+        self.at = self.at.max(now);
+        self.since.get_or_insert(now);
+    }
+
+    fn sum_at(&self, now: u64) -> f64 {
+        let gone = now.saturating_sub(self.at) as f64;
+        self.sum * (-gone / WINDOW_MS).exp()
+    }
+
+    /// Returns the tokens a second.
+    pub fn get(&self, now: u64) -> u64 {
+        let Some(since) = self.since else {
+            return 0;
+        };
+        // A single request a moment ago is no rate of thousands a second.
+        let past = (now.saturating_sub(since) as f64).max(WINDOW_MS / 4.0);
+        let seen = WINDOW_MS * (1.0 - (-past / WINDOW_MS).exp());
+        (self.sum_at(now) * 1000.0 / seen) as u64
+    }
+}
--- a/crates/kv/src/client.rs
+++ b/crates/kv/src/client.rs
@@ -89,7 +89,7 @@
         &self.0.counts
     }
 
-    async fn call(&self, path: &str, body: &Value) -> Result<Value, Failure> {
+    pub(crate) async fn call(&self, path: &str, body: &Value) -> Result<Value, Failure> {
         let url = format!("{}{path}", self.0.url);
         let sent = self.0.http.post(url).json(body).timeout(CALL_TIMEOUT);
         let res = match sent.send().await {
@@ -124,7 +124,7 @@
         self.0.counts.reads.fetch_add(1, Ordering::Relaxed);
         let body = json!({"key": wire::b64(key.as_bytes())});
         let res = self.call("/v3/kv/range", &body).await?;
-        Ok(kvs(&res["kvs"]).pop())
+        Ok(found(&res["kvs"]).pop())
     }
 
     /// Reads all keys with a prefix, and the store's revision.
@@ -139,7 +139,7 @@
             "range_end": wire::b64(&wire::prefix_end(prefix)),
         });
         let res = self.call("/v3/kv/range", &body).await?;
-        Ok((kvs(&res["kvs"]), wire::number(&res["header"]["revision"])))
+        Ok((found(&res["kvs"]), wire::number(&res["header"]["revision"])))
     }
 
     /// Writes one key if its revision is still the given one; 0 means absent.
@@ -161,8 +161,8 @@
         if res["succeeded"].as_bool() == Some(true) {
             return Ok(Swap::Done(wire::number(&res["header"]["revision"])));
         }
-        let found = kvs(&res["responses"][0]["response_range"]["kvs"]).pop();
-        Ok(Swap::Lost(found))
+        let now = found(&res["responses"][0]["response_range"]["kvs"]).pop();
+        Ok(Swap::Lost(now))
     }
 
     /// Makes a lease of some seconds.
@@ -218,15 +218,13 @@
     }
 }
 
-fn kvs(value: &Value) -> Vec<Found> {
-    let list: Vec<KeyValue> = serde_json::from_value(value.clone()).unwrap_or_default();
-    list.into_iter().map(found).collect()
-}
-
-fn found(kv: KeyValue) -> Found {
-    Found {
+/// Reads the keys of an answer.
+pub(crate) fn found(kvs: &Value) -> Vec<Found> {
+    let list: Vec<KeyValue> = serde_json::from_value(kvs.clone()).unwrap_or_default();
+    let one = |kv: KeyValue| Found {
         key: String::from_utf8_lossy(&wire::un64(&kv.key)).into_owned(),
         value: wire::un64(&kv.value),
         revision: wire::number(&kv.mod_revision),
-    }
+    };
+    list.into_iter().map(one).collect()
 }
--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -1,8 +1,11 @@
-//! Client of the platform's key-value service, in the etcd v3 JSON protocol.
+//! The key-value store: the trait that the product uses, and a client of the etcd v3 JSON protocol.
 //!
-//! Only single-key compare-and-swap, leases and watches are used. Every call is counted.
+//! Every call is counted.
 
 pub mod client;
+mod etcd;
+pub mod store;
 pub mod wire;
 
 pub use client::{Client, Counts, Failure, Found, Swap};
+pub use store::{Answer, Change, Commit, Expect, Listing, News, Put, Store, Txn};
--- /dev/null
+++ b/crates/kv/src/store.rs
@@ -0,0 +1,113 @@
+//! What the product asks of a key-value store; every client of one implements it.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use crate::client::{Counts, Failure, Found};
+
+/// The future answer of a call.
+pub type Answer<'a, T> = Pin<Box<dyn Future<Output = Result<T, Failure>> + Send + 'a>>;
+
+/// The keys under a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The keys with their values, in the order of the keys.
+    pub items: Vec<Found>,
+    /// The store's revision at which they were read: a watch goes on from here.
+    pub revision: i64,
+}
+
+/// What a watch brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// What has changed since, oldest first; nothing when the wait ended.
+    Changes {
+        /// Keys with their new values.
+        changes: Vec<Change>,
+        /// The revision up to which this is everything.
+        revision: i64,
+    },
+    /// The store no longer keeps that part of its history: the keys must be listed again.
+    Compacted,
+}
+
+/// A changed key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// The value written; none when the key was deleted.
+    pub now: Option<Found>,
+}
+
+/// A write of one key.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Put {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The lease with which the key ends; 0 for none.
+    pub lease: i64,
+}
+
+/// A condition on one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expect {
+    /// The key.
+    pub key: String,
+    /// The revision of its last write; 0 when it must be absent.
+    pub revision: i64,
+}
+
+/// Conditions and the writes that happen when all of them hold: all or nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Txn {
+    /// The conditions.
+    pub expect: Vec<Expect>,
+    /// The writes.
+    pub put: Vec<Put>,
+    /// The keys to delete.
+    pub delete: Vec<String>,
+}
+
+/// The end of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Commit {
+    /// It took effect and made this revision.
+    Done(i64),
+    /// A condition did not hold; the keys of the conditions as they are now, absent ones left out.
+    Lost(Vec<Found>),
+    /// A lease that it names has ended; nothing was written.
+    LeaseEnded,
+}
+
+/// A key-value store with revisions, leases and watches.
+///
+/// Each call has its own timeout. After `Failure::Unknown` a write may have taken effect, or may
+/// still do so as long as its conditions hold.
+pub trait Store: Send + Sync + 'static {
+    /// Reads one key.
+    fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Found>>;
+
+    /// Reads all keys with a prefix.
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Listing>;
+
+    /// Waits until a key with a prefix changes after a revision, or for `wait_ms`.
+    fn watch<'a>(&'a self, prefix: &'a str, after: i64, wait_ms: u64) -> Answer<'a, News>;
+
+    /// Runs a transaction.
+    fn commit(&self, txn: Txn) -> Answer<'_, Commit>;
+
+    /// Makes a lease.
+    fn grant_lease(&self, ttl_ms: u64) -> Answer<'_, i64>;
+
+    /// Renews a lease; returns whether it still lives.
+    fn renew_lease(&self, lease: i64) -> Answer<'_, bool>;
+
+    /// Ends a lease, and its keys with it.
+    fn end_lease(&self, lease: i64) -> Answer<'_, ()>;
+
+    /// Returns how many calls were made.
+    fn counts(&self) -> &Counts;
+}
--- a/crates/kv/src/wire.rs
+++ b/crates/kv/src/wire.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
+use crate::store::{Expect, Put, Txn};
+
 /// Encodes bytes as the protocol wants them.
 pub fn b64(bytes: &[u8]) -> String {
     BASE64_STANDARD.encode(bytes)
@@ -47,14 +49,41 @@
 
 /// Returns the body of a compare-and-swap of one key; revision 0 means that the key is absent.
 pub fn swap(key: &str, revision: i64, value: &[u8], lease: i64) -> Value {
-    let key = b64(key.as_bytes());
+    let put = Put {
+        key: key.to_string(),
+        value: value.to_vec(),
+        lease,
+    };
+    let expect = Expect {
+        key: key.to_string(),
+        revision,
+    };
+    txn(&Txn {
+        expect: vec![expect],
+        put: vec![put],
+        delete: Vec::new(),
+    })
+}
+
+/// Returns the body of a transaction; when it is lost, it reads the keys of its conditions.
+pub fn txn(txn: &Txn) -> Value {
+    let compare = |e: &Expect| {
+        json!({
+            "key": b64(e.key.as_bytes()), "target": "MOD", "result": "EQUAL",
+            "mod_revision": e.revision.to_string(),
+        })
+    };
+    let put = |p: &Put| {
+        json!({"request_put": {
+            "key": b64(p.key.as_bytes()), "value": b64(&p.value), "lease": p.lease.to_string(),
+        }})
+    };
+    let delete = |k: &String| json!({"request_delete_range": {"key": b64(k.as_bytes())}});
+    let read = |e: &Expect| json!({"request_range": {"key": b64(e.key.as_bytes())}});
+    let success = txn.put.iter().map(put).chain(txn.delete.iter().map(delete));
     json!({
-        "compare": [{
-            "key": key, "target": "MOD", "result": "EQUAL", "mod_revision": revision.to_string(),
-        }],
-        "success": [{"request_put": {
-            "key": key, "value": b64(value), "lease": lease.to_string(),
-        }}],
-        "failure": [{"request_range": {"key": key}}],
+        "compare": txn.expect.iter().map(compare).collect::<Vec<_>>(),
+        "success": success.collect::<Vec<_>>(),
+        "failure": txn.expect.iter().map(read).collect::<Vec<_>>(),
     })
 }
--- /dev/null
+++ b/crates/oriolehitch/src/fleet.rs
@@ -0,0 +1,64 @@
+//! Runs one instance of a fleet on the users' platform.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use conf::Settings;
+use proxy::{Instance, Parts};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::{interval, MissedTickBehavior};
+
+use crate::serve::{self, Signals};
+use crate::{log, Outcome};
+
+/// How often the settings file is looked at: it may change without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(5);
+
+/// Serves until it is told to stop.
+///
+/// # Errors
+///
+/// Returns why the instance can't start.
+pub async fn run(file: &Path, settings: Settings) -> Result<Outcome> {
+    log::start_plain(settings.log.as_deref());
+    let mut signals = Signals::open()?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut look = interval(LOOK_EVERY);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut current = settings.clone();
+    let instance = Instance::spawn(Parts {
+        store: Arc::new(platform::Client::open(&settings.platform)),
+        dialect: Arc::new(platform::Platform),
+        settings,
+    })
+    .await?;
+    loop {
+        tokio::select! {
+            () = signals.next() => break,
+            _ = hangup.recv() => {}
+            _ = look.tick() => {}
+        }
+        reload(file, &mut current, &instance);
+    }
+    Ok(if instance.stop().await {
+        Outcome::Done(String::new())
+    } else {
+        Outcome::Refused("the stop was cut short; the log says what it cut off\n".to_string())
+    })
+}
+
+/// Reads the settings again. Addresses and bounds hold from the start of a process to its end, so a
+/// change is only logged; faulty settings never end what runs.
+fn reload(file: &Path, current: &mut Settings, instance: &Instance) {
+    match serve::read(file) {
+        Ok(Ok(settings)) if settings == *current => {}
+        Ok(Ok(settings)) => {
+            *current = settings;
+            instance.reloaded("changed; in force from the next start");
+        }
+        Ok(Err(faults)) => instance.reloaded(&format!("faulty, unchanged: {faults}")),
+        Err(e) => instance.reloaded(&format!("unreadable, unchanged: {e:#}")),
+    }
+}
--- a/crates/oriolehitch/src/lib.rs
+++ b/crates/oriolehitch/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod dev;
 pub mod flags;
+pub mod fleet;
 pub mod log;
 pub mod operate;
 pub mod serve;
@@ -10,6 +11,7 @@
 pub mod table;
 
 use flags::{Flags, OriolehitchCmd};
+use tokio::runtime::Builder;
 
 /// How a command ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,12 +41,22 @@
 ///
 /// Returns what kept it from running at all.
 pub fn run(flags: Flags) -> anyhow::Result<Outcome> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
+    let runtime = match &flags {
+        Flags::Process(f) if is_small(&f.subcommand) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    let runtime = { runtime }.enable_all().build()?;
     runtime.block_on(dispatch(flags))
 }
 
+/// Returns whether a command runs on a part of one core, where a second thread only costs switches.
+fn is_small(cmd: &OriolehitchCmd) -> bool {
+    match cmd {
+        OriolehitchCmd::Serve(cmd) => serve::is_fleet(&cmd.settings),
+        _ => false,
+    }
+}
+
 async fn dispatch(flags: Flags) -> anyhow::Result<Outcome> {
     match flags {
         Flags::Process(flags) => process(flags.subcommand).await,
--- a/crates/oriolehitch/src/log.rs
+++ b/crates/oriolehitch/src/log.rs
@@ -25,3 +25,19 @@
         builder.try_init()
     };
 }
+
+/// Starts logging on standard output, for a process whose standard output is its log.
+pub fn start_plain(form: Option<&str>) {
+    let filter =
+        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn,proxy=info"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_target(false)
+        .with_ansi(false);
+    // A second start, in tests, keeps the first.
+    let _ = if form == Some("json") {
+        builder.json().flatten_event(true).try_init()
+    } else {
+        builder.try_init()
+    };
+}
--- a/crates/oriolehitch/src/serve.rs
+++ b/crates/oriolehitch/src/serve.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 use crate::flags::Serve;
-use crate::{log, Outcome};
+use crate::{fleet, log, Outcome};
 
 /// The signals that end a process.
 pub struct Signals {
@@ -51,6 +51,9 @@
     if flags.log.is_some() {
         settings.log = flags.log;
     }
+    if speaks_platform(&settings) {
+        return fleet::run(&flags.settings, settings).await;
+    }
     log::start(settings.log.as_deref());
     let mut signals = Signals::open()?;
     let instance = Instance::spawn(settings).await?;
@@ -70,6 +73,16 @@
     })
 }
 
+/// Returns whether the settings are those of a fleet on the users' platform.
+pub fn is_fleet(file: &Path) -> bool {
+    // Faults are reported when the command runs.
+    matches!(read(file), Ok(Ok(settings)) if speaks_platform(&settings))
+}
+
+fn speaks_platform(settings: &Settings) -> bool {
+    settings.dialect.as_deref() == Some("platform")
+}
+
 /// Reads settings; the inner error lists their faults.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,16 @@
+//! Which upstream serves a request, who is refused, and what may be repeated.
+//!
+//! The load that this answers: long prompts that share long beginnings, on engines that keep the
+//! beginnings they read; short calls of plain services beside them; many instances that choose at the
+//! same time and see late reports only. No I/O, clock or randomness: the time comes in with each
+//! event, in milliseconds.
+
+mod health;
+mod known;
+mod pool;
+mod retry;
+mod upstream;
+
+pub use pool::{Choice, Denied, Pool, Want};
+pub use retry::{Bounds, Retries};
+pub use upstream::{Key, Load, Outcome, Part, Spec, Ticket, Upstream};
--- /dev/null
+++ b/crates/place/src/upstream.rs
@@ -0,0 +1,236 @@
+//! One upstream: what its list entry, its reports and our own requests say of it.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::health::Health;
+use crate::known::Known;
+
+/// A report older than this says nothing any more, in milliseconds.
+const REPORT_STALE_MS: u64 = 3_000;
+/// Weight of one request in the averages of an upstream.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Time after which half of a delay is forgotten, in milliseconds: a backlog is worked off in about
+/// a second, and an upstream that gets nothing because of it could not show that.
+const DELAY_FORGET_MS: f64 = 1_000.0;
+/// Bounds of how much slower than its service an upstream is taken to be.
+const SLOWNESS: (f64, f64) = (0.5, 20.0);
+/// Time after which half of a slowness is forgotten, in milliseconds.
+const SLOWNESS_FORGET_MS: f64 = 5_000.0;
+
+/// Names an upstream in its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key(pub u32);
+
+/// Names a request at its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// An upstream as its list shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spec {
+    /// Its incarnation: one that starts again has a new one.
+    pub id: String,
+    /// The service that it answers for.
+    pub service: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Its own word on its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// A part of a prompt that requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its name.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// How a request ended at its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Well,
+    /// It was answered with an error.
+    Error,
+    /// It was refused without having run.
+    Refused,
+    /// The answer broke off, or was none.
+    Broken,
+    /// It could not be reached, or said nothing in time.
+    Silent,
+    /// The caller left, or its time was over: this says nothing of the upstream.
+    Dropped,
+}
+
+/// A request that waits for its first token.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    ticket: Ticket,
+    sent_at: u64,
+    read_ms: f64,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// As its list shows it.
+    pub spec: Spec,
+    /// Own requests that run there.
+    pub inflight: u32,
+    /// Whether any source said that it is leaving; never taken back.
+    pub leaving: bool,
+    /// Whether it is no longer listed.
+    pub gone: bool,
+    /// Its health.
+    pub health: Health,
+    pub(crate) known: Known,
+    hash: u64,
+    load: Load,
+    load_at: Option<u64>,
+    since_report: u32,
+    reading: Vec<Reading>,
+    delay_ms: f64,
+    delay_at: u64,
+    slowness: f64,
+    slowness_at: u64,
+}
+
+impl Upstream {
+    /// Makes an upstream of which only its list has spoken.
+    pub fn new(spec: Spec) -> Upstream {
+        Upstream {
+            hash: xxh3_64(spec.id.as_bytes()),
+            leaving: spec.leaving,
+            spec,
+            inflight: 0,
+            gone: false,
+            health: Health::default(),
+            known: Known::default(),
+            load: Load::default(),
+            load_at: None,
+            since_report: 0,
+            reading: Vec::new(),
+            delay_ms: 0.0,
+            delay_at: 0,
+            slowness: 1.0,
+            slowness_at: 0,
+        }
+    }
+
+    /// Returns its rank for something that all instances want at the same upstream.
+    pub fn rank(&self, what: u64) -> u64 {
+        let mut x = self.hash ^ what.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        x ^ (x >> 31)
+    }
+
+    /// Takes its word on its load.
+    pub fn report(&mut self, now: u64, load: Load) {
+        self.load = load;
+        self.load_at = Some(now);
+        self.since_report = 0;
+    }
+
+    /// Returns the requests that it probably has.
+    pub fn occupancy(&self, now: u64) -> u32 {
+        let fresh = self.load_at.is_some_and(|at| now < at + REPORT_STALE_MS);
+        let reported = if fresh {
+            self.load.running + self.load.waiting + self.since_report
+        } else {
+            0
+        };
+        reported.max(self.inflight)
+    }
+
+    /// Returns the requests that it runs at once.
+    pub fn slots(&self) -> u32 {
+        self.spec.slots.max(self.load.slots).max(1)
+    }
+
+    /// Counts a request sent there, whose prompt takes `read_ms` to read.
+    pub fn begin(&mut self, now: u64, ticket: Ticket, read_ms: f64) {
+        self.inflight += 1;
+        self.since_report += 1;
+        self.reading.push(Reading {
+            ticket,
+            sent_at: now,
+            read_ms,
+        });
+    }
+
+    /// Takes the first token, or the answer, of a request; `alone_ms` is what it would have taken on
+    /// an upstream of its service's usual speed with nothing else to do.
+    pub fn first(&mut self, now: u64, ticket: Ticket, alone_ms: f64) {
+        let Some(i) = self.reading.iter().position(|r| r.ticket == ticket) else {
+            return;
+        };
+        let reading = self.reading.swap_remove(i);
+        let took = now.saturating_sub(reading.sent_at) as f64;
+        let behind = self.delay(now);
+        self.delay_ms = behind + ((took - alone_ms).max(0.0) - behind) * SAMPLE_WEIGHT;
+        self.delay_at = now;
+        let ratio = (took / alone_ms.max(1.0)).clamp(SLOWNESS.0, SLOWNESS.1);
+        let slow = self.slowness(now);
+        self.slowness = slow + (ratio - slow) * SAMPLE_WEIGHT;
+        self.slowness_at = now;
+    }
+
+    /// Returns how much slower than its service it is, lately.
+    pub fn slowness(&self, now: u64) -> f64 {
+        let gone = now.saturating_sub(self.slowness_at) as f64;
+        1.0 + (self.slowness - 1.0) * (0.5f64).powf(gone / SLOWNESS_FORGET_MS)
+    }
+
+    /// Returns how long requests waited there beyond their own reading, lately, in milliseconds.
+    pub fn delay(&self, now: u64) -> f64 {
+        let gone = now.saturating_sub(self.delay_at) as f64;
+        self.delay_ms * (0.5f64).powf(gone / DELAY_FORGET_MS)
+    }
+
+    /// Returns how long it still reads the prompts that were sent from here, in milliseconds.
+    pub fn reading_ms(&self, now: u64) -> f64 {
+        let oldest = self.reading.iter().map(|r| r.sent_at).min();
+        let sum: f64 = self.reading.iter().map(|r| r.read_ms).sum();
+        let gone = oldest.map_or(0, |at| now.saturating_sub(at)) as f64;
+        (sum - gone).max(0.0)
+    }
+
+    /// Counts the end of a request.
+    ///
+    /// # Panics
+    ///
+    /// Panics when more requests end than began: an end counted twice would let in more than the
+    /// upstream can bear.
+    pub fn end(&mut self, now: u64, ticket: Ticket, outcome: Outcome) {
+        assert!(self.inflight > 0, "{}: an end too many", self.spec.id);
+        self.inflight -= 1;
+        self.reading.retain(|r| r.ticket != ticket);
+        match outcome {
+            Outcome::Well => self.health.well(now),
+            Outcome::Error => self.health.error(now),
+            Outcome::Broken => self.health.broken(now),
+            Outcome::Silent => self.health.silent(now),
+            Outcome::Refused | Outcome::Dropped => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/attempt.rs
@@ -0,0 +1,294 @@
+//! One attempt at an upstream: chosen, connected, sent, and the head of its answer read.
+
+use std::sync::{Arc, Mutex};
+
+use clock::Clock;
+use dial::{ConnectError, SendError, Target};
+use err::{Kind, Ran};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::http::response;
+use hyper::{Request, Uri};
+use place::{Choice, Denied, Outcome, Pool, Want};
+use tokio::time::timeout_at;
+
+use crate::ask::Sending;
+use crate::dialect::{Reading, Word};
+use crate::event::Event;
+use crate::refusal::Refusal;
+use crate::router::Job;
+
+/// Part of an upstream's connections that all instances together use: others may use it too.
+const CONNECTIONS_PCT: usize = 80;
+/// A request that may be repeated is given up at an upstream that is silent for so many times its
+/// objective, and for so many times what was expected: slower ones answer still.
+const SILENT_OBJECTIVES: f64 = 1.5;
+const SILENT_EXPECTED: f64 = 4.0;
+/// When to come back when no upstream is left, in milliseconds: crashed ones are left alone for
+/// so long at first.
+const RETRY_NO_UPSTREAM_MS: u64 = 400;
+
+/// A request's place at its upstream; dropping it ends it.
+pub(crate) struct Slot {
+    pool: Arc<Mutex<Pool>>,
+    clock: Clock,
+    pub(crate) choice: Choice,
+    sent_at: u64,
+    outcome: Outcome,
+}
+
+impl Slot {
+    fn open(job: &Job, choice: Choice) -> Slot {
+        Slot {
+            pool: Arc::clone(&job.router.pool),
+            clock: job.router.clock,
+            choice,
+            sent_at: job.router.clock.now(),
+            outcome: Outcome::Dropped,
+        }
+    }
+
+    /// Notes the first event, or the answer.
+    pub(crate) fn first(&self) {
+        let mut pool = self.pool.lock().expect("no panic inside");
+        pool.first(self.clock.now(), &self.choice, self.sent_at);
+    }
+
+    /// Ends it.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut pool = self.pool.lock().expect("no panic inside");
+        let (key, ticket) = (self.choice.key, self.choice.ticket);
+        pool.end(self.clock.now(), key, ticket, self.outcome);
+    }
+}
+
+/// An answer whose head was read.
+pub(crate) struct Open {
+    pub(crate) slot: Slot,
+    pub(crate) conn: dial::Conn,
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) reading: Reading,
+}
+
+/// Why an attempt has no answer.
+#[derive(Clone, Debug)]
+pub(crate) enum Failed {
+    /// There is no upstream to try.
+    Denied(Denied),
+    /// It did not run, and will not.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+    /// The deadline passed before it was sent.
+    Late,
+}
+
+impl Failed {
+    /// Returns what the caller is told; `ran` is what earlier attempts came to.
+    pub(crate) fn refusal(self, job: &Job, ran: Ran) -> Refusal {
+        let left = job.left_ms();
+        let refusal = match self {
+            Failed::Denied(Denied::Busy { retry_ms }) => {
+                let message = format!("the upstreams of {} are busy", job.service);
+                Refusal::new(Kind::Overloaded, message).back_in(retry_ms, left)
+            }
+            Failed::Denied(Denied::Unknown | Denied::NoneLeft) => {
+                let message = format!("no upstream of {} is left", job.service);
+                Refusal::new(Kind::NoUpstream, message).back_in(RETRY_NO_UPSTREAM_MS, left)
+            }
+            Failed::NotRun(why) => {
+                Refusal::new(Kind::NoUpstream, why).back_in(RETRY_NO_UPSTREAM_MS, left)
+            }
+            Failed::Late => Refusal::new(Kind::DeadlinePassed, "not sent in time").ran(Ran::No),
+            Failed::Unknown(why) if left == 0 => Refusal::new(Kind::DeadlinePassed, why),
+            Failed::Unknown(why) => Refusal::new(Kind::UpstreamError, why),
+        };
+        if ran == Ran::No {
+            refusal
+        } else {
+            refusal.ran(ran)
+        }
+    }
+}
+
+/// Sends a request to an upstream and reads the head of its answer.
+pub(crate) async fn attempt(job: &mut Job, after_event: Option<u64>) -> Result<Open, Failed> {
+    let (slot, conn) = connect(job).await?;
+    job.attempts += 1;
+    job.router.metrics.attempts.inc();
+    if job.attempts > 1 {
+        job.router.metrics.repeats.inc();
+    }
+    if job.attempts == 1 {
+        // Once sent it may run: a prompt counts once, however often it is sent.
+        let prompt = u64::from(job.ask.prompt);
+        job.spend(prompt);
+    }
+    let sent = send(job, slot, conn, after_event).await;
+    if let Err(failed) = &sent {
+        let detail = format_args!("attempt={} why={failed:?}", job.attempts);
+        let log = &job.router.log;
+        log.request(Event::AttemptFailed, &job.ask.id, detail);
+        let nothing_ran = matches!(failed, Failed::NotRun(_)) && job.attempts == 1;
+        if let Some(charge) = job.charge.as_mut().filter(|_| nothing_ran) {
+            charge.nothing_ran();
+        }
+    }
+    sent
+}
+
+/// Chooses upstreams until one can be connected to.
+async fn connect(job: &mut Job) -> Result<(Slot, dial::Conn), Failed> {
+    loop {
+        if job.left_ms() == 0 {
+            return Err(Failed::Late);
+        }
+        let choice = choose(job).map_err(Failed::Denied)?;
+        job.tried.push(choice.key);
+        let slot = Slot::open(job, choice);
+        let spec = &slot.choice.spec;
+        if let Some(conn) = job.router.dialer.kept(&spec.id) {
+            return Ok((slot, conn));
+        }
+        let sharers = job.router.fleet.sharers();
+        let all = job.traits.connections as usize * CONNECTIONS_PCT / 100;
+        let target = Target {
+            upstream: &spec.id,
+            addr: spec.addr,
+            most: if all == 0 { usize::MAX } else { all / sharers },
+        };
+        let until = job.router.clock.at(job.deadline);
+        job.router.metrics.connects.inc();
+        match job.router.dialer.open(target, until).await {
+            Ok(conn) => return Ok((slot, conn)),
+            Err(e) => {
+                let detail = format_args!("upstream={} connect={e:?}", spec.id);
+                let log = &job.router.log;
+                log.request(Event::AttemptFailed, &job.ask.id, detail);
+                let outcome = match e {
+                    ConnectError::Full => Outcome::Refused,
+                    ConnectError::Refused(_) | ConnectError::TimedOut => Outcome::Silent,
+                };
+                slot.end(outcome);
+            }
+        }
+    }
+}
+
+fn choose(job: &Job) -> Result<Choice, Denied> {
+    let now = job.router.clock.now();
+    let want = Want {
+        service: &job.service,
+        zone: &job.router.zone,
+        parts: &job.ask.parts,
+        prompt: job.ask.prompt,
+        tried: &job.tried,
+        deadline: job.deadline,
+        repeatable: job.is_repeatable(),
+        random: rand::random(),
+    };
+    let mut pool = job.router.pool.lock().expect("no panic inside");
+    let choice = pool.choose(now, &want)?;
+    let metrics = &job.router.metrics;
+    metrics.unread.inc_by(u64::from(choice.unread));
+    metrics.prompt.inc_by(u64::from(job.ask.prompt));
+    Ok(choice)
+}
+
+async fn send(
+    job: &mut Job,
+    slot: Slot,
+    mut conn: dial::Conn,
+    after_event: Option<u64>,
+) -> Result<Open, Failed> {
+    let req = request(job, &slot, after_event);
+    let until = job.router.clock.at(silent_at(job, &slot));
+    let Ok(sent) = timeout_at(until, conn.send(req)).await else {
+        let waited = job.router.clock.now() - slot.sent_at;
+        let upstream = slot.choice.spec.id.clone();
+        slot.end(Outcome::Silent);
+        let why = format!("upstream={upstream} silent for {waited} ms");
+        return Err(Failed::Unknown(why));
+    };
+    let upstream = slot.choice.spec.id.clone();
+    let res = match sent {
+        Ok(res) => res,
+        Err(SendError::NotSent(why)) => {
+            slot.end(Outcome::Refused);
+            return Err(Failed::NotRun(format!("upstream={upstream} {why}")));
+        }
+        Err(SendError::Broken(why)) => {
+            slot.end(Outcome::Broken);
+            return Err(Failed::Unknown(format!("upstream={upstream} {why}")));
+        }
+    };
+    let (head, body) = res.into_parts();
+    let reading = job.router.dialect.read(&job.ask, &head);
+    if let Some(load) = reading.load {
+        let now = job.router.clock.now();
+        let mut pool = job.router.pool.lock().expect("no panic inside");
+        pool.report(now, slot.choice.key, load);
+    }
+    let status = head.status.as_u16();
+    match reading.word {
+        Word::Ran => Ok(Open {
+            slot,
+            conn,
+            head,
+            body,
+            reading,
+        }),
+        Word::NotRun => {
+            slot.end(Outcome::Refused);
+            Err(Failed::NotRun(format!("upstream={upstream} status={status}")))
+        }
+        Word::Misdirected => {
+            slot.end(Outcome::Silent);
+            let why = format!("upstream={upstream} is not at its address");
+            Err(Failed::NotRun(why))
+        }
+        Word::NotOurs(why) => {
+            slot.end(Outcome::Broken);
+            let why = format!("upstream={upstream} status={status} {why}");
+            Err(Failed::Unknown(why))
+        }
+    }
+}
+
+/// Returns when an upstream that says nothing is given up, in milliseconds.
+fn silent_at(job: &Job, slot: &Slot) -> u64 {
+    let last = !job.is_repeatable() || job.attempts >= job.route.attempts;
+    if last {
+        return job.deadline;
+    }
+    let objective = job.route.objective_ms as f64 * SILENT_OBJECTIVES;
+    let expected = slot.choice.expect_ms * SILENT_EXPECTED;
+    let wait = objective.max(expected) as u64;
+    job.deadline.min(slot.sent_at + wait)
+}
+
+fn request(
+    job: &Job,
+    slot: &Slot,
+    after_event: Option<u64>,
+) -> Request<Full<bytes::Bytes>> {
+    let sending = Sending {
+        upstream: &slot.choice.spec.id,
+        customer: job.customer.as_deref(),
+        left_ms: job.left_ms().max(1),
+        after_event,
+    };
+    let mut req = Request::new(Full::new(job.body.clone()));
+    *req.method_mut() = job.head.method.clone();
+    let path = job.head.uri.path_and_query();
+    *req.uri_mut() = path.map_or_else(Uri::default, |p| Uri::from(p.clone()));
+    *req.headers_mut() = job.router.dialect.request_headers(&job.head, &sending);
+    req
+}
--- /dev/null
+++ b/crates/proxy/src/bank.rs
@@ -0,0 +1,530 @@
+//! Budgets: reserves tokens for requests, and keeps the holdings filled from the store and from other
+//! instances. What is held is decided by `escrow`.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+use clock::Clock;
+use conf::Routing;
+use escrow::{Holding, Known, Record, Short};
+use kv::{Commit, Expect, Found, Put, Store, Txn};
+use rand::Rng;
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep, timeout_at, Instant};
+
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::follow::Reach;
+use crate::log::Log;
+use crate::peers::{Peers, Want};
+
+/// Keys of budgets' records.
+const PREFIX: &str = "oriolehitch/budgets/";
+/// How often the holdings are looked through.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Shortest pause between two looks that requests ask for.
+const LOOK_LEAST: Duration = Duration::from_millis(20);
+/// Longest time that a request waits for tokens: a few calls of the store and of other instances.
+const WAIT_MOST: Duration = Duration::from_millis(600);
+/// After a search that found nothing, requests that lack tokens are refused at once for this time.
+const DRY: Duration = Duration::from_millis(300);
+/// A transaction takes so many records.
+const RECORDS_MOST: usize = 32;
+/// How often a transaction that lost against others is tried in one look.
+const TRIES: usize = 6;
+/// Longest pause before such a try, in milliseconds.
+const TRY_PAUSE_MS: u64 = 12;
+/// Other instances that are asked in one look.
+const PEERS_ASKED: usize = 8;
+
+/// What the task of the holdings works with.
+pub(crate) struct Means {
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) reach: Arc<Reach>,
+    pub(crate) fleet: Fleet,
+    pub(crate) peers: Peers,
+}
+
+/// A handle on the holdings.
+#[derive(Clone)]
+pub(crate) struct Bank(Arc<Inner>);
+
+struct Inner {
+    clock: Clock,
+    log: Arc<Log>,
+    accounts: Mutex<BTreeMap<String, Account>>,
+    wake: Notify,
+    /// Counts the looks that have ended.
+    looks: watch::Sender<u64>,
+    means: OnceLock<Means>,
+}
+
+#[derive(Default)]
+struct Account {
+    holding: Holding,
+    dry_until: Option<Instant>,
+}
+
+/// Tokens reserved for a request; dropping it settles.
+pub(crate) struct Charge {
+    bank: Bank,
+    customer: String,
+    reserved: u64,
+    spent: u64,
+}
+
+impl Charge {
+    /// Counts tokens that were spent.
+    pub(crate) fn spend(&mut self, tokens: u64) {
+        self.spent += tokens;
+    }
+
+    /// Takes back the counting of a request that did not run.
+    pub(crate) fn nothing_ran(&mut self) {
+        self.spent = 0;
+    }
+
+    /// Returns the tokens that were spent.
+    pub(crate) fn spent(&self) -> u64 {
+        self.spent
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if self.spent > self.reserved {
+            let detail = format_args!(
+                "customer={} spent={} reserved={}",
+                self.customer, self.spent, self.reserved
+            );
+            self.bank.0.log.note(Event::Excess, detail);
+        }
+        let spent = self.spent.min(self.reserved);
+        let mut accounts = self.bank.0.accounts.lock().expect("no panic inside");
+        if let Some(account) = accounts.get_mut(&self.customer) {
+            account.holding.settle(self.reserved, spent);
+        }
+    }
+}
+
+impl Bank {
+    pub(crate) fn open(clock: Clock, log: Arc<Log>) -> Bank {
+        Bank(Arc::new(Inner {
+            clock,
+            log,
+            accounts: Mutex::default(),
+            wake: Notify::new(),
+            looks: watch::channel(0).0,
+            means: OnceLock::new(),
+        }))
+    }
+
+    /// Takes what a configuration says is prepaid.
+    pub(crate) fn set_prepaid(&self, routing: &Routing) {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        for customer in &routing.accounts {
+            let Some(prepaid) = customer.prepaid else {
+                continue;
+            };
+            let account = accounts.entry(customer.name.clone()).or_default();
+            account.holding.set_prepaid(prepaid);
+            account.dry_until = None;
+        }
+        drop(accounts);
+        self.0.wake.notify_one();
+    }
+
+    /// Reserves tokens, waiting a little for the store and for other instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there are none; nothing is held then.
+    pub(crate) async fn reserve(
+        &self,
+        customer: &str,
+        tokens: u64,
+        deadline: Instant,
+    ) -> Result<Charge, Short> {
+        let charge = Charge {
+            bank: self.clone(),
+            customer: customer.to_string(),
+            reserved: 0,
+            spent: 0,
+        };
+        match self.first_try(customer, tokens) {
+            Tried::Reserved => return Ok(charge.of(tokens)),
+            Tried::Refused(short) => return Err(short),
+            Tried::Wait => {}
+        }
+        let _lack = Lack::open(self, customer, tokens);
+        let mut looks = self.0.looks.subscribe();
+        // The look under way may have begun before this request came.
+        let enough = *looks.borrow_and_update() + 2;
+        let until = deadline.min(Instant::now() + WAIT_MOST);
+        self.0.wake.notify_one();
+        loop {
+            let ended = timeout_at(until, looks.changed()).await.is_err();
+            if self.try_reserve(customer, tokens) {
+                return Ok(charge.of(tokens));
+            }
+            let looked = *looks.borrow_and_update() >= enough;
+            if ended || looked {
+                return Err(self.refusal(customer, tokens));
+            }
+            self.0.wake.notify_one();
+        }
+    }
+
+    fn first_try(&self, customer: &str, tokens: u64) -> Tried {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let account = accounts.entry(customer.to_string()).or_default();
+        account.holding.ask(self.0.clock.now(), tokens);
+        if account.holding.reserve(tokens) {
+            return Tried::Reserved;
+        }
+        let dry = account.dry_until.is_some_and(|t| Instant::now() < t);
+        if dry {
+            return Tried::Refused(account.holding.refusal(tokens));
+        }
+        Tried::Wait
+    }
+
+    fn try_reserve(&self, customer: &str, tokens: u64) -> bool {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let account = accounts.get_mut(customer);
+        account.is_some_and(|a| a.holding.reserve(tokens))
+    }
+
+    fn refusal(&self, customer: &str, tokens: u64) -> Short {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let Some(account) = accounts.get_mut(customer) else {
+            return Short::OutOfReach;
+        };
+        account.dry_until = Some(Instant::now() + DRY);
+        account.holding.refusal(tokens)
+    }
+
+    /// Debits tokens for another instance.
+    pub(crate) fn give(&self, want: &Want) -> u64 {
+        let now = self.0.clock.now();
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let Some(account) = accounts.get_mut(&want.customer) else {
+            return 0;
+        };
+        let holding = &mut account.holding;
+        holding.give(now, want.tokens, want.balance, want.rate)
+    }
+
+    /// Returns each customer's balance, demand and what is charged and spent on record.
+    pub(crate) fn dump(&self) -> BTreeMap<String, serde_json::Value> {
+        let now = self.0.clock.now();
+        let accounts = self.0.accounts.lock().expect("no panic inside");
+        let row = |(name, a): (&String, &Account)| {
+            let known = a.holding.known();
+            let value = serde_json::json!({
+                "balance": a.holding.balance(),
+                "rate": a.holding.rate(now),
+                "charged": known.map(|k| k.record.charged()),
+                "spent": known.map(|k| k.record.spent()),
+                "known_at": known.map(|k| k.at),
+            });
+            (name.clone(), value)
+        };
+        accounts.iter().map(row).collect()
+    }
+
+    /// Keeps the holdings filled.
+    pub(crate) fn spawn(&self, means: Means) {
+        assert!(self.0.means.set(means).is_ok(), "spawned once");
+        let bank = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let tick = Instant::now() + LOOK_EVERY;
+                let _ = timeout_at(tick, bank.0.wake.notified()).await;
+                bank.look().await;
+                bank.0.looks.send_modify(|n| *n += 1);
+                sleep(LOOK_LEAST).await;
+            }
+        });
+    }
+
+    fn means(&self) -> &Means {
+        self.0.means.get().expect("set before anything runs")
+    }
+
+    /// Looks through all holdings once.
+    async fn look(&self) {
+        if self.wants_change() && !self.means().reach.is_out() {
+            self.change().await;
+        }
+        for customer in self.missing() {
+            self.ask_peers(&customer).await;
+        }
+    }
+
+    fn wants_change(&self) -> bool {
+        let (now, me, live) = (self.0.clock.now(), self.me(), self.means().fleet.live());
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let mut holdings = accounts.values_mut().map(|a| &mut a.holding);
+        holdings.any(|h| h.known().is_none() || h.plan(now, &me, &live).is_some())
+    }
+
+    fn missing(&self) -> Vec<String> {
+        let accounts = self.0.accounts.lock().expect("no panic inside");
+        let lacking = accounts.iter().filter(|(_, a)| a.holding.missing() > 0);
+        lacking.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn me(&self) -> String {
+        self.means().fleet.me().to_string()
+    }
+
+    /// Reads the records, and writes the own lines where they should change.
+    async fn change(&self) {
+        let means = self.means();
+        match means.store.list(PREFIX).await {
+            Ok(listing) => {
+                means.reach.answered();
+                self.learn_all(&listing.items);
+            }
+            Err(failure) => {
+                means.reach.failed(&failure);
+                return;
+            }
+        }
+        for _ in 0..TRIES {
+            let txn = self.plan(false);
+            if txn.put.is_empty() {
+                return;
+            }
+            match self.commit(txn).await {
+                Wrote::Done | Wrote::Failed => return,
+                Wrote::Lost => {
+                    let pause = rand::rng().random_range(0..TRY_PAUSE_MS);
+                    sleep(Duration::from_millis(pause)).await;
+                }
+            }
+        }
+    }
+
+    async fn commit(&self, txn: Txn) -> Wrote {
+        let means = self.means();
+        let written = txn.put.clone();
+        match means.store.commit(txn).await {
+            Ok(Commit::Done(revision)) => {
+                means.reach.answered();
+                let found = written.into_iter().map(|p| Found {
+                    key: p.key,
+                    value: p.value,
+                    revision,
+                });
+                let found: Vec<Found> = found.collect();
+                self.learn(&found);
+                Wrote::Done
+            }
+            Ok(Commit::Lost(items)) => {
+                means.reach.answered();
+                self.learn(&items);
+                Wrote::Lost
+            }
+            Ok(Commit::LeaseEnded) => Wrote::Failed,
+            Err(failure) => {
+                means.reach.failed(&failure);
+                let detail = format_args!("what=budgets why={failure:?}");
+                self.0.log.note(Event::WriteFailed, detail);
+                Wrote::Failed
+            }
+        }
+    }
+
+    /// Returns the transaction that brings the own lines to where they should be.
+    fn plan(&self, leaving: bool) -> Txn {
+        let (now, me, live) = (self.0.clock.now(), self.me(), self.means().fleet.live());
+        let mut txn = Txn::default();
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        for (name, account) in accounts.iter_mut() {
+            if txn.put.len() == RECORDS_MOST {
+                break;
+            }
+            let holding = &mut account.holding;
+            let line = if leaving {
+                holding.known().is_some().then(|| holding.leave())
+            } else {
+                holding.plan(now, &me, &live)
+            };
+            let (Some(line), Some(known)) = (line, holding.known()) else {
+                continue;
+            };
+            let key = format!("{PREFIX}{name}");
+            let record = known.record.with(&me, line, &live);
+            txn.expect.push(Expect {
+                key: key.clone(),
+                revision: known.revision,
+            });
+            txn.put.push(Put {
+                key,
+                value: record.to_bytes(),
+                lease: 0,
+            });
+        }
+        txn
+    }
+
+    /// Takes all records as they are now; those that are missing are empty.
+    fn learn_all(&self, items: &[Found]) {
+        let now = self.0.clock.now();
+        let me = self.me();
+        {
+            let mut accounts = self.0.accounts.lock().expect("no panic inside");
+            for (name, account) in accounts.iter_mut() {
+                let key = format!("{PREFIX}{name}");
+                if items.iter().all(|f| f.key != key) {
+                    let empty = Known {
+                        record: Record::default(),
+                        revision: 0,
+                        at: now,
+                    };
+                    account.holding.learn(&me, empty);
+                }
+            }
+        }
+        self.learn(items);
+    }
+
+    fn learn(&self, items: &[Found]) {
+        let now = self.0.clock.now();
+        let me = self.me();
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        for found in items {
+            let name = found.key.strip_prefix(PREFIX).unwrap_or_default();
+            let Some(account) = accounts.get_mut(name) else {
+                continue;
+            };
+            match Record::parse(&found.value) {
+                Ok(record) => {
+                    let known = Known {
+                        record,
+                        revision: found.revision,
+                        at: now,
+                    };
+                    account.holding.learn(&me, known);
+                }
+                Err(why) => {
+                    let detail = format_args!("key={} why={why}", found.key);
+                    self.0.log.note(Event::RecordBroken, detail);
+                }
+            }
+        }
+    }
+
+    /// Asks other instances for what a customer's requests lack.
+    async fn ask_peers(&self, customer: &str) {
+        let means = self.means();
+        let others = means.fleet.others();
+        for peer in others.iter().take(PEERS_ASKED) {
+            let Some(want) = self.want(customer) else {
+                return;
+            };
+            match means.peers.take(peer.addr, &want).await {
+                Ok(0) => {}
+                Ok(tokens) => self.receive(customer, tokens, &peer.id),
+                Err(why) => {
+                    let detail = format_args!("customer={customer} from={} failed={why}", peer.id);
+                    self.0.log.note(Event::Transfer, detail);
+                }
+            }
+        }
+    }
+
+    fn want(&self, customer: &str) -> Option<Want> {
+        let accounts = self.0.accounts.lock().expect("no panic inside");
+        let holding = &accounts.get(customer)?.holding;
+        let tokens = holding.missing();
+        (tokens > 0).then(|| Want {
+            customer: customer.to_string(),
+            tokens,
+            balance: holding.balance(),
+            rate: holding.rate(self.0.clock.now()),
+        })
+    }
+
+    fn receive(&self, customer: &str, tokens: u64, from: &str) {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        if let Some(account) = accounts.get_mut(customer) {
+            account.holding.receive(tokens);
+        }
+        drop(accounts);
+        let detail = format_args!("customer={customer} from={from} tokens={tokens}");
+        self.0.log.note(Event::Transfer, detail);
+    }
+
+    /// Hands back what is not reserved: the last act of a planned stop.
+    pub(crate) async fn leave(&self) {
+        for _ in 0..TRIES {
+            let txn = self.plan(true);
+            if txn.put.is_empty() {
+                return;
+            }
+            match self.commit(txn).await {
+                Wrote::Done | Wrote::Failed => return,
+                Wrote::Lost => {}
+            }
+        }
+    }
+}
+
+impl Charge {
+    fn of(mut self, tokens: u64) -> Charge {
+        self.reserved = tokens;
+        self
+    }
+}
+
+/// How a first look at a holding ends.
+enum Tried {
+    Reserved,
+    Refused(Short),
+    Wait,
+}
+
+/// How a transaction ended.
+enum Wrote {
+    Done,
+    Lost,
+    Failed,
+}
+
+/// Counts what a waiting request lacks, until it is dropped.
+struct Lack<'a> {
+    bank: &'a Bank,
+    customer: &'a str,
+    tokens: u64,
+}
+
+impl<'a> Lack<'a> {
+    fn open(bank: &'a Bank, customer: &'a str, tokens: u64) -> Lack<'a> {
+        bank.with(customer, |h| h.lack(tokens));
+        Lack {
+            bank,
+            customer,
+            tokens,
+        }
+    }
+}
+
+impl Drop for Lack<'_> {
+    fn drop(&mut self) {
+        self.bank
+            .with(self.customer, |h| h.lack_no_more(self.tokens));
+    }
+}
+
+impl Bank {
+    fn with(&self, customer: &str, f: impl FnOnce(&mut Holding)) {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        if let Some(account) = accounts.get_mut(customer) {
+            f(&mut account.holding);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/dialect.rs
@@ -0,0 +1,85 @@
+//! What callers, upstreams and operators speak: the one trait at the edge towards them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use conf::Routing;
+use hyper::header::HeaderMap;
+use hyper::http::{request, response};
+use hyper::Response;
+use place::{Load, Spec};
+
+use crate::ask::{Ask, Sending};
+use crate::refusal::Refusal;
+
+/// What an upstream's answer says of the request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// It ran, and this is its answer, be it a success or not.
+    Ran,
+    /// It did not run, and will not.
+    NotRun,
+    /// It did not run: another upstream is at the address.
+    Misdirected,
+    /// This is no answer to this request.
+    NotOurs(&'static str),
+}
+
+/// The head of an upstream's answer.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    /// What it says of the request.
+    pub word: Word,
+    /// The upstream's word on its load.
+    pub load: Option<Load>,
+    /// How long the upstream keeps the connection when it is idle.
+    pub keep_alive: Option<Duration>,
+}
+
+/// Names, formats and calls of one way to speak; it decides nothing.
+pub trait Dialect: Send + Sync + 'static {
+    /// Returns the store's key of the operators' configuration.
+    fn config_key(&self) -> &str;
+
+    /// Returns the prefix of the store's keys of upstreams.
+    fn upstream_prefix(&self) -> &str;
+
+    /// Returns the path under which balancers ask whether connections are wanted.
+    fn ready_path(&self) -> &str;
+
+    /// Reads the operators' configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field at fault and what is wrong with it.
+    fn routing(&self, value: &[u8]) -> Result<Routing, String>;
+
+    /// Returns the id of the upstream that a key names.
+    fn upstream_id<'a>(&self, key: &'a str) -> &'a str;
+
+    /// Reads an upstream's entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field at fault and what is wrong with it.
+    fn upstream(&self, key: &str, value: &[u8]) -> Result<Spec, String>;
+
+    /// Reads a request's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is malformed.
+    fn ask(&self, head: &request::Parts) -> Result<Ask, Refusal>;
+
+    /// Returns the headers of an attempt: the caller's, less those that are not its to set.
+    fn request_headers(&self, head: &request::Parts, sending: &Sending<'_>) -> HeaderMap;
+
+    /// Reads the head of an upstream's answer to a request.
+    fn read(&self, ask: &Ask, head: &response::Parts) -> Reading;
+
+    /// Returns the headers of an upstream's answer that its caller gets.
+    fn answer_headers(&self, head: &response::Parts) -> HeaderMap;
+
+    /// Returns the answer to a request that failed here.
+    fn refuse(&self, ask: Option<&Ask>, refusal: &Refusal) -> Response<Bytes>;
+}
--- /dev/null
+++ b/crates/proxy/src/event.rs
@@ -0,0 +1,124 @@
+//! Numbered log events; docs/EVENTS.md is their catalogue.
+
+use tracing::Level;
+
+/// What happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The instance listens.
+    Started,
+    /// A planned stop has begun.
+    Stopping,
+    /// A planned stop has ended.
+    Stopped,
+    /// Log lines were left out.
+    LogCut,
+    /// The settings file changed, or a signal said so.
+    Reloaded,
+    /// Another configuration is in force.
+    ConfigInForce,
+    /// A configuration can't be read; the one before stays in force.
+    ConfigBroken,
+    /// The store does not answer.
+    StoreLost,
+    /// The store answers again.
+    StoreBack,
+    /// A write to the store was not carried out, or it is not known whether.
+    WriteFailed,
+    /// News came from another instance.
+    NewsFromPeer,
+    /// The list of instances changed.
+    Members,
+    /// An upstream is new.
+    UpstreamNew,
+    /// An upstream is leaving.
+    UpstreamLeaving,
+    /// An upstream is no longer listed.
+    UpstreamGone,
+    /// An upstream's entry can't be read.
+    UpstreamBroken,
+    /// A request was answered.
+    Answered,
+    /// A request was refused, or failed.
+    Refused,
+    /// An attempt at an upstream failed.
+    AttemptFailed,
+    /// An answer broke off.
+    Cut,
+    /// A caller left before its answer.
+    CallerLeft,
+    /// A stream was taken up at another upstream.
+    Resumed,
+    /// An upstream made more than was asked for.
+    Excess,
+    /// Tokens were taken from, or handed back to, a budget.
+    Grant,
+    /// Tokens came from another instance.
+    Transfer,
+    /// A budget's record can't be read.
+    RecordBroken,
+}
+
+/// A row of the catalogue.
+#[derive(Clone, Copy, Debug)]
+pub struct Row {
+    /// The event.
+    pub event: Event,
+    /// Its number, which never changes.
+    pub id: u16,
+    /// Its severity.
+    pub level: Level,
+    /// Its text.
+    pub text: &'static str,
+}
+
+const fn row(event: Event, id: u16, level: Level, text: &'static str) -> Row {
+    Row {
+        event,
+        id,
+        level,
+        text,
+    }
+}
+
+/// Every event of the proxy.
+pub const EVENTS: &[Row] = &[
+    row(Event::Started, 2001, Level::INFO, "started"),
+    row(Event::Stopping, 2002, Level::INFO, "stopping"),
+    row(Event::Stopped, 2003, Level::INFO, "stopped"),
+    row(Event::LogCut, 2004, Level::WARN, "log lines left out"),
+    row(Event::Reloaded, 2005, Level::INFO, "settings read again"),
+    row(Event::ConfigInForce, 2101, Level::INFO, "configuration in force"),
+    row(Event::ConfigBroken, 2102, Level::ERROR, "configuration can't be read"),
+    row(Event::StoreLost, 2201, Level::WARN, "store does not answer"),
+    row(Event::StoreBack, 2202, Level::INFO, "store answers again"),
+    row(Event::WriteFailed, 2203, Level::WARN, "write failed"),
+    row(Event::NewsFromPeer, 2301, Level::INFO, "news from another instance"),
+    row(Event::Members, 2302, Level::INFO, "instances changed"),
+    row(Event::UpstreamNew, 2401, Level::INFO, "upstream listed"),
+    row(Event::UpstreamLeaving, 2402, Level::INFO, "upstream leaving"),
+    row(Event::UpstreamGone, 2403, Level::INFO, "upstream gone"),
+    row(Event::UpstreamBroken, 2404, Level::ERROR, "upstream's entry can't be read"),
+    row(Event::Answered, 2501, Level::INFO, "answered"),
+    row(Event::Refused, 2502, Level::INFO, "refused"),
+    row(Event::AttemptFailed, 2503, Level::INFO, "attempt failed"),
+    row(Event::Cut, 2504, Level::WARN, "answer broke off"),
+    row(Event::CallerLeft, 2505, Level::INFO, "caller left"),
+    row(Event::Resumed, 2506, Level::INFO, "stream resumed"),
+    row(Event::Excess, 2507, Level::WARN, "more tokens than asked for"),
+    row(Event::Grant, 2601, Level::INFO, "grant changed"),
+    row(Event::Transfer, 2602, Level::INFO, "tokens from another instance"),
+    row(Event::RecordBroken, 2603, Level::ERROR, "budget record can't be read"),
+];
+
+impl Event {
+    /// Returns the event's row.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the catalogue lacks the event; a test holds them together.
+    pub fn row(self) -> &'static Row {
+        let mut rows = EVENTS.iter();
+        rows.find(|r| r.event == self).expect("every event has a row")
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet.rs
@@ -0,0 +1,227 @@
+//! The instances: each has a key in the store that a lease keeps, and lists the others' keys.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use kv::{Commit, Expect, Failure, Found, Put, Store, Txn};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::event::Event;
+use crate::follow::{Follow, Reach, Update};
+use crate::log::Log;
+
+/// Keys of instances.
+const PREFIX: &str = "oriolehitch/instances/";
+/// A lease outlives an outage of the store and a partition of its holder: the others need the list
+/// most just then. An instance that crashed is listed that much longer, which costs a message.
+const LEASE_MS: u64 = 30_000;
+/// How often a lease is renewed: three times within the shortest outage that it must outlive.
+const RENEW_EVERY: Duration = Duration::from_secs(8);
+/// Pause before a failed registration is tried again.
+const AGAIN_AFTER: Duration = Duration::from_millis(500);
+
+/// An instance as it lists itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    /// Its incarnation.
+    pub(crate) id: String,
+    /// Where it listens for other instances.
+    pub(crate) addr: SocketAddr,
+    /// Its availability zone.
+    pub(crate) zone: String,
+}
+
+/// Calls of the store so far.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Calls {
+    pub(crate) reads: i64,
+    pub(crate) writes: i64,
+    pub(crate) failures: i64,
+}
+
+/// A handle on the list of instances.
+#[derive(Clone)]
+pub(crate) struct Fleet(Arc<Inner>);
+
+struct Inner {
+    me: Member,
+    key: String,
+    lease_ms: u64,
+    store: Arc<dyn Store>,
+    reach: Arc<Reach>,
+    log: Arc<Log>,
+    members: Mutex<BTreeMap<String, Member>>,
+    lease: Mutex<i64>,
+}
+
+impl Fleet {
+    pub(crate) fn open(
+        name: &str,
+        me: Member,
+        lease_least_ms: u64,
+        store: Arc<dyn Store>,
+        reach: Arc<Reach>,
+        log: Arc<Log>,
+    ) -> Fleet {
+        Fleet(Arc::new(Inner {
+            me,
+            key: format!("{PREFIX}{name}"),
+            lease_ms: LEASE_MS.max(lease_least_ms),
+            store,
+            reach,
+            log,
+            members: Mutex::default(),
+            lease: Mutex::new(0),
+        }))
+    }
+
+    /// Returns this incarnation.
+    pub(crate) fn me(&self) -> &str {
+        &self.0.me.id
+    }
+
+    /// Returns the calls of the store so far.
+    pub(crate) fn counts(&self) -> Calls {
+        let counts = self.0.store.counts();
+        let load = |n: &AtomicU64| n.load(Ordering::Relaxed) as i64;
+        Calls {
+            reads: load(&counts.reads) + load(&counts.watches),
+            writes: load(&counts.writes),
+            failures: load(&counts.failures),
+        }
+    }
+
+    /// Returns the other instances, those of the own zone first.
+    pub(crate) fn others(&self) -> Vec<Member> {
+        let members = self.0.members.lock().expect("no panic inside");
+        let mut others: Vec<Member> = members.values().cloned().collect();
+        drop(members);
+        others.retain(|m| m.id != self.0.me.id);
+        others.sort_by_key(|m| m.zone != self.0.me.zone);
+        others
+    }
+
+    /// Returns the living incarnations, the own one among them.
+    pub(crate) fn live(&self) -> BTreeSet<String> {
+        let members = self.0.members.lock().expect("no panic inside");
+        let mut live: BTreeSet<String> = members.values().map(|m| m.id.clone()).collect();
+        live.insert(self.0.me.id.clone());
+        live
+    }
+
+    /// Returns how many instances share what is bounded for all of them.
+    pub(crate) fn sharers(&self) -> usize {
+        self.live().len()
+    }
+
+    /// Registers, keeps the lease, and follows the list.
+    pub(crate) fn spawn(&self) {
+        let fleet = self.clone();
+        tokio::spawn(async move {
+            loop {
+                match fleet.register().await {
+                    Ok(lease) => fleet.renew(lease).await,
+                    Err(failure) => {
+                        fleet.0.reach.failed(&failure);
+                        sleep(AGAIN_AFTER).await;
+                    }
+                }
+            }
+        });
+        let fleet = self.clone();
+        tokio::spawn(async move {
+            let store = Arc::clone(&fleet.0.store);
+            let mut follow = Follow::open(store, Arc::clone(&fleet.0.reach), PREFIX);
+            loop {
+                fleet.update(follow.next().await);
+            }
+        });
+    }
+
+    /// Writes the own key with a new lease.
+    async fn register(&self) -> Result<i64, Failure> {
+        let store = &self.0.store;
+        let lease = store.grant_lease(self.0.lease_ms).await?;
+        let value = serde_json::to_vec(&self.0.me).expect("a member that JSON can hold");
+        loop {
+            let found = store.get(&self.0.key).await?;
+            let txn = Txn {
+                expect: vec![Expect {
+                    key: self.0.key.clone(),
+                    revision: found.map_or(0, |f| f.revision),
+                }],
+                put: vec![Put {
+                    key: self.0.key.clone(),
+                    value: value.clone(),
+                    lease,
+                }],
+                delete: Vec::new(),
+            };
+            match store.commit(txn).await? {
+                Commit::Done(_) => break,
+                // An earlier incarnation's write came late.
+                Commit::Lost(_) => sleep(AGAIN_AFTER).await,
+                Commit::LeaseEnded => return Err(Failure::Refused("lease ended".to_string())),
+            }
+        }
+        self.0.reach.answered();
+        *self.0.lease.lock().expect("no panic inside") = lease;
+        Ok(lease)
+    }
+
+    /// Renews the lease until it has ended.
+    async fn renew(&self, lease: i64) {
+        loop {
+            sleep(RENEW_EVERY).await;
+            match self.0.store.renew_lease(lease).await {
+                Ok(true) => self.0.reach.answered(),
+                Ok(false) => return,
+                Err(failure) => self.0.reach.failed(&failure),
+            }
+        }
+    }
+
+    fn update(&self, update: Update) {
+        let parse = |f: &Found| serde_json::from_slice::<Member>(&f.value).ok();
+        let mut members = self.0.members.lock().expect("no panic inside");
+        let before = members.len();
+        match update {
+            Update::Listed(items, _) => {
+                let rows = items.iter().filter_map(|f| Some((f.key.clone(), parse(f)?)));
+                *members = rows.collect();
+            }
+            Update::Changed(changes, _) => {
+                for change in changes {
+                    match change.now.as_ref().and_then(parse) {
+                        Some(member) => members.insert(change.key, member),
+                        None => members.remove(&change.key),
+                    };
+                }
+            }
+            Update::Lost => {}
+        }
+        let after = members.len();
+        drop(members);
+        if before != after {
+            let detail = format_args!("before={before} now={after}");
+            self.0.log.note(Event::Members, detail);
+        }
+    }
+
+    /// Ends the lease, and with it the own key.
+    pub(crate) async fn leave(&self) {
+        let lease = *self.0.lease.lock().expect("no panic inside");
+        if lease == 0 {
+            return;
+        }
+        if let Err(failure) = self.0.store.end_lease(lease).await {
+            // It ends by itself later.
+            let detail = format_args!("what=lease why={failure:?}");
+            self.0.log.note(Event::WriteFailed, detail);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/follow.rs
@@ -0,0 +1,156 @@
+//! Follows the keys under a prefix of the store, and knows whether the store answers.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use clock::Clock;
+use kv::{Change, Failure, Found, News, Store};
+use tokio::time::{sleep, Instant};
+
+use crate::event::Event;
+use crate::log::Log;
+
+/// Longest wait of one watch, in milliseconds: a watch that stalls silently costs so much time.
+const WATCH_MS: u64 = 700;
+/// Pause after a call that failed: short against the two seconds in which a change is in force, long
+/// against a call.
+const AGAIN_AFTER: Duration = Duration::from_millis(250);
+/// All keys are read again after this time: a watch may go on without ever bringing what changed.
+const LIST_EVERY: Duration = Duration::from_secs(3);
+/// Without an answer for this long the store counts as out of reach, in milliseconds: longer than a
+/// watch that nothing ends.
+const OUT_AFTER_MS: u64 = 1_500;
+
+/// Whether the store answers, as all tasks see it.
+#[derive(Debug)]
+pub(crate) struct Reach {
+    clock: Clock,
+    log: Arc<Log>,
+    answered_at: AtomicU64,
+    back_at: AtomicU64,
+    out: AtomicBool,
+}
+
+impl Reach {
+    pub(crate) fn open(clock: Clock, log: Arc<Log>) -> Reach {
+        Reach {
+            clock,
+            log,
+            answered_at: AtomicU64::new(clock.now()),
+            back_at: AtomicU64::new(0),
+            out: AtomicBool::new(false),
+        }
+    }
+
+    /// Notes an answer of the store.
+    pub(crate) fn answered(&self) {
+        let now = self.clock.now();
+        self.answered_at.store(now, Ordering::Relaxed);
+        if self.out.swap(false, Ordering::Relaxed) {
+            self.back_at.store(now, Ordering::Relaxed);
+            self.log.note(Event::StoreBack, "");
+        }
+    }
+
+    /// Notes a call without an answer.
+    pub(crate) fn failed(&self, failure: &Failure) {
+        let silent = self.clock.now() - self.answered_at.load(Ordering::Relaxed);
+        if silent >= OUT_AFTER_MS && !self.out.swap(true, Ordering::Relaxed) {
+            let detail = format_args!("silent_ms={silent} last={failure:?}");
+            self.log.note(Event::StoreLost, detail);
+        }
+    }
+
+    /// Returns whether the store is out of reach.
+    pub(crate) fn is_out(&self) -> bool {
+        self.out.load(Ordering::Relaxed)
+    }
+
+    /// Returns when the store answered again, in milliseconds; 0 when it was never out.
+    pub(crate) fn back_at(&self) -> u64 {
+        self.back_at.load(Ordering::Relaxed)
+    }
+}
+
+/// What a follower learns.
+#[derive(Debug)]
+pub(crate) enum Update {
+    /// All keys as they are now, and the revision at which they were read.
+    Listed(Vec<Found>, i64),
+    /// Some keys have changed.
+    Changed(Vec<Change>, i64),
+    /// The store did not answer.
+    Lost,
+}
+
+/// Follows the keys under one prefix.
+pub(crate) struct Follow {
+    store: Arc<dyn Store>,
+    reach: Arc<Reach>,
+    prefix: String,
+    after: Option<i64>,
+    list_at: Instant,
+}
+
+impl Follow {
+    pub(crate) fn open(store: Arc<dyn Store>, reach: Arc<Reach>, prefix: &str) -> Follow {
+        Follow {
+            store,
+            reach,
+            prefix: prefix.to_string(),
+            after: None,
+            list_at: Instant::now(),
+        }
+    }
+
+    /// Waits for the next news.
+    pub(crate) async fn next(&mut self) -> Update {
+        loop {
+            let due = Instant::now() >= self.list_at;
+            let update = match self.after.filter(|_| !due) {
+                Some(after) => self.watch(after).await,
+                None => Some(self.list().await),
+            };
+            if let Some(update) = update {
+                return update;
+            }
+        }
+    }
+
+    async fn list(&mut self) -> Update {
+        match self.store.list(&self.prefix).await {
+            Ok(listing) => {
+                self.reach.answered();
+                self.after = Some(listing.revision);
+                self.list_at = Instant::now() + LIST_EVERY;
+                Update::Listed(listing.items, listing.revision)
+            }
+            Err(failure) => self.lost(&failure).await,
+        }
+    }
+
+    async fn watch(&mut self, after: i64) -> Option<Update> {
+        match self.store.watch(&self.prefix, after, WATCH_MS).await {
+            Ok(News::Changes { changes, revision }) => {
+                self.reach.answered();
+                self.after = Some(after.max(revision));
+                (!changes.is_empty()).then_some(Update::Changed(changes, revision))
+            }
+            Ok(News::Compacted) => {
+                self.reach.answered();
+                self.after = None;
+                None
+            }
+            Err(failure) => Some(self.lost(&failure).await),
+        }
+    }
+
+    async fn lost(&mut self, failure: &Failure) -> Update {
+        self.reach.failed(failure);
+        // What changed meanwhile may have left the history.
+        self.after = None;
+        sleep(AGAIN_AFTER).await;
+        Update::Lost
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/instance.rs
@@ -0,0 +1,260 @@
+//! One running instance: its start and its planned stop.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use anyhow::{anyhow, Result};
+use clock::{wall_ms, Clock};
+use conf::Settings;
+use dial::Dialer;
+use kv::Store;
+use place::{Bounds, Pool, Retries};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+use crate::bank::{Bank, Means};
+use crate::config::Config;
+use crate::dialect::Dialect;
+use crate::event::Event;
+use crate::fleet::{Fleet, Member};
+use crate::follow::Reach;
+use crate::listen::{self, Phase};
+use crate::listing::Listing;
+use crate::log::Log;
+use crate::metric::Metrics;
+use crate::ops::{Ops, Ready};
+use crate::peers::{self, Desk, Peers};
+use crate::router::Router;
+
+/// Largest body that the readiness and operators' listeners take, in bytes.
+const OPS_BODY_LIMIT: usize = 1 << 16;
+/// A stopping instance goes on taking connections for so long: balancers ask once a second, and stop
+/// sending after two answers that are not 200.
+const NOTICE: Duration = Duration::from_millis(2_300);
+/// Time at the end of a stop that is left for handing back tokens and the lease.
+const LAST_WORDS: Duration = Duration::from_millis(700);
+/// The stop that settings name none for.
+const STOP_DEFAULT: Duration = Duration::from_secs(30);
+/// How often kept connections are looked through.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// Listeners of operators close within this time.
+const CLOSE_GRACE: Duration = Duration::from_millis(100);
+
+/// What an instance is made of besides its settings.
+pub struct Parts {
+    /// The settings.
+    pub settings: Settings,
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// What callers, upstreams and operators speak.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// A running instance.
+pub struct Instance {
+    router: Arc<Router>,
+    phase: watch::Sender<Phase>,
+    stop_by: Duration,
+    addr: SocketAddr,
+    ready: web::Handle,
+    ops: Option<web::Handle>,
+    peer: jsonrpsee_server::ServerHandle,
+}
+
+impl Instance {
+    /// Binds the listeners and spawns the tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns which address can't be bound, and why.
+    pub async fn spawn(parts: Parts) -> Result<Instance> {
+        let Parts {
+            settings,
+            store,
+            dialect,
+        } = parts;
+        let fleet_settings = settings.fleet.clone().unwrap_or_default();
+        let clock = Clock::start();
+        let log = Arc::new(Log::open(clock));
+        let bound = peers::bind(settings.peer_listen()).await;
+        let (server, peer_addr) = bound.map_err(|e| anyhow!("peer listener: {e}"))?;
+        let bound = listen::bind(settings.listen()).await;
+        let (listener, addr) = bound.map_err(|e| anyhow!("callers' listener: {e}"))?;
+
+        let reach = Arc::new(Reach::open(clock, Arc::clone(&log)));
+        let bank = Bank::open(clock, Arc::clone(&log));
+        let pool = Arc::new(Mutex::new(Pool::default()));
+        let dialer = Dialer::default();
+        let config = Config::open(Arc::clone(&dialect), bank.clone(), Arc::clone(&log));
+        let listing = Listing::open(
+            Arc::clone(&dialect),
+            Arc::clone(&pool),
+            dialer.clone(),
+            Arc::clone(&reach),
+            Arc::clone(&log),
+            clock,
+        );
+        let me = Member {
+            id: incarnation(&settings.name),
+            addr: peer_addr,
+            zone: settings.zone.clone(),
+        };
+        let fleet = Fleet::open(
+            &settings.name,
+            me,
+            fleet_settings.lease_least_ms.unwrap_or_default(),
+            Arc::clone(&store),
+            Arc::clone(&reach),
+            Arc::clone(&log),
+        );
+        let peers = Peers::default();
+        let router = Arc::new(Router {
+            dialect,
+            clock,
+            log: Arc::clone(&log),
+            metrics: Metrics::open(),
+            config: config.clone(),
+            bank: bank.clone(),
+            pool,
+            listing: listing.clone(),
+            dialer: dialer.clone(),
+            retries: Mutex::new(Retries::new(bounds(&fleet_settings))),
+            fleet: fleet.clone(),
+            reach: Arc::clone(&reach),
+            zone: settings.zone.clone(),
+            stopping: AtomicBool::new(false),
+            busy: watch::channel(0).0,
+        });
+
+        config.spawn(Arc::clone(&store), Arc::clone(&reach));
+        listing.spawn(Arc::clone(&store));
+        fleet.spawn();
+        let desk = Desk {
+            bank: bank.clone(),
+            config,
+            listing,
+        };
+        let peer = peers::serve(server, desk.clone());
+        peers.spawn_news(fleet.clone(), desk, Arc::clone(&reach), Arc::clone(&log));
+        bank.spawn(Means {
+            store,
+            reach,
+            fleet,
+            peers,
+        });
+        spawn_sweep(dialer);
+
+        let (phase, phase_rx) = watch::channel(Phase::Serving);
+        listen::serve(listener, Arc::clone(&router), phase_rx);
+        let ready_addr = fleet_settings.ready_listen.unwrap_or_else(any_loopback);
+        let ready = web::bind(ready_addr, OPS_BODY_LIMIT, Arc::new(Ready(router.clone()))).await;
+        let ready = ready.map_err(|e| anyhow!("readiness listener: {e}"))?;
+        let ops = match fleet_settings.metrics_listen {
+            Some(addr) => {
+                let ops = web::bind(addr, OPS_BODY_LIMIT, Arc::new(Ops(router.clone()))).await;
+                Some(ops.map_err(|e| anyhow!("metrics listener: {e}"))?)
+            }
+            None => None,
+        };
+        let detail = format_args!(
+            "id={} zone={} callers={addr} peers={peer_addr}",
+            router.fleet.me(),
+            settings.zone
+        );
+        log.note(Event::Started, detail);
+        let stop_by = fleet_settings.stop_secs.map(Duration::from_secs_f64);
+        Ok(Instance {
+            router,
+            phase,
+            stop_by: stop_by.unwrap_or(STOP_DEFAULT),
+            addr,
+            ready,
+            ops,
+            peer,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the address that says whether connections are wanted.
+    pub fn ready_addr(&self) -> SocketAddr {
+        self.ready.addr()
+    }
+
+    /// Returns whether new connections are wanted.
+    pub fn is_ready(&self) -> bool {
+        self.router.is_ready()
+    }
+
+    /// Logs that the settings were read again.
+    pub fn reloaded(&self, what: &str) {
+        self.router.log.note(Event::Reloaded, what);
+    }
+
+    /// Stops as planned: says that it is not ready, ends what runs, hands back its tokens, leaves.
+    ///
+    /// Returns whether nothing was cut off.
+    pub async fn stop(self) -> bool {
+        let began = Instant::now();
+        let router = &self.router;
+        router.stopping.store(true, Ordering::Relaxed);
+        let detail = format_args!("inflight={}", *router.busy.borrow());
+        router.log.note(Event::Stopping, detail);
+        sleep(NOTICE.min(self.stop_by / 2)).await;
+        // The listener and idle connections close; the receivers may all be gone already.
+        let _ = self.phase.send(Phase::Closing);
+        let mut busy = router.busy.subscribe();
+        let until = began + self.stop_by.saturating_sub(LAST_WORDS);
+        let idle = timeout_at(until, busy.wait_for(|n| *n == 0)).await;
+        let whole = idle.is_ok();
+        let last = async {
+            router.bank.leave().await;
+            router.fleet.leave().await;
+        };
+        let said = timeout(LAST_WORDS / 2, last).await.is_ok();
+        let detail = format_args!("cut={} handed_back={said}", *router.busy.borrow());
+        router.log.note(Event::Stopped, detail);
+        self.ready.stop(CLOSE_GRACE);
+        if let Some(ops) = &self.ops {
+            ops.stop(CLOSE_GRACE);
+        }
+        // It may have stopped already; then there is nothing to stop.
+        let _ = self.peer.stop();
+        whole
+    }
+}
+
+/// Names this start: the time makes names sortable, the random half keeps them apart.
+fn incarnation(name: &str) -> String {
+    let start = (wall_ms() / 1000) as u32;
+    format!("{name}.{start:08x}{:08x}", rand::random::<u32>())
+}
+
+fn bounds(fleet: &conf::Fleet) -> Bounds {
+    let default = Bounds::default();
+    Bounds {
+        ratio: fleet.retry_ratio.unwrap_or(default.ratio),
+        slack: fleet.retry_slack.unwrap_or(default.slack),
+        window_ms: fleet
+            .retry_window_secs
+            .map_or(default.window_ms, |s| (s * 1000.0) as u64),
+    }
+}
+
+fn spawn_sweep(dialer: Dialer) {
+    tokio::spawn(async move {
+        loop {
+            sleep(SWEEP_EVERY).await;
+            dialer.sweep();
+        }
+    });
+}
+
+fn any_loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,33 @@
+//! One instance between callers and upstreams: any method, path and body goes on unchanged.
+//!
+//! A request passes: read → route and customer → tokens → upstream → answer → settlement. What callers,
+//! upstreams and the store speak is a [`Dialect`]; decisions are those of `escrow` and `place`; each
+//! task here owns its state and hands out a handle.
+
+mod ask;
+mod attempt;
+mod bank;
+mod body;
+mod config;
+mod dialect;
+pub mod event;
+mod events;
+mod fleet;
+mod follow;
+mod instance;
+mod listen;
+mod listing;
+mod log;
+mod metric;
+mod ops;
+mod peers;
+mod plain;
+mod refusal;
+mod router;
+mod stream;
+
+pub use ask::{Ask, Sending};
+pub use dialect::{Dialect, Reading, Word};
+pub use events::Events;
+pub use instance::{Instance, Parts};
+pub use refusal::Refusal;
--- /dev/null
+++ b/crates/proxy/src/listing.rs
@@ -0,0 +1,231 @@
+//! The list of upstreams, from the store or from an instance that reaches it.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use clock::Clock;
+use dial::Dialer;
+use kv::{Change, Found, Store};
+use place::Pool;
+use serde::{Deserialize, Serialize};
+
+use crate::dialect::Dialect;
+use crate::event::Event;
+use crate::follow::{Follow, Reach, Update};
+use crate::log::Log;
+
+/// After an outage, upstreams that are missing count as gone only after this time, in milliseconds:
+/// their entries may have expired meanwhile, and they write them again within two seconds.
+const MISSING_MS: u64 = 2_500;
+
+/// The list as one instance tells another.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Told {
+    /// The store's revision at which it was read.
+    pub(crate) revision: i64,
+    /// Entries as they stand in the store, by key.
+    pub(crate) entries: BTreeMap<String, String>,
+    /// Upstreams that some source said are leaving.
+    pub(crate) leaving: Vec<String>,
+}
+
+/// A handle on the list of upstreams.
+#[derive(Clone)]
+pub(crate) struct Listing(Arc<Inner>);
+
+struct Inner {
+    dialect: Arc<dyn Dialect>,
+    pool: Arc<Mutex<Pool>>,
+    dialer: Dialer,
+    reach: Arc<Reach>,
+    log: Arc<Log>,
+    clock: Clock,
+    seen: Mutex<Seen>,
+}
+
+#[derive(Default)]
+struct Seen {
+    revision: i64,
+    entries: BTreeMap<String, Bytes>,
+}
+
+impl Listing {
+    pub(crate) fn open(
+        dialect: Arc<dyn Dialect>,
+        pool: Arc<Mutex<Pool>>,
+        dialer: Dialer,
+        reach: Arc<Reach>,
+        log: Arc<Log>,
+        clock: Clock,
+    ) -> Listing {
+        Listing(Arc::new(Inner {
+            dialect,
+            pool,
+            dialer,
+            reach,
+            log,
+            clock,
+            seen: Mutex::default(),
+        }))
+    }
+
+    /// Returns whether the list was ever read.
+    pub(crate) fn is_known(&self) -> bool {
+        self.0.seen.lock().expect("no panic inside").revision > 0
+    }
+
+    /// Returns the list for another instance that has it up to a revision.
+    pub(crate) fn tell(&self, after: i64) -> Told {
+        let seen = self.0.seen.lock().expect("no panic inside");
+        let newer = seen.revision > after && !self.0.reach.is_out();
+        let text = |(k, v): (&String, &Bytes)| (k.clone(), String::from_utf8_lossy(v).into_owned());
+        let entries = if newer {
+            seen.entries.iter().map(text).collect()
+        } else {
+            BTreeMap::new()
+        };
+        let leaving = self.0.pool.lock().expect("no panic inside").all_leaving();
+        Told {
+            revision: if newer { seen.revision } else { 0 },
+            entries,
+            leaving: leaving.into_iter().collect(),
+        }
+    }
+
+    /// Returns the revision up to which the list is known.
+    pub(crate) fn revision(&self) -> i64 {
+        self.0.seen.lock().expect("no panic inside").revision
+    }
+
+    /// Takes the word of another instance.
+    pub(crate) fn told(&self, told: Told) {
+        if told.revision > self.revision() {
+            let entries = told.entries.into_iter();
+            let entries = entries.map(|(k, v)| (k, Bytes::from(v.into_bytes())));
+            self.listed(entries.collect(), told.revision, true);
+        }
+        for id in &told.leaving {
+            self.leaving(id, "peer");
+        }
+    }
+
+    /// Notes that an upstream is leaving, by whatever source.
+    pub(crate) fn leaving(&self, id: &str, source: &str) {
+        let news = self.0.pool.lock().expect("no panic inside").leaving(id);
+        if news {
+            self.0.dialer.forget(id);
+            let detail = format_args!("upstream={id} source={source}");
+            self.0.log.note(Event::UpstreamLeaving, detail);
+        }
+    }
+
+    /// Follows the store.
+    pub(crate) fn spawn(&self, store: Arc<dyn Store>) {
+        let listing = self.clone();
+        tokio::spawn(async move {
+            let prefix = listing.0.dialect.upstream_prefix().to_string();
+            let mut follow = Follow::open(store, Arc::clone(&listing.0.reach), &prefix);
+            loop {
+                match follow.next().await {
+                    Update::Listed(items, revision) => {
+                        let row = |f: Found| (f.key, Bytes::from(f.value));
+                        let items = items.into_iter().map(row).collect();
+                        listing.listed(items, revision, listing.may_delist());
+                    }
+                    Update::Changed(changes, revision) => listing.changed(changes, revision),
+                    Update::Lost => {}
+                }
+            }
+        });
+    }
+
+    fn may_delist(&self) -> bool {
+        let back_at = self.0.reach.back_at();
+        back_at == 0 || self.0.clock.now() > back_at + MISSING_MS
+    }
+
+    fn listed(&self, items: BTreeMap<String, Bytes>, revision: i64, delist: bool) {
+        let known = {
+            let seen = self.0.seen.lock().expect("no panic inside");
+            if revision < seen.revision {
+                return;
+            }
+            seen.entries.clone()
+        };
+        for (key, value) in &items {
+            if known.get(key) != Some(value) {
+                self.entry(key, value);
+            }
+        }
+        let missing = known.keys().filter(|k| !items.contains_key(*k));
+        let mut kept = items.clone();
+        for key in missing {
+            if delist {
+                self.delist(key);
+            } else {
+                kept.insert(key.clone(), known[key].clone());
+            }
+        }
+        let mut seen = self.0.seen.lock().expect("no panic inside");
+        seen.entries = kept;
+        seen.revision = revision;
+    }
+
+    fn changed(&self, changes: Vec<Change>, revision: i64) {
+        for change in changes {
+            match change.now {
+                Some(found) => {
+                    self.entry(&found.key, &found.value);
+                    let mut seen = self.0.seen.lock().expect("no panic inside");
+                    seen.entries.insert(found.key, Bytes::from(found.value));
+                }
+                None if self.may_delist() => {
+                    self.delist(&change.key);
+                    let mut seen = self.0.seen.lock().expect("no panic inside");
+                    seen.entries.remove(&change.key);
+                }
+                None => {}
+            }
+        }
+        let mut seen = self.0.seen.lock().expect("no panic inside");
+        seen.revision = seen.revision.max(revision);
+    }
+
+    fn entry(&self, key: &str, value: &[u8]) {
+        let spec = match self.0.dialect.upstream(key, value) {
+            Ok(spec) => spec,
+            Err(why) => {
+                let detail = format_args!("key={key} why={why}");
+                self.0.log.note(Event::UpstreamBroken, detail);
+                return;
+            }
+        };
+        let (id, leaving) = (spec.id.clone(), spec.leaving);
+        let detail = format!(
+            "upstream={id} service={} zone={} addr={}",
+            spec.service, spec.zone, spec.addr
+        );
+        let news = self.0.pool.lock().expect("no panic inside").list(spec);
+        if !news {
+            return;
+        }
+        let event = if leaving {
+            self.0.dialer.forget(&id);
+            Event::UpstreamLeaving
+        } else {
+            Event::UpstreamNew
+        };
+        self.0.log.note(event, detail);
+    }
+
+    fn delist(&self, key: &str) {
+        let id = self.0.dialect.upstream_id(key);
+        let was = self.0.pool.lock().expect("no panic inside").delist(id);
+        if was {
+            self.0.dialer.forget(id);
+            let detail = format_args!("upstream={id}");
+            self.0.log.note(Event::UpstreamGone, detail);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/metric.rs
@@ -0,0 +1,147 @@
+//! Metrics, by prometheus-client.
+
+use std::sync::Mutex;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the buckets of times, in seconds: from a relay's own time to the longest request.
+const SECONDS: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 5.0, 10.0,
+];
+
+/// How a request of a route ended: `ok` or the code of its error.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct End {
+    pub(crate) route: String,
+    pub(crate) code: String,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OfRoute {
+    pub(crate) route: String,
+}
+
+/// The metrics of one instance.
+pub(crate) struct Metrics {
+    registry: Mutex<Registry>,
+    /// Requests by route and end.
+    pub(crate) requests: Family<End, Counter>,
+    /// Requests under way.
+    pub(crate) inflight: Gauge,
+    /// Attempts at upstreams.
+    pub(crate) attempts: Counter,
+    /// Attempts beyond a request's first.
+    pub(crate) repeats: Counter,
+    /// Connections opened to upstreams.
+    pub(crate) connects: Counter,
+    /// Seconds from a request's arrival to its answer or first event.
+    pub(crate) first: Family<OfRoute, Histogram>,
+    /// Seconds that a request waited for tokens.
+    pub(crate) token_wait: Histogram,
+    /// Tokens spent.
+    pub(crate) tokens: Counter,
+    /// Prompt tokens sent to upstreams that were thought not to keep them.
+    pub(crate) unread: Counter,
+    /// Prompt tokens sent.
+    pub(crate) prompt: Counter,
+    /// Calls of the store.
+    pub(crate) store_reads: Gauge,
+    /// Writes to the store.
+    pub(crate) store_writes: Gauge,
+    /// Calls of the store without an answer.
+    pub(crate) store_failures: Gauge,
+}
+
+fn seconds() -> Histogram {
+    Histogram::new(SECONDS)
+}
+
+impl Metrics {
+    pub(crate) fn open() -> Metrics {
+        let metrics = Metrics {
+            registry: Mutex::new(Registry::with_prefix("oriolehitch")),
+            requests: Family::default(),
+            inflight: Gauge::default(),
+            attempts: Counter::default(),
+            repeats: Counter::default(),
+            connects: Counter::default(),
+            first: Family::new_with_constructor(seconds),
+            token_wait: seconds(),
+            tokens: Counter::default(),
+            unread: Counter::default(),
+            prompt: Counter::default(),
+            store_reads: Gauge::default(),
+            store_writes: Gauge::default(),
+            store_failures: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock().expect("no panic inside");
+        let r = &mut *registry;
+        r.register("requests", "Requests by route and end", self.requests.clone());
+        r.register("inflight", "Requests under way", self.inflight.clone());
+        r.register("attempts", "Attempts at upstreams", self.attempts.clone());
+        r.register("repeats", "Attempts beyond the first", self.repeats.clone());
+        r.register("connects", "Connections opened", self.connects.clone());
+        r.register(
+            "first_seconds",
+            "Arrival to answer or first event",
+            self.first.clone(),
+        );
+        r.register(
+            "token_wait_seconds",
+            "Wait for tokens",
+            self.token_wait.clone(),
+        );
+        r.register("tokens", "Tokens spent", self.tokens.clone());
+        r.register("unread", "Prompt tokens not kept", self.unread.clone());
+        r.register("prompt", "Prompt tokens sent", self.prompt.clone());
+        r.register("store_reads", "Calls of the store", self.store_reads.clone());
+        r.register(
+            "store_writes",
+            "Writes to the store",
+            self.store_writes.clone(),
+        );
+        r.register(
+            "store_failures",
+            "Calls of the store without an answer",
+            self.store_failures.clone(),
+        );
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn ended(&self, route: &str, code: &str) {
+        let end = End {
+            route: route.to_string(),
+            code: code.to_string(),
+        };
+        self.requests.get_or_create(&end).inc();
+    }
+
+    /// Counts the time to an answer or first event.
+    pub(crate) fn first(&self, route: &str, ms: u64) {
+        let route = OfRoute {
+            route: route.to_string(),
+        };
+        self.first.get_or_create(&route).observe(ms as f64 / 1000.0);
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let registry = self.registry.lock().expect("no panic inside");
+        let mut text = String::new();
+        // Writing into a text can't fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/ops.rs
@@ -0,0 +1,81 @@
+//! What balancers and operators ask an instance.
+
+use std::sync::Arc;
+
+use serde_json::json;
+use web::{Req, Res};
+
+use crate::router::Router;
+
+/// Answers whether connections are wanted.
+pub(crate) struct Ready(pub(crate) Arc<Router>);
+
+impl web::Service for Ready {
+    async fn call(self: Arc<Self>, req: Req) -> Res {
+        if req.path != self.0.dialect.ready_path() {
+            return Res::new(404, "text/plain", "not found");
+        }
+        let status = if self.0.is_ready() { 200 } else { 503 };
+        Res::new(status, "text/plain", "")
+    }
+}
+
+/// Answers operators.
+pub(crate) struct Ops(pub(crate) Arc<Router>);
+
+impl Ops {
+    fn metrics(&self) -> Res {
+        let metrics = &self.0.metrics;
+        let counts = self.0.fleet.counts();
+        metrics.store_reads.set(counts.reads);
+        metrics.store_writes.set(counts.writes);
+        metrics.store_failures.set(counts.failures);
+        let media = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        Res::new(200, media, metrics.text())
+    }
+
+    fn dump(&self) -> Res {
+        let router = &self.0;
+        let now = router.clock.now();
+        let pool = router.pool.lock().expect("no panic inside");
+        let upstreams: Vec<_> = pool
+            .listed()
+            .map(|u| {
+                json!({
+                    "id": u.spec.id, "service": u.spec.service, "zone": u.spec.zone,
+                    "leaving": u.leaving, "inflight": u.inflight,
+                    "occupancy": u.occupancy(now), "out": u.health.is_out(now),
+                    "failing": u.health.failing(now), "delay_ms": u.delay(now),
+                    "slowness": u.slowness(now),
+                })
+            })
+            .collect();
+        drop(pool);
+        let value = json!({
+            "id": router.fleet.me(),
+            "at_ms": now,
+            "ready": router.is_ready(),
+            "stopping": router.is_stopping(),
+            "version": router.config.version(),
+            "store_out": router.reach.is_out(),
+            "instances": router.fleet.live(),
+            "inflight": *router.busy.borrow(),
+            "connections": router.dialer.count(),
+            "log_lines_cut": router.log.cut(),
+            "budgets": router.bank.dump(),
+            "upstreams": upstreams,
+        });
+        Res::json(200, &value)
+    }
+}
+
+impl web::Service for Ops {
+    async fn call(self: Arc<Self>, req: Req) -> Res {
+        match req.path.as_str() {
+            "/metrics" => self.metrics(),
+            "/dump" => self.dump(),
+            "/healthz" => Res::new(200, "text/plain", "ok"),
+            _ => Res::new(404, "text/plain", "not found"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/peers.rs
@@ -0,0 +1,188 @@
+//! Between instances, over jsonrpsee: tokens that one lacks, and news that one can't read itself.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use jsonrpsee_core::client::ClientT;
+use jsonrpsee_core::params::ArrayParams;
+use jsonrpsee_core::RpcResult;
+use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee_server::{RpcModule, Server, ServerBuilder, ServerHandle};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::bank::Bank;
+use crate::config::Config;
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::follow::Reach;
+use crate::listing::{Listing, Told};
+use crate::log::Log;
+
+/// An instance answers within a few milliseconds, or is not there: a request waits for it.
+const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// How often an instance that can't read the store asks another one for news: well within the two
+/// seconds in which a change is in force.
+const NEWS_EVERY: Duration = Duration::from_millis(400);
+
+/// A call for tokens.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Want {
+    pub(crate) customer: String,
+    /// Tokens that requests wait for.
+    pub(crate) tokens: u64,
+    /// Tokens that the asker has left.
+    pub(crate) balance: u64,
+    /// The asker's demand, in tokens a second.
+    pub(crate) rate: u64,
+}
+
+/// What an instance that asks for news has.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Have {
+    version: u64,
+    revision: i64,
+    leaving: Vec<String>,
+}
+
+/// What the asker lacks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct News {
+    config: Option<String>,
+    listing: Told,
+}
+
+/// What the instance answers from.
+#[derive(Clone)]
+pub(crate) struct Desk {
+    pub(crate) bank: Bank,
+    pub(crate) config: Config,
+    pub(crate) listing: Listing,
+}
+
+impl Desk {
+    fn news(&self, have: &Have) -> News {
+        for id in &have.leaving {
+            self.listing.leaving(id, "peer");
+        }
+        let active = self.config.get();
+        let newer = active.filter(|a| a.routing.version > have.version);
+        News {
+            config: newer.map(|a| String::from_utf8_lossy(&a.raw).into_owned()),
+            listing: self.listing.tell(have.revision),
+        }
+    }
+}
+
+/// Binds the listener for other instances.
+///
+/// # Errors
+///
+/// Returns why the address can't be bound.
+pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<(Server, SocketAddr)> {
+    let server = ServerBuilder::default().build(addr).await?;
+    let addr = server.local_addr()?;
+    Ok((server, addr))
+}
+
+/// Answers other instances.
+pub(crate) fn serve(server: Server, desk: Desk) -> ServerHandle {
+    let mut module = RpcModule::new(desk);
+    let take = module.register_method("take", |params, desk, _| -> RpcResult<u64> {
+        let want: Want = params.one()?;
+        Ok(desk.bank.give(&want))
+    });
+    take.expect("a new name");
+    let news = module.register_method("news", |params, desk, _| -> RpcResult<News> {
+        let have: Have = params.one()?;
+        Ok(desk.news(&have))
+    });
+    news.expect("a new name");
+    server.start(module)
+}
+
+/// Calls other instances.
+#[derive(Clone, Default)]
+pub(crate) struct Peers(Arc<Mutex<HashMap<SocketAddr, HttpClient>>>);
+
+impl Peers {
+    fn client(&self, addr: SocketAddr) -> Result<HttpClient, String> {
+        let mut clients = self.0.lock().expect("no panic inside");
+        if let Some(client) = clients.get(&addr) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(CALL_TIMEOUT)
+            .build(format!("http://{addr}"))
+            .map_err(|e| e.to_string())?;
+        clients.insert(addr, client.clone());
+        Ok(client)
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        param: &impl Serialize,
+    ) -> Result<T, String> {
+        let client = self.client(addr)?;
+        let mut params = ArrayParams::new();
+        params.insert(param).map_err(|e| e.to_string())?;
+        let answer = client.request(method, params).await;
+        answer.map_err(|e| {
+            // A connection that hangs must not be used again.
+            self.0.lock().expect("no panic inside").remove(&addr);
+            e.to_string()
+        })
+    }
+
+    /// Asks an instance for tokens; it has debited them when it answers, so this is never repeated.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer: tokens that it debited are then lost to the budget.
+    pub(crate) async fn take(&self, addr: SocketAddr, want: &Want) -> Result<u64, String> {
+        self.call(addr, "take", want).await
+    }
+
+    /// Asks other instances for news whenever the store is out of reach.
+    pub(crate) fn spawn_news(&self, fleet: Fleet, desk: Desk, reach: Arc<Reach>, log: Arc<Log>) {
+        let peers = self.clone();
+        tokio::spawn(async move {
+            let mut turn = 0;
+            loop {
+                sleep(NEWS_EVERY).await;
+                let others = fleet.others();
+                if !reach.is_out() || others.is_empty() {
+                    continue;
+                }
+                turn += 1;
+                let peer = &others[turn % others.len()];
+                peers.fetch(peer.addr, &desk, &log).await;
+            }
+        });
+    }
+
+    async fn fetch(&self, addr: SocketAddr, desk: &Desk, log: &Log) {
+        let have = Have {
+            version: desk.config.version(),
+            revision: desk.listing.revision(),
+            leaving: desk.listing.tell(i64::MAX).leaving,
+        };
+        let news: News = match self.call(addr, "news", &have).await {
+            Ok(news) => news,
+            Err(why) => {
+                log.note(Event::NewsFromPeer, format_args!("from={addr} failed={why}"));
+                return;
+            }
+        };
+        if let Some(config) = news.config {
+            log.note(Event::NewsFromPeer, format_args!("from={addr} what=config"));
+            desk.config.offer(config.as_bytes(), "peer");
+        }
+        desk.listing.told(news.listing);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/router.rs
@@ -0,0 +1,348 @@
+//! The filters that a request passes: read, route, customer, tokens, upstream, answer.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use clock::Clock;
+use conf::{Repeat, Route, Service};
+use dial::Dialer;
+use err::Kind;
+use escrow::Short;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::request;
+use hyper::{Request, Response};
+use place::{Key, Pool, Retries};
+use smallvec::SmallVec;
+use tokio::sync::watch;
+use tokio::time::timeout_at;
+
+use crate::ask::Ask;
+use crate::bank::{Bank, Charge};
+use crate::body::Out;
+use crate::config::{Active, Config};
+use crate::dialect::Dialect;
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::follow::Reach;
+use crate::listing::Listing;
+use crate::log::Log;
+use crate::metric::Metrics;
+use crate::refusal::Refusal;
+use crate::{plain, stream};
+
+/// When to come back to an instance that knows no configuration yet, in milliseconds: it is read
+/// within a few calls of the store.
+const RETRY_UNKNOWN_MS: u64 = 500;
+/// When to come back for tokens that are out of reach, in milliseconds: holdings are filled twice a
+/// second while the store answers.
+const RETRY_TOKENS_MS: u64 = 700;
+/// The same while the store is out of reach.
+const RETRY_STORE_OUT_MS: u64 = 2_500;
+/// Longest wait of a caller that names none, in milliseconds.
+const WAIT_DEFAULT_MS: u64 = 60_000;
+
+/// What the filters work with.
+pub(crate) struct Router {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) clock: Clock,
+    pub(crate) log: Arc<Log>,
+    pub(crate) metrics: Metrics,
+    pub(crate) config: Config,
+    pub(crate) bank: Bank,
+    pub(crate) pool: Arc<Mutex<Pool>>,
+    pub(crate) listing: Listing,
+    pub(crate) dialer: Dialer,
+    pub(crate) retries: Mutex<Retries>,
+    pub(crate) fleet: Fleet,
+    pub(crate) reach: Arc<Reach>,
+    pub(crate) zone: String,
+    pub(crate) stopping: AtomicBool,
+    /// Requests under way.
+    pub(crate) busy: watch::Sender<u64>,
+}
+
+/// Counts one request under way, until it is dropped.
+pub(crate) struct Busy(Arc<Router>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.send_modify(|n| *n -= 1);
+        self.0.metrics.inflight.dec();
+    }
+}
+
+/// One request on its way through the filters.
+pub(crate) struct Job {
+    pub(crate) router: Arc<Router>,
+    pub(crate) ask: Ask,
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    pub(crate) service: String,
+    pub(crate) traits: Service,
+    pub(crate) customer: Option<String>,
+    /// When it came, in milliseconds.
+    pub(crate) arrived: u64,
+    /// When its answer is no longer wanted, in milliseconds.
+    pub(crate) deadline: u64,
+    /// Upstreams that were tried.
+    pub(crate) tried: SmallVec<[Key; 4]>,
+    /// How often it was sent.
+    pub(crate) attempts: u32,
+    pub(crate) charge: Option<Charge>,
+    _busy: Busy,
+}
+
+impl Job {
+    /// Returns the milliseconds until the deadline.
+    pub(crate) fn left_ms(&self) -> u64 {
+        self.deadline.saturating_sub(self.router.clock.now())
+    }
+
+    /// Returns whether it may run more than once.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.route.repeat != Repeat::Never
+    }
+
+    /// Returns whether it may be sent once more, and takes a repetition for that.
+    pub(crate) fn may_repeat(&self) -> bool {
+        if self.attempts >= self.route.attempts || self.left_ms() == 0 {
+            return false;
+        }
+        let (now, sharers) = (self.router.clock.now(), self.router.fleet.sharers());
+        let mut retries = self.router.retries.lock().expect("no panic inside");
+        retries.take(now, &self.service, sharers)
+    }
+
+    /// Counts tokens that the caller got.
+    pub(crate) fn spend(&mut self, tokens: u64) {
+        if let Some(charge) = &mut self.charge {
+            charge.spend(tokens);
+        }
+        self.router.metrics.tokens.inc_by(tokens);
+    }
+
+    /// Logs how it ended.
+    pub(crate) fn ended(&self, code: &str, upstream: &str) {
+        self.router.metrics.ended(&self.route.name, code);
+        let detail = format_args!(
+            "route={} customer={} upstream={upstream} attempts={} code={code} ms={} tokens={}",
+            self.route.name,
+            self.customer.as_deref().unwrap_or("-"),
+            self.attempts,
+            self.router.clock.now() - self.arrived,
+            self.charge.as_ref().map_or(0, Charge::spent),
+        );
+        self.router
+            .log
+            .request(Event::Answered, &self.ask.id, detail);
+    }
+}
+
+impl Router {
+    /// Returns whether new connections are wanted.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.config.get().is_some() && self.listing.is_known()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    fn begin(self: &Arc<Self>) -> Busy {
+        self.busy.send_modify(|n| *n += 1);
+        self.metrics.inflight.inc();
+        Busy(Arc::clone(self))
+    }
+
+    /// Answers a request.
+    pub(crate) async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<Out> {
+        // A body in chunks ends where its sender says. Were a length named besides, the two could
+        // differ, and what follows be taken for another request: nothing follows.
+        let chunked = req.headers().contains_key(TRANSFER_ENCODING);
+        let (head, body) = req.into_parts();
+        let mut ask = None;
+        let mut res = match self.run(head, body, &mut ask).await {
+            Ok(res) => res,
+            Err(refusal) => {
+                self.log_refusal(ask.as_ref(), &refusal);
+                self.dialect.refuse(ask.as_ref(), &refusal).map(Out::Whole)
+            }
+        };
+        if chunked || self.is_stopping() {
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert(CONNECTION, close);
+        }
+        res
+    }
+
+    fn log_refusal(&self, ask: Option<&Ask>, refusal: &Refusal) {
+        let code = refusal.error.kind.answer().code;
+        self.metrics.ended("", code);
+        let detail = format_args!(
+            "code={code} ran={:?} retry_ms={:?} why={}",
+            refusal.error.ran, refusal.retry_ms, refusal.error.message
+        );
+        let id = ask.map_or("", |a| a.id.as_str());
+        self.log.request(Event::Refused, id, detail);
+    }
+
+    async fn run(
+        self: &Arc<Self>,
+        head: request::Parts,
+        body: Incoming,
+        known: &mut Option<Ask>,
+    ) -> Result<Response<Out>, Refusal> {
+        let arrived = self.clock.now();
+        let busy = self.begin();
+        let ask = self.dialect.ask(&head)?;
+        *known = Some(ask.clone());
+        let wait_ms = ask.wait_ms.unwrap_or(WAIT_DEFAULT_MS);
+        let Some(active) = self.config.get() else {
+            let refusal = Refusal::new(Kind::NotConfigured, "no configuration yet");
+            return Err(refusal.back_in(RETRY_UNKNOWN_MS, wait_ms));
+        };
+        let route = self.route(&active, &ask, &head)?.clone();
+        let customer = self.customer(&active, &ask, &route)?;
+        let deadline = arrived + wait_ms.min(route.timeout_ms);
+        let body = self.body(&active, &head, body, deadline).await?;
+        let service = route.service(rand::random());
+        let service = service.map(str::to_string).ok_or_else(|| {
+            let message = format!("route {} has no service", route.name);
+            Refusal::new(Kind::NoUpstream, message)
+        })?;
+        let traits = active.routing.services.get(&service).cloned();
+        {
+            let mut retries = self.retries.lock().expect("no panic inside");
+            retries.request(arrived, &service);
+        }
+        let mut job = Job {
+            router: Arc::clone(self),
+            ask,
+            head,
+            body,
+            route,
+            service,
+            traits: traits.unwrap_or_default(),
+            customer,
+            arrived,
+            deadline,
+            tried: SmallVec::new(),
+            attempts: 0,
+            charge: None,
+            _busy: busy,
+        };
+        job.charge = self.charge(&active, &job).await?;
+        if job.route.streamed {
+            stream::answer(job).await
+        } else {
+            plain::answer(job).await
+        }
+    }
+
+    fn route<'a>(
+        &self,
+        active: &'a Active,
+        ask: &Ask,
+        head: &request::Parts,
+    ) -> Result<&'a Route, Refusal> {
+        let path = head.uri.path();
+        active.routing.route(&ask.host, path).ok_or_else(|| {
+            let version = active.routing.version;
+            let message = format!("no route for {}{path} in version {version}", ask.host);
+            Refusal::new(Kind::NotFound, message)
+        })
+    }
+
+    /// Returns the customer that holds the request's key; none where no key is wanted.
+    fn customer(
+        &self,
+        active: &Active,
+        ask: &Ask,
+        route: &Route,
+    ) -> Result<Option<String>, Refusal> {
+        if route.public || active.routing.accounts.is_empty() {
+            return Ok(None);
+        }
+        let key = ask.key.as_deref().unwrap_or_default();
+        match active.routing.account(key) {
+            Some(account) => Ok(Some(account.name.clone())),
+            None => {
+                let version = active.routing.version;
+                let message = format!("the key belongs to no customer in version {version}");
+                Err(Refusal::new(Kind::UnknownKey, message))
+            }
+        }
+    }
+
+    /// Reads the whole body: it may have to be sent twice.
+    async fn body(
+        &self,
+        active: &Active,
+        head: &request::Parts,
+        body: Incoming,
+        deadline: u64,
+    ) -> Result<Bytes, Refusal> {
+        let most = active.routing.limits.body_bytes;
+        let too_large = || {
+            let message = format!("a body has at most {most} bytes");
+            Refusal::new(Kind::TooLarge, message)
+        };
+        let named = head.headers.get(CONTENT_LENGTH);
+        let named = named.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+        if named.is_some_and(|n| n > most) {
+            return Err(too_large());
+        }
+        let limited = Limited::new(body, most);
+        match timeout_at(self.clock.at(deadline), limited.collect()).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
+            Ok(Err(e)) => {
+                let message = format!("the body broke off: {e}");
+                Err(Refusal::new(Kind::BadRequest, message))
+            }
+            Err(_) => {
+                let message = "the body did not come in time";
+                Err(Refusal::new(Kind::BadRequest, message))
+            }
+        }
+    }
+
+    /// Reserves the most that a request can cost.
+    async fn charge(&self, active: &Active, job: &Job) -> Result<Option<Charge>, Refusal> {
+        let tokens = job.ask.tokens();
+        let Some(customer) = &job.customer else {
+            return Ok(None);
+        };
+        if tokens == 0 || active.routing.prepaid(customer).is_none() {
+            return Ok(None);
+        }
+        let began = self.clock.now();
+        let until = self.clock.at(job.deadline);
+        let reserved = self.bank.reserve(customer, tokens, until).await;
+        let waited = self.clock.now() - began;
+        self.metrics.token_wait.observe(waited as f64 / 1000.0);
+        let short = match reserved {
+            Ok(charge) => return Ok(Some(charge)),
+            Err(short) => short,
+        };
+        let (kind, why) = match short {
+            Short::Exhausted => (Kind::BudgetExhausted, "the budget does not cover"),
+            Short::OutOfReach => (Kind::BudgetOutOfReach, "no tokens in reach for"),
+        };
+        let message = format!("{why} {tokens} tokens of {customer}, waited_ms={waited}");
+        let refusal = Refusal::new(kind, message);
+        if short == Short::Exhausted {
+            return Err(refusal);
+        }
+        let back_ms = if self.reach.is_out() {
+            RETRY_STORE_OUT_MS
+        } else {
+            RETRY_TOKENS_MS
+        };
+        Err(refusal.back_in(back_ms, job.left_ms()))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/stream.rs
@@ -0,0 +1,307 @@
+//! Streams of events: each passed on as it comes, whole, in order, once; one that breaks off is taken up
+//! again at another upstream where that is allowed, and is otherwise broken off to the caller too.
+
+use bytes::Bytes;
+use err::Ran;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::http::response;
+use hyper::Response;
+use place::Outcome;
+use tokio::sync::mpsc;
+use tokio::time::timeout_at;
+
+use crate::attempt::{attempt, Failed, Open, Slot};
+use crate::body::{Cut, Out};
+use crate::dialect::Reading;
+use crate::event::Event;
+use crate::events::{self, Events};
+use crate::plain;
+use crate::refusal::Refusal;
+use crate::router::Job;
+
+/// Events that may wait for a slow caller.
+const EVENTS_DEPTH: usize = 16;
+
+/// A stream at one upstream.
+struct Link {
+    slot: Slot,
+    conn: dial::Conn,
+    body: Incoming,
+    reading: Reading,
+    events: Events,
+}
+
+/// What a stream brings next.
+enum Next {
+    Event(events::Event),
+    /// It is whole.
+    End,
+    Broken(String),
+}
+
+impl Link {
+    fn upstream(&self) -> &str {
+        &self.slot.choice.spec.id
+    }
+
+    async fn next(&mut self) -> Next {
+        loop {
+            if let Some(event) = self.events.next_event() {
+                return Next::Event(event);
+            }
+            match self.body.frame().await {
+                None if self.events.is_clean() => return Next::End,
+                None => return Next::Broken("it ends within an event".to_string()),
+                Some(Err(e)) => return Next::Broken(e.to_string()),
+                Some(Ok(frame)) => {
+                    let fits = frame.data_ref().is_none_or(|d| self.events.push(d));
+                    if !fits {
+                        return Next::Broken("an event is too large".to_string());
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(self, job: &Job) {
+        self.slot.end(Outcome::Well);
+        job.router.dialer.keep(self.conn, self.reading.keep_alive);
+    }
+}
+
+/// A stream whose first event has come, or that ended without any.
+enum Begun {
+    Stream {
+        link: Link,
+        head: response::Parts,
+        first: Option<events::Event>,
+    },
+    Whole(Response<Out>),
+}
+
+/// Answers a request whose answer is a stream.
+///
+/// # Errors
+///
+/// Returns why there is no answer.
+pub(crate) async fn answer(mut job: Job) -> Result<Response<Out>, Refusal> {
+    let mut ran = Ran::No;
+    let (link, head, first) = loop {
+        let failed = match begin(&mut job).await {
+            Ok(Begun::Whole(res)) => return Ok(res),
+            Ok(Begun::Stream { link, head, first }) => break (link, head, first),
+            Err(failed) => failed,
+        };
+        if matches!(failed, Failed::Unknown(_)) {
+            ran = Ran::Unknown;
+        }
+        let again = match &failed {
+            Failed::Denied(_) | Failed::Late => false,
+            Failed::NotRun(_) => job.may_repeat(),
+            Failed::Unknown(_) => job.is_repeatable() && job.may_repeat(),
+        };
+        if !again {
+            return Err(failed.refusal(&job, ran));
+        }
+    };
+    let took = job.router.clock.now() - job.arrived;
+    job.router.metrics.first(&job.route.name, took);
+    let (tx, rx) = mpsc::channel(EVENTS_DEPTH);
+    let mut res = Response::new(Out::Parts(rx));
+    *res.status_mut() = head.status;
+    *res.headers_mut() = job.router.dialect.answer_headers(&head);
+    let relay = Relay {
+        last: job.ask.after_event,
+        count: 0,
+        job,
+        tx,
+    };
+    tokio::spawn(relay.run(link, first));
+    Ok(res)
+}
+
+/// Sends the request and waits for the first event.
+async fn begin(job: &mut Job) -> Result<Begun, Failed> {
+    let after_event = job.ask.after_event;
+    let open = attempt(job, after_event).await?;
+    let media = open.head.headers.get(CONTENT_TYPE);
+    let media = media.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let streams = open.head.status.is_success() && media.starts_with("text/event-stream");
+    if !streams {
+        let whole = plain::finish_any(job, open).await;
+        return whole.map(Begun::Whole).map_err(Failed::Unknown);
+    }
+    let Open {
+        slot,
+        conn,
+        head,
+        body,
+        reading,
+    } = open;
+    let mut link = Link {
+        slot,
+        conn,
+        body,
+        reading,
+        events: Events::default(),
+    };
+    let until = job.router.clock.at(job.deadline);
+    let next = timeout_at(until, link.next()).await;
+    let upstream = link.upstream().to_string();
+    match next {
+        Ok(Next::Event(event)) => {
+            link.slot.first();
+            Ok(Begun::Stream {
+                link,
+                head,
+                first: Some(event),
+            })
+        }
+        Ok(Next::End) => Ok(Begun::Stream {
+            link,
+            head,
+            first: None,
+        }),
+        Ok(Next::Broken(why)) => {
+            link.slot.end(Outcome::Broken);
+            Err(Failed::Unknown(format!("upstream={upstream} {why}")))
+        }
+        Err(_) => {
+            link.slot.end(Outcome::Silent);
+            let why = format!("upstream={upstream} no event in time");
+            Err(Failed::Unknown(why))
+        }
+    }
+}
+
+/// How a relay over one link ended.
+enum End {
+    Whole,
+    CallerLeft,
+    Late,
+    Broken(String),
+}
+
+/// The caller's side of a stream.
+struct Relay {
+    job: Job,
+    tx: mpsc::Sender<Result<Bytes, Cut>>,
+    /// The last event that the caller has.
+    last: Option<u64>,
+    /// Events passed on.
+    count: u64,
+}
+
+impl Relay {
+    async fn run(mut self, mut link: Link, mut first: Option<events::Event>) {
+        loop {
+            let end = self.relay(&mut link, first.take()).await;
+            let upstream = link.upstream().to_string();
+            let why = match end {
+                End::Whole => {
+                    link.end(&self.job);
+                    self.job.ended("ok", &upstream);
+                    return;
+                }
+                End::CallerLeft => {
+                    let detail = format_args!("upstream={upstream} events={}", self.count);
+                    let log = &self.job.router.log;
+                    log.request(Event::CallerLeft, &self.job.ask.id, detail);
+                    return;
+                }
+                End::Late => return self.cut("deadline").await,
+                End::Broken(why) => why,
+            };
+            link.slot.end(Outcome::Broken);
+            // The connection is closed here, before another upstream goes on.
+            drop(link.conn);
+            link = match self.resume(&why).await {
+                Ok(link) => link,
+                Err(why) => return self.cut(&why).await,
+            };
+        }
+    }
+
+    async fn relay(&mut self, link: &mut Link, first: Option<events::Event>) -> End {
+        if let Some(event) = first {
+            if let Some(end) = self.pass(event).await {
+                return end;
+            }
+        }
+        let until = self.job.router.clock.at(self.job.deadline);
+        loop {
+            let next = tokio::select! {
+                next = timeout_at(until, link.next()) => next,
+                () = self.tx.closed() => return End::CallerLeft,
+            };
+            let event = match next {
+                Ok(Next::Event(event)) => event,
+                Ok(Next::End) => return End::Whole,
+                Ok(Next::Broken(why)) => return End::Broken(why),
+                Err(_) => return End::Late,
+            };
+            if let Some(end) = self.pass(event).await {
+                return end;
+            }
+        }
+    }
+
+    /// Passes an event on, unless the caller has it.
+    async fn pass(&mut self, event: events::Event) -> Option<End> {
+        if let (Some(id), Some(last)) = (event.id, self.last) {
+            if id <= last {
+                return None;
+            }
+            if id > last + 1 && self.count > 0 {
+                return Some(End::Broken(format!("event {id} came after {last}")));
+            }
+        }
+        self.last = event.id.or(self.last);
+        self.count += 1;
+        let tokens = self.job.traits.tokens_per_event;
+        self.job.spend(tokens);
+        let sent = self.tx.send(Ok(event.bytes)).await;
+        sent.is_err().then_some(End::CallerLeft)
+    }
+
+    /// Goes on at another upstream after the last event that the caller has.
+    async fn resume(&mut self, why: &str) -> Result<Link, String> {
+        let resumable = self.job.is_repeatable() && self.last.is_some();
+        if !resumable || !self.job.may_repeat() {
+            return Err(why.to_string());
+        }
+        let open = attempt(&mut self.job, self.last).await;
+        let open = open.map_err(|failed| format!("{why}; then {failed:?}"))?;
+        let streams = open.head.status.is_success();
+        if !streams {
+            let status = open.head.status;
+            open.slot.end(Outcome::Error);
+            return Err(format!("{why}; then status {status}"));
+        }
+        let detail = format_args!(
+            "after={:?} upstream={} why={why}",
+            self.last, open.slot.choice.spec.id
+        );
+        let log = &self.job.router.log;
+        log.request(Event::Resumed, &self.job.ask.id, detail);
+        Ok(Link {
+            slot: open.slot,
+            conn: open.conn,
+            body: open.body,
+            reading: open.reading,
+            events: Events::default(),
+        })
+    }
+
+    /// Breaks the answer off, so that it can't look whole.
+    async fn cut(self, why: &str) {
+        let log = &self.job.router.log;
+        let detail = format!("events={} why={why}", self.count);
+        log.request(Event::Cut, &self.job.ask.id, detail);
+        self.job.router.metrics.ended(&self.job.route.name, "cut");
+        // A caller that left needs no end.
+        let _ = self.tx.send(Err(Cut)).await;
+    }
+}
