A prompt counts when any upstream may have run it

Cause: when the first upstream refused and the second one ran the request, the prompt was counted for the first attempt only, and taken back with it. Ruled out: grants (the sum of the lines never passed what is prepaid), answers longer than their most.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -126,19 +126,18 @@
     if job.attempts > 1 {
         job.router.metrics.repeats.inc();
     }
-    if job.attempts == 1 {
-        // Once sent it may run: a prompt counts once, however often it is sent.
-        let prompt = u64::from(job.ask.prompt);
-        job.spend(prompt);
+    let prompt = u64::from(job.ask.prompt);
+    if let Some(charge) = &mut job.charge {
+        charge.sent(prompt);
     }
     let sent = send(job, slot, conn, after_event).await;
+    job.may_have_run |= !matches!(sent, Err(Failed::NotRun(_)));
     if let Err(failed) = &sent {
         let detail = format_args!("attempt={} why={failed:?}", job.attempts);
         let log = &job.router.log;
         log.request(Event::AttemptFailed, &job.ask.id, detail);
-        let nothing_ran = matches!(failed, Failed::NotRun(_)) && job.attempts == 1;
-        if let Some(charge) = job.charge.as_mut().filter(|_| nothing_ran) {
-            charge.nothing_ran();
+        if let Some(charge) = job.charge.as_mut().filter(|_| !job.may_have_run) {
+            charge.not_run();
         }
     }
     sent
--- a/crates/proxy/src/bank.rs
+++ b/crates/proxy/src/bank.rs
@@ -71,36 +71,42 @@
     bank: Bank,
     customer: String,
     reserved: u64,
-    spent: u64,
+    /// The prompt, once it was sent to an upstream that may have run it: counts once.
+    prompt: u64,
+    answer: u64,
 }
 
 impl Charge {
-    /// Counts tokens that were spent.
-    pub(crate) fn spend(&mut self, tokens: u64) {
-        self.spent += tokens;
+    /// Counts the prompt, which an upstream is about to get.
+    pub(crate) fn sent(&mut self, prompt: u64) {
+        self.prompt = prompt;
     }
 
-    /// Takes back the counting of a request that did not run.
-    pub(crate) fn nothing_ran(&mut self) {
-        self.spent = 0;
+    /// Takes back the counting of the prompt: the only upstreams that got it did not run it.
+    pub(crate) fn not_run(&mut self) {
+        self.prompt = 0;
+    }
+
+    /// Counts tokens of the answer that go to the caller.
+    pub(crate) fn delivered(&mut self, tokens: u64) {
+        self.answer += tokens;
     }
 
     /// Returns the tokens that were spent.
     pub(crate) fn spent(&self) -> u64 {
-        self.spent
+        self.prompt + self.answer
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        if self.spent > self.reserved {
-            let detail = format_args!(
-                "customer={} spent={} reserved={}",
-                self.customer, self.spent, self.reserved
-            );
+        let (spent, reserved) = (self.spent(), self.reserved);
+        if spent > reserved {
+            let customer = &self.customer;
+            let detail = format_args!("customer={customer} spent={spent} reserved={reserved}");
             self.bank.0.log.note(Event::Excess, detail);
         }
-        let spent = self.spent.min(self.reserved);
+        let spent = spent.min(reserved);
         let mut accounts = self.bank.0.accounts.lock().expect("no panic inside");
         if let Some(account) = accounts.get_mut(&self.customer) {
             account.holding.settle(self.reserved, spent);
@@ -150,7 +156,8 @@
             bank: self.clone(),
             customer: customer.to_string(),
             reserved: 0,
-            spent: 0,
+            prompt: 0,
+            answer: 0,
         };
         match self.first_try(customer, tokens) {
             Tried::Reserved => return Ok(charge.of(tokens)),
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -93,6 +93,8 @@
     /// How often it was sent.
     pub(crate) attempts: u32,
     pub(crate) charge: Option<Charge>,
+    /// Whether an upstream may have run it.
+    pub(crate) may_have_run: bool,
     _busy: Busy,
 }
 
@@ -117,10 +119,10 @@
         retries.take(now, &self.service, sharers)
     }
 
-    /// Counts tokens that the caller got.
-    pub(crate) fn spend(&mut self, tokens: u64) {
+    /// Counts tokens of the answer that go to the caller.
+    pub(crate) fn delivered(&mut self, tokens: u64) {
         if let Some(charge) = &mut self.charge {
-            charge.spend(tokens);
+            charge.delivered(tokens);
         }
         self.router.metrics.tokens.inc_by(tokens);
     }
@@ -233,6 +235,7 @@
             tried: SmallVec::new(),
             attempts: 0,
             charge: None,
+            may_have_run: false,
             _busy: busy,
         };
         job.charge = self.charge(&active, &job).await?;
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -261,7 +261,7 @@
         self.last = event.id.or(self.last);
         self.count += 1;
         let tokens = self.job.traits.tokens_per_event;
-        self.job.spend(tokens);
+        self.job.delivered(tokens);
         let sent = self.tx.send(Ok(event.bytes)).await;
         sent.is_err().then_some(End::CallerLeft)
     }
