A stop no longer locks its own counter of requests

Cause: the value that the wait for the last request returned locks the counter, and was kept while tokens were handed back; the next request that ended stopped the only thread. Ruled out: requests that never end.

--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -210,8 +210,12 @@
         let _ = self.phase.send(Phase::Closing);
         let mut busy = router.busy.subscribe();
         let until = began + self.stop_by.saturating_sub(LAST_WORDS);
-        let idle = timeout_at(until, busy.wait_for(|n| *n == 0)).await;
-        let whole = idle.is_ok();
+        // The value that the wait returns locks the counter: kept over the next wait, it would stop the
+        // process at the first request that ends.
+        let whole = {
+            let idle = timeout_at(until, busy.wait_for(|n| *n == 0)).await;
+            idle.is_ok()
+        };
         let last = async {
             router.bank.leave().await;
             router.fleet.leave().await;
