Tokens: other instances are asked beside a store that does not answer

Streams were given up after 1.5 objectives although the upstream read long prompts: 40 of 235 requests were sent twice in the worst three seconds, and read twice. Ruled out: slow transfers (1 to 2 ms each).

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -72,6 +72,11 @@
         self.prepaid = prepaid;
     }
 
+    /// Returns what is prepaid.
+    pub fn prepaid(&self) -> u64 {
+        self.prepaid
+    }
+
     /// Returns the tokens that are neither spent nor reserved.
     ///
     /// # Panics
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -22,8 +22,8 @@
 const CONNECTIONS_PCT: usize = 80;
 /// A request that may be repeated is given up at an upstream that is silent for so many times its
 /// objective, and for so many times what was expected: slower ones answer still.
-const SILENT_OBJECTIVES: f64 = 1.5;
-const SILENT_EXPECTED: f64 = 4.0;
+const SILENT_OBJECTIVES: f64 = 3.0;
+const SILENT_EXPECTED: f64 = 6.0;
 /// When to come back when no upstream is left, in milliseconds: crashed ones are left alone for
 /// so long at first.
 const RETRY_NO_UPSTREAM_MS: u64 = 400;
@@ -121,6 +121,7 @@
 /// Sends a request to an upstream and reads the head of its answer.
 pub(crate) async fn attempt(job: &mut Job, after_event: Option<u64>) -> Result<Open, Failed> {
     let (slot, conn) = connect(job).await?;
+    job.expected.sent_ms = job.router.clock.now() - job.arrived;
     job.attempts += 1;
     job.router.metrics.attempts.inc();
     if job.attempts > 1 {
@@ -151,6 +152,8 @@
         }
         let choice = choose(job).map_err(Failed::Denied)?;
         job.tried.push(choice.key);
+        job.expected.unread = choice.unread;
+        job.expected.first_ms = choice.expect_ms;
         let slot = Slot::open(job, choice);
         let spec = &slot.choice.spec;
         if let Some(conn) = job.router.dialer.kept(&spec.id) {
--- a/crates/proxy/src/bank.rs
+++ b/crates/proxy/src/bank.rs
@@ -7,11 +7,11 @@
 
 use clock::Clock;
 use conf::Routing;
-use escrow::{Holding, Known, Record, Short};
+use escrow::{Holding, Known, Line, Record, Short};
 use kv::{Commit, Expect, Found, Put, Store, Txn};
 use rand::Rng;
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::event::Event;
 use crate::fleet::Fleet;
@@ -29,6 +29,10 @@
 const WAIT_MOST: Duration = Duration::from_millis(600);
 /// After a search that found nothing, requests that lack tokens are refused at once for this time.
 const DRY: Duration = Duration::from_millis(300);
+/// The store alone is waited for so long; then other instances are asked beside it.
+const STORE_FIRST: Duration = Duration::from_millis(30);
+/// Reading and writing the records takes no longer; what was sent may still take effect.
+const CHANGE_MOST: Duration = Duration::from_millis(800);
 /// A transaction takes so many records.
 const RECORDS_MOST: usize = 32;
 /// How often a transaction that lost against others is tried in one look.
@@ -262,9 +266,21 @@
 
     /// Looks through all holdings once.
     async fn look(&self) {
-        if self.wants_change() && !self.means().reach.is_out() {
-            self.change().await;
+        if !self.wants_change() || self.means().reach.is_out() {
+            self.ask_for_missing().await;
+            return;
         }
+        let change = timeout(CHANGE_MOST, self.change());
+        tokio::pin!(change);
+        // A store that does not answer shows only after a while, and requests wait.
+        if timeout(STORE_FIRST, &mut change).await.is_err() {
+            let (_, ()) = tokio::join!(change, self.ask_for_missing());
+            return;
+        }
+        self.ask_for_missing().await;
+    }
+
+    async fn ask_for_missing(&self) {
         for customer in self.missing() {
             self.ask_peers(&customer).await;
         }
@@ -365,6 +381,7 @@
             };
             let key = format!("{PREFIX}{name}");
             let record = known.record.with(&me, line, &live);
+            self.log_grant(name, line, &record, holding);
             txn.expect.push(Expect {
                 key: key.clone(),
                 revision: known.revision,
@@ -378,6 +395,21 @@
         txn
     }
 
+    fn log_grant(&self, customer: &str, line: Line, record: &Record, holding: &Holding) {
+        let detail = format_args!(
+            "customer={customer} granted={} returned={} spent={} rate={} balance={} charged={} all_spent={} prepaid={}",
+            line.granted,
+            line.returned,
+            line.spent,
+            line.rate,
+            holding.balance(),
+            record.charged(),
+            record.spent(),
+            holding.prepaid(),
+        );
+        self.0.log.note(Event::Grant, detail);
+    }
+
     /// Takes all records as they are now; those that are missing are empty.
     fn learn_all(&self, items: &[Found]) {
         let now = self.0.clock.now();
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -12,7 +12,7 @@
 use jsonrpsee_server::{RpcModule, Server, ServerBuilder, ServerHandle};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 use crate::bank::Bank;
 use crate::config::Config;
@@ -24,6 +24,8 @@
 
 /// An instance answers within a few milliseconds, or is not there: a request waits for it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// An instance that did not answer is not called for this time.
+const REST: Duration = Duration::from_millis(1_500);
 /// How often an instance that can't read the store asks another one for news: well within the two
 /// seconds in which a change is in force.
 const NEWS_EVERY: Duration = Duration::from_millis(400);
@@ -104,24 +106,50 @@
     server.start(module)
 }
 
+/// One instance that is called.
+struct Line {
+    client: HttpClient,
+    /// Not called again before this: a call that hangs keeps requests waiting.
+    rest_until: Option<Instant>,
+}
+
 /// Calls other instances.
 #[derive(Clone, Default)]
-pub(crate) struct Peers(Arc<Mutex<HashMap<SocketAddr, HttpClient>>>);
+pub(crate) struct Peers(Arc<Mutex<HashMap<SocketAddr, Line>>>);
 
 impl Peers {
     fn client(&self, addr: SocketAddr) -> Result<HttpClient, String> {
         let mut clients = self.0.lock().expect("no panic inside");
-        if let Some(client) = clients.get(&addr) {
-            return Ok(client.clone());
+        if let Some(line) = clients.get(&addr) {
+            let rests = line.rest_until.is_some_and(|t| Instant::now() < t);
+            if rests {
+                return Err("did not answer a moment ago".to_string());
+            }
+            if line.rest_until.is_none() {
+                return Ok(line.client.clone());
+            }
         }
         let client = HttpClientBuilder::default()
             .request_timeout(CALL_TIMEOUT)
             .build(format!("http://{addr}"))
             .map_err(|e| e.to_string())?;
-        clients.insert(addr, client.clone());
+        let line = Line {
+            client: client.clone(),
+            rest_until: None,
+        };
+        clients.insert(addr, line);
         Ok(client)
     }
 
+    /// Leaves an instance alone for a while; its next call gets a new connection, since the old one
+    /// may hang for good.
+    fn rest(&self, addr: SocketAddr) {
+        let mut lines = self.0.lock().expect("no panic inside");
+        if let Some(line) = lines.get_mut(&addr) {
+            line.rest_until = Some(Instant::now() + REST);
+        }
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         addr: SocketAddr,
@@ -133,8 +161,7 @@
         params.insert(param).map_err(|e| e.to_string())?;
         let answer = client.request(method, params).await;
         answer.map_err(|e| {
-            // A connection that hangs must not be used again.
-            self.0.lock().expect("no panic inside").remove(&addr);
+            self.rest(addr);
             e.to_string()
         })
     }
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -127,8 +127,7 @@
     if is_error && job.is_repeatable() {
         return Ok(Done::Error(res));
     }
-    let took = job.router.clock.now() - job.arrived;
-    job.router.metrics.first(&job.route.name, took);
+    job.first_came();
     job.ended(if is_error { "upstream_error" } else { "ok" }, &upstream);
     Ok(Done::Answered(res))
 }
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -74,6 +74,19 @@
     }
 }
 
+/// What was expected of an upstream, and what came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Expected {
+    /// Tokens of the prompt that it would have to read.
+    pub(crate) unread: u32,
+    /// When its answer or first event was expected, in milliseconds after the sending.
+    pub(crate) first_ms: f64,
+    /// When it was sent, in milliseconds after the request's arrival.
+    pub(crate) sent_ms: u64,
+    /// When that came, in milliseconds after the request's arrival.
+    pub(crate) came_ms: u64,
+}
+
 /// One request on its way through the filters.
 pub(crate) struct Job {
     pub(crate) router: Arc<Router>,
@@ -95,6 +108,8 @@
     pub(crate) charge: Option<Charge>,
     /// Whether an upstream may have run it.
     pub(crate) may_have_run: bool,
+    /// What was expected of the last upstream, for the log.
+    pub(crate) expected: Expected,
     _busy: Busy,
 }
 
@@ -127,15 +142,28 @@
         self.router.metrics.tokens.inc_by(tokens);
     }
 
+    /// Notes that the answer or the first event has come.
+    pub(crate) fn first_came(&mut self) {
+        let took = self.router.clock.now() - self.arrived;
+        self.expected.came_ms = took;
+        self.router.metrics.first(&self.route.name, took);
+    }
+
     /// Logs how it ended.
     pub(crate) fn ended(&self, code: &str, upstream: &str) {
         self.router.metrics.ended(&self.route.name, code);
         let detail = format_args!(
-            "route={} customer={} upstream={upstream} attempts={} code={code} ms={} tokens={}",
+            "route={} customer={} upstream={upstream} attempts={} code={code} ms={} sent_ms={} \
+             first_ms={} expected_ms={:.0} unread={} of={} tokens={}",
             self.route.name,
             self.customer.as_deref().unwrap_or("-"),
             self.attempts,
             self.router.clock.now() - self.arrived,
+            self.expected.sent_ms,
+            self.expected.came_ms,
+            self.expected.first_ms,
+            self.expected.unread,
+            self.ask.prompt,
             self.charge.as_ref().map_or(0, Charge::spent),
         );
         self.router
@@ -236,6 +264,7 @@
             attempts: 0,
             charge: None,
             may_have_run: false,
+            expected: Expected::default(),
             _busy: busy,
         };
         job.charge = self.charge(&active, &job).await?;
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -106,8 +106,7 @@
             return Err(failed.refusal(&job, ran));
         }
     };
-    let took = job.router.clock.now() - job.arrived;
-    job.router.metrics.first(&job.route.name, took);
+    job.first_came();
     let (tx, rx) = mpsc::channel(EVENTS_DEPTH);
     let mut res = Response::new(Out::Parts(rx));
     *res.status_mut() = head.status;
