Grants are tapered by how long the budget lasts

Tokens stranded are missed at the end of a budget, tokens not granted in an outage at its beginning: so the share that may be granted falls with the time that the budget lasts. Ruled out: releasing a dead incarnation's grant by an expired or living lease: leases pause in an outage of the store, and it may have spent meanwhile.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -10,7 +10,11 @@
 const HORIZON_MS: u64 = 10_000;
 /// Percentage of what the fleet may still spend that grants may hold together: the rest outlives a
 /// crash of all instances at once.
-const POOL_PCT: u64 = 70;
+const POOL_PCT: u64 = 30;
+/// A budget that lasts this long at the present demand, in milliseconds, may be granted to
+/// `POOL_PCT`; one that ends sooner to so much less. Tokens that a crash strands are missed at the end
+/// of a budget only, and there the more the less is left.
+const LASTS_MS: u64 = 50_000;
 /// Percentage of the pool that an instance without demand takes at first, so that its first
 /// requests need not wait for the store.
 const FIRST_PCT: u64 = 1;
@@ -194,10 +198,11 @@
             return 0;
         };
         let rate = self.demand.get(now);
-        let pool = self.prepaid.saturating_sub(known.record.spent()) * POOL_PCT / 100;
         let mut others = live.clone();
         others.remove(me);
         let rates = known.record.rate_of(&others) + rate;
+        let left = self.prepaid.saturating_sub(known.record.spent());
+        let pool = left * pool_pct(left, rates) / 100;
         let first = pool * FIRST_PCT / 100;
         let wanted = (rate * HORIZON_MS / 1000).max(first);
         let share = u128::from(pool) * u128::from(rate) / u128::from(rates.max(1));
@@ -280,3 +285,9 @@
         self.received += tokens;
     }
 }
+
+/// Returns the percentage of what is left that grants may hold together, at a demand of all.
+fn pool_pct(left: u64, rates: u64) -> u64 {
+    let lasts_ms = left.saturating_mul(1000) / rates.max(1);
+    POOL_PCT * lasts_ms.min(LASTS_MS) / LASTS_MS
+}
