Stand-ins of the platform's wire, and scenarios of the whole path as real processes

Cause found by the first run of the scenarios: a stop held the lock of the counter of requests in the arguments of its first log line, so that the next request that began stopped the only thread (the answer's head never came, and the process was killed at the end of its grace time).

--- a/crates/kv/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -51,12 +51,7 @@
 }
 
 /// Waits for the sign of a change, then lists: the protocol's watch is used as a bell only.
-async fn watch(
-    client: &Client,
-    prefix: &str,
-    after: i64,
-    wait_ms: u64,
-) -> Result<News, Failure> {
+async fn watch(client: &Client, prefix: &str, after: i64, wait_ms: u64) -> Result<News, Failure> {
     let mut bell = Client::watch(client, prefix).await?;
     let listed = Client::list(client, prefix).await?;
     let changed = |items: &[Found]| items.iter().any(|f| f.revision > after);
--- /dev/null
+++ b/crates/oriolehitch/tests/fleet/budgets.rs
@@ -0,0 +1,171 @@
+//! Prepaid tokens over crashes, outages and restarts.
+
+use std::time::Duration;
+
+use platform::stub::{Faults, Mode, Relay};
+use tokio::time::{sleep, Instant};
+
+use crate::call::{send, stream};
+use crate::stage::{until, Stage};
+
+/// Symptom: callers got more tokens than the budget's records show. Sequence: the first upstream says
+/// that it did not run the request, the second one runs it. Cause: the prompt was counted for the first
+/// attempt, and taken back with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_prompt_counts_when_the_second_upstream_runs_it() {
+    let mut stage = Stage::open().await;
+    let node = stage.start().await;
+    stage.workers[2].mode(Mode::NotRun);
+    let mut whole = 0;
+    for _ in 0..6 {
+        whole += u64::from(send(stream(node.front, "read")).await.whole);
+    }
+    assert_eq!(whole, 6);
+    until("all is on record", async || stage.budget("c").1 == 6 * 940).await;
+}
+
+/// Symptom: a customer's total passes its budget over restarts. Sequence: requests run, all
+/// instances are killed, others start, until nothing is left. Cause: a new process took the tokens
+/// that a dead one might have spent for free.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_budget_holds_over_kills() {
+    let mut stage = Stage::bare().await;
+    stage.configure(1, 20_000);
+    let mut served = 0;
+    for _ in 0..4 {
+        let mut nodes = vec![stage.start().await, stage.start().await];
+        for i in 0..8 {
+            let answer = send(stream(nodes[i % 2].front, "read")).await;
+            served += u64::from(answer.status == 200);
+        }
+        nodes.iter_mut().for_each(crate::stage::Node::kill);
+    }
+    let spent = served * 940;
+    assert!(spent <= 20_000, "served {served} requests");
+    assert!(stage.budget("c").0 <= 20_000);
+    assert!(
+        served >= 6,
+        "a budget that nobody may use is kept as well: {served}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_spent_budget_is_402_and_a_top_up_ends_it() {
+    let mut stage = Stage::bare().await;
+    stage.configure(1, 3_000);
+    let node = stage.start().await;
+    let mut statuses = Vec::new();
+    for _ in 0..8 {
+        statuses.push(send(stream(node.front, "read")).await.status);
+        sleep(Duration::from_millis(700)).await;
+    }
+    assert_eq!(statuses.last(), Some(&402), "{statuses:?}");
+    assert!(statuses.iter().filter(|s| **s == 200).count() <= 3);
+    stage.configure(2, 30_000);
+    let served = async || send(stream(node.front, "read")).await.status == 200;
+    until("topped up", served).await;
+}
+
+/// Symptom: requests refused, or held for long, while the store is out though other instances hold
+/// tokens. Sequence: one instance has all the demand, the store falls silent, requests come to
+/// another one. Cause: an instance that lacks tokens asked the store only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tokens_move_between_instances_while_the_store_is_silent() {
+    let mut stage = Stage::open().await;
+    let a = stage.start().await;
+    let b = stage.start().await;
+    for _ in 0..30 {
+        assert_eq!(send(stream(a.front, "read")).await.status, 200);
+    }
+    let knows = async || b.dump().await["instances"].as_array().map_or(0, Vec::len) == 2;
+    until("they know each other", knows).await;
+    let holds = async || a.dump().await["budgets"]["c"]["balance"].as_u64() > Some(20_000);
+    until("the first one holds tokens", holds).await;
+    stage.store.fault(Faults {
+        silent: true,
+        ..Faults::default()
+    });
+    let mut served = 0;
+    for _ in 0..25 {
+        served += u64::from(send(stream(b.front, "read")).await.status == 200);
+    }
+    assert!(served >= 20, "{served} of 25");
+}
+
+/// Symptom: an instance that can't read the store goes on with an old configuration. Sequence: its path to
+/// the store is cut, the operator writes a new version, others read it. Cause: it waited for the store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn news_comes_from_another_instance() {
+    let mut stage = Stage::open().await;
+    let relay = Relay::bind(stage.store.addr()).await.unwrap();
+    let _a = stage.start().await;
+    let b = stage.spawn(relay.addr());
+    stage.wait_ready(&b).await;
+    let knows = async || b.dump().await["instances"].as_array().map_or(0, Vec::len) == 2;
+    until("they know each other", knows).await;
+    relay.cut(true);
+    stage.configure(7, 2_000_000);
+    let leaving = stage.workers[0].entry("desk", "draining");
+    stage.store.put("servers/d0", &leaving);
+    until("the version is in force", async || {
+        b.dump().await["version"] == 7
+    })
+    .await;
+    let left = async || {
+        let dump = b.dump().await;
+        let ups = dump["upstreams"].as_array().cloned().unwrap_or_default();
+        ups.iter().any(|u| u["id"] == "d0" && u["leaving"] == true)
+    };
+    until("the leaving is known", left).await;
+    relay.cut(false);
+    stage.configure(3, 1);
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(
+        b.dump().await["version"],
+        7,
+        "an older version never replaces a newer one"
+    );
+}
+
+/// Symptom: a change is missed for good. Sequence: watches bring nothing while the operator writes, then
+/// the history is dropped. Cause: the watch went on from a revision that it never was told of.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_is_found_behind_a_stalled_watch() {
+    let mut stage = Stage::open().await;
+    let node = stage.start().await;
+    stage.store.fault(Faults {
+        stall_watches: true,
+        ..Faults::default()
+    });
+    stage.configure(2, 1_000_000);
+    sleep(Duration::from_millis(300)).await;
+    stage.store.compact();
+    until("the version is in force", async || {
+        node.dump().await["version"] == 2
+    })
+    .await;
+}
+
+/// Symptom: tokens counted twice, or lost, after answers of the store were lost. Sequence: takes
+/// land without an answer, and late. Cause: a write was repeated blindly, or taken for not done.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_and_late_answers_of_the_store_cost_no_token() {
+    let mut stage = Stage::open().await;
+    let node = stage.start().await;
+    stage.store.fault(Faults {
+        lose_answers: 2,
+        late: Some((2, 300)),
+        ..Faults::default()
+    });
+    let mut served = 0;
+    let end = Instant::now() + Duration::from_secs(20);
+    while served < 20 {
+        assert!(Instant::now() < end, "{served} served");
+        served += u64::from(send(stream(node.front, "read")).await.status == 200);
+    }
+    until("all is on record", async || {
+        stage.budget("c").1 == served * 940
+    })
+    .await;
+    assert!(stage.budget("c").0 <= 1_000_000);
+}
--- /dev/null
+++ b/crates/oriolehitch/tests/fleet/lives.rs
@@ -0,0 +1,84 @@
+//! Planned stops, signals, and upstreams that leave.
+
+use std::time::Duration;
+
+use platform::stub::Mode;
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+use crate::call::{request, send, stream};
+use crate::stage::{until, Stage};
+
+/// Symptom: a planned stop cuts answers off, or never ends. Sequence: a stream is under way, and
+/// requests go on coming on open connections; the process is told to stop. Cause: it counted
+/// requests with a lock that it kept.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_cuts_nothing_off_and_hands_back() {
+    let mut stage = Stage::open().await;
+    let mut node = stage.start().await;
+    stage.mode_of(2, Mode::Slow(1_500));
+    stage.mode_of(3, Mode::Slow(1_500));
+    let long = tokio::spawn(send(stream(node.front, "read")));
+    sleep(Duration::from_millis(300)).await;
+    node.signal(Signal::TERM);
+    until("not ready", async || !node.is_ready().await).await;
+    let late = send(request(node.front, "safe")).await;
+    assert_eq!(late.status, 200, "what still comes is served");
+    assert_eq!(late.headers["connection"], "close");
+    let long = long.await.unwrap();
+    assert_eq!((long.status, long.whole), (200, true));
+    assert_eq!(node.ended().await, Some(0));
+    let (charged, spent) = stage.budget("c");
+    assert_eq!(charged, spent, "nothing is stranded");
+    assert!(stage.store.keys("oriolehitch/instances/").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_hangup_ends_nothing() {
+    let mut stage = Stage::open().await;
+    let mut node = stage.start().await;
+    node.signal(Signal::HUP);
+    sleep(Duration::from_millis(300)).await;
+    assert!(node.child.try_wait().unwrap().is_none());
+    assert_eq!(send(request(node.front, "safe")).await.status, 200);
+}
+
+/// Symptom: work goes to an upstream that leaves. Cause: its state was read at its first listing only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_upstream_gets_nothing_new() {
+    let mut stage = Stage::open().await;
+    let node = stage.start().await;
+    let entry = stage.workers[0].entry("desk", "draining");
+    stage.store.put("servers/d0", &entry);
+    stage.store.delete("servers/d1");
+    let replaced = stage.workers[1].entry("pool", "ready");
+    stage.store.put("servers/e9", &replaced);
+    let gone = async || send(request(node.front, "safe")).await.status == 503;
+    until("none is left", gone).await;
+    let before = stage.workers[0].runs().len() + stage.workers[1].runs().len();
+    assert_eq!(send(request(node.front, "once")).await.status, 503);
+    let after = stage.workers[0].runs().len() + stage.workers[1].runs().len();
+    assert_eq!(before, after);
+}
+
+/// Symptom: a service gets the requests of another one. Sequence: an upstream vanishes and its address
+/// goes to another service's. Cause: the address was taken for the upstream.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn another_upstream_at_a_known_address_runs_nothing() {
+    let mut stage = Stage::open().await;
+    // The list says that d8 is where d1 in truth is.
+    let entry = stage.workers[1].entry("desk", "ready");
+    stage.store.put("servers/d8", &entry);
+    stage.store.delete("servers/d0");
+    stage.store.delete("servers/d1");
+    let node = stage.start().await;
+    let answer = send(request(node.front, "once")).await;
+    assert_eq!(answer.status, 503, "it did not run");
+    assert!(stage.workers[1].runs().is_empty());
+}
+
+impl Stage {
+    fn mode_of(&self, worker: usize, mode: Mode) {
+        self.workers[worker].mode(mode);
+    }
+}
--- /dev/null
+++ b/crates/oriolehitch/tests/fleet/main.rs
@@ -0,0 +1,7 @@
+//! The whole path on the platform: real instances, real sockets, upstreams and a store that misbehave.
+
+mod answers;
+mod budgets;
+mod call;
+mod lives;
+mod stage;
--- /dev/null
+++ b/crates/oriolehitch/tests/fleet/stage.rs
@@ -0,0 +1,223 @@
+//! Real instances over the platform's stand-ins, on loopback.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use platform::stub::{Store, Worker};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use tokio::time::{sleep, Instant};
+
+/// Longest wait for anything: generous, since the machine may be busy.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// The host of all routes.
+pub(crate) const HOST: &str = "h.example";
+
+/// One instance.
+pub(crate) struct Node {
+    pub(crate) child: Child,
+    pub(crate) front: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) ops: SocketAddr,
+}
+
+impl Node {
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("a child that runs");
+    }
+
+    /// Kills it and waits for its end.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().expect("a child");
+        self.child.wait().expect("a child that was killed");
+    }
+
+    /// Waits for its end and returns its exit code.
+    pub(crate) async fn ended(&mut self) -> Option<i32> {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.code();
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the instance goes on");
+    }
+
+    /// Returns its state.
+    pub(crate) async fn dump(&self) -> Value {
+        let url = format!("http://{}/dump", self.ops);
+        let res = reqwest::get(url).await.expect("an instance that answers");
+        res.json().await.expect("JSON")
+    }
+
+    /// Returns whether it says that it is ready.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/oriolehitch/readiness", self.ready);
+        let res = reqwest::get(url).await;
+        res.is_ok_and(|r| r.status() == 200)
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // It may have ended before.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A store, upstreams and instances.
+pub(crate) struct Stage {
+    pub(crate) store: Store,
+    pub(crate) workers: Vec<Worker>,
+    dir: PathBuf,
+    started: u32,
+}
+
+impl Stage {
+    /// Opens a stage with two plain upstreams of `desk` and two engines of `pool`, and a configuration.
+    pub(crate) async fn open() -> Stage {
+        let stage = Stage::bare().await;
+        stage.configure(1, 1_000_000);
+        stage
+    }
+
+    /// Opens a stage without a configuration.
+    pub(crate) async fn bare() -> Stage {
+        let store = Store::bind().await.expect("a free port");
+        let dir = std::env::temp_dir().join(format!("oriolehitch-{:016x}", rand::random::<u64>()));
+        std::fs::create_dir_all(&dir).expect("a folder for settings");
+        let mut stage = Stage {
+            store,
+            workers: Vec::new(),
+            dir,
+            started: 0,
+        };
+        for (id, service) in [
+            ("d0", "desk"),
+            ("d1", "desk"),
+            ("e0", "pool"),
+            ("e1", "pool"),
+        ] {
+            let worker = Worker::bind(id, 10, 5).await.expect("a free port");
+            let entry = worker.entry(service, "ready");
+            stage.store.put(&format!("servers/{id}"), &entry);
+            stage.workers.push(worker);
+        }
+        stage
+    }
+
+    /// Writes a version of the configuration.
+    pub(crate) fn configure(&self, version: u64, prepaid: u64) {
+        let doc = document(version, prepaid);
+        self.store.put("op/config", &doc);
+    }
+
+    /// Starts an instance and waits until it serves.
+    pub(crate) async fn start(&mut self) -> Node {
+        let node = self.spawn(self.store.addr());
+        self.wait_ready(&node).await;
+        node
+    }
+
+    /// Waits until an instance says that it is ready.
+    pub(crate) async fn wait_ready(&self, node: &Node) {
+        until("ready", async || node.is_ready().await).await;
+    }
+
+    /// Starts an instance that finds the store at an address.
+    pub(crate) fn spawn(&mut self, store: SocketAddr) -> Node {
+        self.started += 1;
+        let [front, ready, peer, ops] = [(); 4].map(|()| free_port());
+        let settings = json!({
+            "name": format!("n{}", self.started), "region": "r", "zone": "z",
+            "platform": format!("http://{store}"),
+            "listen": front, "peer_listen": peer, "log": "json", "dialect": "platform",
+            "fleet": {
+                "ready_listen": ready, "metrics_listen": ops, "stop_secs": 8,
+                "retry_ratio": 0.2, "retry_window_secs": 10, "retry_slack": 58,
+                "lease_least_ms": 1000,
+            },
+        });
+        let file = self.dir.join(format!("n{}.json", self.started));
+        std::fs::write(&file, settings.to_string()).expect("a file for settings");
+        let log = std::fs::File::create(file.with_extension("log")).expect("a file for the log");
+        let child = Command::new(env!("CARGO_BIN_EXE_oriolehitch"))
+            .args(["serve", "--settings"])
+            .arg(&file)
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program");
+        Node {
+            child,
+            front,
+            ready,
+            ops,
+        }
+    }
+
+    /// Returns the records of a customer's budget: tokens charged, and tokens spent on record.
+    pub(crate) fn budget(&self, customer: &str) -> (u64, u64) {
+        let key = format!("oriolehitch/budgets/{customer}");
+        let record = self.store.get(&key).unwrap_or(json!({"h": {}}));
+        let lines = record["h"].as_object().cloned().unwrap_or_default();
+        let sum = |f: &str| lines.values().filter_map(|l| l[f].as_u64()).sum::<u64>();
+        (sum("g") - sum("r"), sum("s"))
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        // What is left is temporary.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Returns a port that is free now.
+fn free_port() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// Waits until something holds.
+pub(crate) async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < end, "not in time: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns a configuration with a route of each kind.
+fn document(version: u64, prepaid: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+        json!({
+            "Name": name, "Hostname": HOST, "Prefix": format!("/{name}/"), "RouteType": kind,
+            "TimeoutMs": 4_000, "TargetLatencyMs": 300, "Priority": 1, "Service": service,
+            "MaxAttempts": attempts, "Public": false, "Resumable": resumable,
+        })
+    };
+    json!({
+        "Version": version,
+        "Routes": [
+            route("safe", "idempotent", "desk", 2, false),
+            route("once", "non_idempotent", "desk", 1, false),
+            route("talk", "streaming", "pool", 1, false),
+            route("read", "streaming", "pool", 2, true),
+        ],
+        "Services": [
+            {"Name": "desk", "HealthPath": "/health", "MaxConnections": 100},
+            {"Name": "pool", "HealthPath": "/health", "MaxConnections": 100,
+             "Engine": {"Slots": 8, "KvCapacity": 100_000, "Stride": 4}},
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
+                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "c", "ApiKeys": ["key"], "Prepaid": prepaid}],
+    })
+}
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -334,14 +334,7 @@
     up.occupancy(now) * 100 >= up.slots() * pct
 }
 
-fn rate_one(
-    key: Key,
-    up: &Upstream,
-    now: u64,
-    want: &Want<'_>,
-    home: bool,
-    usual: Usual,
-) -> Rated {
+fn rate_one(key: Key, up: &Upstream, now: u64, want: &Want<'_>, home: bool, usual: Usual) -> Rated {
     let slowness = up.slowness(now);
     let (unread, expect_ms) = if want.prompt > 0 {
         let unread = unread(up, now, want, home);
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -249,7 +249,9 @@
         }),
         Word::NotRun => {
             slot.end(Outcome::Refused);
-            Err(Failed::NotRun(format!("upstream={upstream} status={status}")))
+            Err(Failed::NotRun(format!(
+                "upstream={upstream} status={status}"
+            )))
         }
         Word::Misdirected => {
             slot.end(Outcome::Silent);
@@ -276,11 +278,7 @@
     job.deadline.min(slot.sent_at + wait)
 }
 
-fn request(
-    job: &Job,
-    slot: &Slot,
-    after_event: Option<u64>,
-) -> Request<Full<bytes::Bytes>> {
+fn request(job: &Job, slot: &Slot, after_event: Option<u64>) -> Request<Full<bytes::Bytes>> {
     let sending = Sending {
         upstream: &slot.choice.spec.id,
         customer: job.customer.as_deref(),
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -47,7 +47,9 @@
         match self.get_mut() {
             Out::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Out::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Out::Parts(rx) => rx.poll_recv(cx).map(|part| part.map(|p| p.map(Frame::data))),
+            Out::Parts(rx) => rx
+                .poll_recv(cx)
+                .map(|part| part.map(|p| p.map(Frame::data))),
         }
     }
 
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -88,27 +88,67 @@
     row(Event::Stopped, 2003, Level::INFO, "stopped"),
     row(Event::LogCut, 2004, Level::WARN, "log lines left out"),
     row(Event::Reloaded, 2005, Level::INFO, "settings read again"),
-    row(Event::ConfigInForce, 2101, Level::INFO, "configuration in force"),
-    row(Event::ConfigBroken, 2102, Level::ERROR, "configuration can't be read"),
+    row(
+        Event::ConfigInForce,
+        2101,
+        Level::INFO,
+        "configuration in force",
+    ),
+    row(
+        Event::ConfigBroken,
+        2102,
+        Level::ERROR,
+        "configuration can't be read",
+    ),
     row(Event::StoreLost, 2201, Level::WARN, "store does not answer"),
     row(Event::StoreBack, 2202, Level::INFO, "store answers again"),
     row(Event::WriteFailed, 2203, Level::WARN, "write failed"),
-    row(Event::NewsFromPeer, 2301, Level::INFO, "news from another instance"),
+    row(
+        Event::NewsFromPeer,
+        2301,
+        Level::INFO,
+        "news from another instance",
+    ),
     row(Event::Members, 2302, Level::INFO, "instances changed"),
     row(Event::UpstreamNew, 2401, Level::INFO, "upstream listed"),
-    row(Event::UpstreamLeaving, 2402, Level::INFO, "upstream leaving"),
+    row(
+        Event::UpstreamLeaving,
+        2402,
+        Level::INFO,
+        "upstream leaving",
+    ),
     row(Event::UpstreamGone, 2403, Level::INFO, "upstream gone"),
-    row(Event::UpstreamBroken, 2404, Level::ERROR, "upstream's entry can't be read"),
+    row(
+        Event::UpstreamBroken,
+        2404,
+        Level::ERROR,
+        "upstream's entry can't be read",
+    ),
     row(Event::Answered, 2501, Level::INFO, "answered"),
     row(Event::Refused, 2502, Level::INFO, "refused"),
     row(Event::AttemptFailed, 2503, Level::INFO, "attempt failed"),
     row(Event::Cut, 2504, Level::WARN, "answer broke off"),
     row(Event::CallerLeft, 2505, Level::INFO, "caller left"),
     row(Event::Resumed, 2506, Level::INFO, "stream resumed"),
-    row(Event::Excess, 2507, Level::WARN, "more tokens than asked for"),
+    row(
+        Event::Excess,
+        2507,
+        Level::WARN,
+        "more tokens than asked for",
+    ),
     row(Event::Grant, 2601, Level::INFO, "grant changed"),
-    row(Event::Transfer, 2602, Level::INFO, "tokens from another instance"),
-    row(Event::RecordBroken, 2603, Level::ERROR, "budget record can't be read"),
+    row(
+        Event::Transfer,
+        2602,
+        Level::INFO,
+        "tokens from another instance",
+    ),
+    row(
+        Event::RecordBroken,
+        2603,
+        Level::ERROR,
+        "budget record can't be read",
+    ),
 ];
 
 impl Event {
@@ -119,6 +159,7 @@
     /// Panics when the catalogue lacks the event; a test holds them together.
     pub fn row(self) -> &'static Row {
         let mut rows = EVENTS.iter();
-        rows.find(|r| r.event == self).expect("every event has a row")
+        rows.find(|r| r.event == self)
+            .expect("every event has a row")
     }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -191,7 +191,9 @@
         let before = members.len();
         match update {
             Update::Listed(items, _) => {
-                let rows = items.iter().filter_map(|f| Some((f.key.clone(), parse(f)?)));
+                let rows = items
+                    .iter()
+                    .filter_map(|f| Some((f.key.clone(), parse(f)?)));
                 *members = rows.collect();
             }
             Update::Changed(changes, _) => {
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -196,6 +196,14 @@
         self.router.log.note(Event::Reloaded, what);
     }
 
+    /// Returns the requests under way.
+    ///
+    /// The value that the counter lends locks it: kept over a wait, it would stop the only thread at the
+    /// next request that begins or ends.
+    fn inflight(&self) -> u64 {
+        *self.router.busy.borrow()
+    }
+
     /// Stops as planned: says that it is not ready, ends what runs, hands back its tokens, leaves.
     ///
     /// Returns whether nothing was cut off.
@@ -203,25 +211,26 @@
         let began = Instant::now();
         let router = &self.router;
         router.stopping.store(true, Ordering::Relaxed);
-        let detail = format_args!("inflight={}", *router.busy.borrow());
-        router.log.note(Event::Stopping, detail);
+        let inflight = self.inflight();
+        router
+            .log
+            .note(Event::Stopping, format_args!("inflight={inflight}"));
         sleep(NOTICE.min(self.stop_by / 2)).await;
         // The listener and idle connections close; the receivers may all be gone already.
         let _ = self.phase.send(Phase::Closing);
         let mut busy = router.busy.subscribe();
         let until = began + self.stop_by.saturating_sub(LAST_WORDS);
-        // The value that the wait returns locks the counter: kept over the next wait, it would stop the
-        // process at the first request that ends.
-        let whole = {
-            let idle = timeout_at(until, busy.wait_for(|n| *n == 0)).await;
-            idle.is_ok()
+        let idle = async {
+            // The sender lives in the router, so waiting can't fail.
+            let _ = busy.wait_for(|n| *n == 0).await;
         };
+        let whole = timeout_at(until, idle).await.is_ok();
         let last = async {
             router.bank.leave().await;
             router.fleet.leave().await;
         };
         let said = timeout(LAST_WORDS / 2, last).await.is_ok();
-        let detail = format_args!("cut={} handed_back={said}", *router.busy.borrow());
+        let detail = format_args!("cut={} handed_back={said}", self.inflight());
         router.log.note(Event::Stopped, detail);
         self.ready.stop(CLOSE_GRACE);
         if let Some(ops) = &self.ops {
--- a/crates/proxy/src/metric.rs
+++ b/crates/proxy/src/metric.rs
@@ -88,7 +88,11 @@
     fn register(&self) {
         let mut registry = self.registry.lock().expect("no panic inside");
         let r = &mut *registry;
-        r.register("requests", "Requests by route and end", self.requests.clone());
+        r.register(
+            "requests",
+            "Requests by route and end",
+            self.requests.clone(),
+        );
         r.register("inflight", "Requests under way", self.inflight.clone());
         r.register("attempts", "Attempts at upstreams", self.attempts.clone());
         r.register("repeats", "Attempts beyond the first", self.repeats.clone());
@@ -106,7 +110,11 @@
         r.register("tokens", "Tokens spent", self.tokens.clone());
         r.register("unread", "Prompt tokens not kept", self.unread.clone());
         r.register("prompt", "Prompt tokens sent", self.prompt.clone());
-        r.register("store_reads", "Calls of the store", self.store_reads.clone());
+        r.register(
+            "store_reads",
+            "Calls of the store",
+            self.store_reads.clone(),
+        );
         r.register(
             "store_writes",
             "Writes to the store",
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -202,7 +202,10 @@
         let news: News = match self.call(addr, "news", &have).await {
             Ok(news) => news,
             Err(why) => {
-                log.note(Event::NewsFromPeer, format_args!("from={addr} failed={why}"));
+                log.note(
+                    Event::NewsFromPeer,
+                    format_args!("from={addr} failed={why}"),
+                );
                 return;
             }
         };
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -112,7 +112,9 @@
         }
         Err(_) => {
             slot.end(Outcome::Silent);
-            return Err(format!("upstream={upstream} the answer did not end in time"));
+            return Err(format!(
+                "upstream={upstream} the answer did not end in time"
+            ));
         }
     };
     slot.first();
