What leaves right after an outage is gone at once; fewer calls of the store

One in four may now be taken for gone at once; when more vanish, they expired in the outage and may be back.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -19,7 +19,7 @@
 /// requests need not wait for the store.
 const FIRST_PCT: u64 = 1;
 /// A grant below this percentage of its target is filled up.
-const LOW_PCT: u64 = 85;
+const LOW_PCT: u64 = 75;
 /// A grant above this percentage of its target is cut down to it.
 const HIGH_PCT: u64 = 150;
 /// Changes smaller than this are not worth a call, in tokens.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod health;
 mod known;
+mod missing;
 mod pool;
 mod retry;
 mod upstream;
 
+pub use missing::Missing;
 pub use pool::{Choice, Denied, Pool, Want};
 pub use retry::{Bounds, Retries};
 pub use upstream::{Key, Load, Outcome, Part, Spec, Ticket, Upstream};
--- /dev/null
+++ b/crates/place/src/missing.rs
@@ -0,0 +1,36 @@
+//! Whether an upstream that is missing from the list is gone, or its entry lapsed in an outage.
+//!
+//! Entries may expire while the store is out, and all of them at once; an upstream that lives writes its
+//! own again within two seconds of the store's return. But upstreams also leave in those seconds, one or
+//! two at a time, and must get no new work.
+
+/// Time after the store's return in which entries that expired come back, in milliseconds.
+const COME_BACK_MS: u64 = 2_500;
+/// Part of the entries that may be missing, within that time, and be taken for gone: more of them
+/// than leave at once mean that they expired.
+const GONE_PART: usize = 4;
+
+/// Judges missing entries.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Missing {
+    back_at: u64,
+    dropped: usize,
+}
+
+impl Missing {
+    /// Returns whether one more missing entry is taken for gone. `back_at` is when the store answered
+    /// again, 0 if it always did; `listed` counts the entries known.
+    pub fn is_gone(&mut self, now: u64, back_at: u64, listed: usize) -> bool {
+        if back_at != self.back_at {
+            self.back_at = back_at;
+            self.dropped = 0;
+        }
+        if back_at == 0 || now > back_at + COME_BACK_MS {
+            return true;
+        }
+        let most = (listed + self.dropped).div_ceil(GONE_PART);
+        let gone = self.dropped < most;
+        self.dropped += usize::from(gone);
+        gone
+    }
+}
--- a/crates/proxy/src/bank.rs
+++ b/crates/proxy/src/bank.rs
@@ -21,8 +21,11 @@
 
 /// Keys of budgets' records.
 const PREFIX: &str = "oriolehitch/budgets/";
-/// How often the holdings are looked through.
-const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// How often the holdings are looked through: a call of the store each time, for tokens that last ten
+/// times as long.
+const LOOK_EVERY: Duration = Duration::from_millis(1_000);
+/// Records older than this are read again before requests are refused by them, in milliseconds.
+const RECORDS_OLD_MS: u64 = 250;
 /// Shortest pause between two looks that requests ask for.
 const LOOK_LEAST: Duration = Duration::from_millis(20);
 /// Longest time that a request waits for tokens: a few calls of the store and of other instances.
@@ -290,7 +293,9 @@
         let (now, me, live) = (self.0.clock.now(), self.me(), self.means().fleet.live());
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let mut holdings = accounts.values_mut().map(|a| &mut a.holding);
-        holdings.any(|h| h.known().is_none() || h.plan(now, &me, &live).is_some())
+        holdings.any(|h| {
+            h.known().is_none() || h.missing() > 0 || h.plan(now, &me, &live).is_some()
+        })
     }
 
     fn missing(&self) -> Vec<String> {
@@ -303,18 +308,13 @@
         self.means().fleet.me().to_string()
     }
 
-    /// Reads the records, and writes the own lines where they should change.
+    /// Writes the own lines where they should change.
+    ///
+    /// What was read last is good enough to begin with: a transaction that loses against another
+    /// instance's brings the records as they are now.
     async fn change(&self) {
-        let means = self.means();
-        match means.store.list(PREFIX).await {
-            Ok(listing) => {
-                means.reach.answered();
-                self.learn_all(&listing.items);
-            }
-            Err(failure) => {
-                means.reach.failed(&failure);
-                return;
-            }
+        if self.must_read() && !self.read().await {
+            return;
         }
         for _ in 0..TRIES {
             let txn = self.plan(false);
@@ -331,6 +331,33 @@
         }
     }
 
+    /// Returns whether a record was never read, or requests lack tokens by an old one.
+    fn must_read(&self) -> bool {
+        let now = self.0.clock.now();
+        let accounts = self.0.accounts.lock().expect("no panic inside");
+        let old = |h: &Holding| match h.known() {
+            None => true,
+            Some(known) => h.missing() > 0 && now > known.at + RECORDS_OLD_MS,
+        };
+        accounts.values().any(|a| old(&a.holding))
+    }
+
+    /// Reads all records; returns whether the store answered.
+    async fn read(&self) -> bool {
+        let means = self.means();
+        match means.store.list(PREFIX).await {
+            Ok(listing) => {
+                means.reach.answered();
+                self.learn_all(&listing.items);
+                true
+            }
+            Err(failure) => {
+                means.reach.failed(&failure);
+                false
+            }
+        }
+    }
+
     async fn commit(&self, txn: Txn) -> Wrote {
         let means = self.means();
         let written = txn.put.clone();
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -11,15 +11,16 @@
 use crate::event::Event;
 use crate::log::Log;
 
-/// Longest wait of one watch, in milliseconds: a watch that stalls silently costs so much time.
-const WATCH_MS: u64 = 700;
+/// Longest wait of one watch, in milliseconds: a watch that hangs costs so much time, and each one
+/// is a call that is paid for.
+const WATCH_MS: u64 = 2_500;
 /// Pause after a call that failed: short against the two seconds in which a change is in force, long
 /// against a call.
 const AGAIN_AFTER: Duration = Duration::from_millis(250);
 /// All keys are read again after this time: a watch may go on without ever bringing what changed.
-const LIST_EVERY: Duration = Duration::from_secs(3);
-/// Without an answer for this long the store counts as out of reach, in milliseconds: longer than a
-/// watch that nothing ends.
+const LIST_EVERY: Duration = Duration::from_secs(10);
+/// Without an answer for this long the store counts as out of reach, in milliseconds, once a call has
+/// failed.
 const OUT_AFTER_MS: u64 = 1_500;
 
 /// Whether the store answers, as all tasks see it.
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -7,7 +7,7 @@
 use clock::Clock;
 use dial::Dialer;
 use kv::{Change, Found, Store};
-use place::Pool;
+use place::{Missing, Pool};
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::Dialect;
@@ -15,10 +15,6 @@
 use crate::follow::{Follow, Reach, Update};
 use crate::log::Log;
 
-/// After an outage, upstreams that are missing count as gone only after this time, in milliseconds:
-/// their entries may have expired meanwhile, and they write them again within two seconds.
-const MISSING_MS: u64 = 2_500;
-
 /// The list as one instance tells another.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Told {
@@ -48,6 +44,15 @@
 struct Seen {
     revision: i64,
     entries: BTreeMap<String, Bytes>,
+    missing: Missing,
+}
+
+impl Seen {
+    /// Returns whether an entry that is missing is taken for gone.
+    fn is_gone(&mut self, now: u64, back_at: u64) -> bool {
+        let listed = self.entries.len();
+        self.missing.is_gone(now, back_at, listed)
+    }
 }
 
 impl Listing {
@@ -103,7 +108,7 @@
         if told.revision > self.revision() {
             let entries = told.entries.into_iter();
             let entries = entries.map(|(k, v)| (k, Bytes::from(v.into_bytes())));
-            self.listed(entries.collect(), told.revision, true);
+            self.listed(entries.collect(), told.revision);
         }
         for id in &told.leaving {
             self.leaving(id, "peer");
@@ -131,7 +136,7 @@
                     Update::Listed(items, revision) => {
                         let row = |f: Found| (f.key, Bytes::from(f.value));
                         let items = items.into_iter().map(row).collect();
-                        listing.listed(items, revision, listing.may_delist());
+                        listing.listed(items, revision);
                     }
                     Update::Changed(changes, revision) => listing.changed(changes, revision),
                     Update::Lost => {}
@@ -140,12 +145,7 @@
         });
     }
 
-    fn may_delist(&self) -> bool {
-        let back_at = self.0.reach.back_at();
-        back_at == 0 || self.0.clock.now() > back_at + MISSING_MS
-    }
-
-    fn listed(&self, items: BTreeMap<String, Bytes>, revision: i64, delist: bool) {
+    fn listed(&self, items: BTreeMap<String, Bytes>, revision: i64) {
         let known = {
             let seen = self.0.seen.lock().expect("no panic inside");
             if revision < seen.revision {
@@ -158,17 +158,11 @@
                 self.entry(key, value);
             }
         }
-        let missing = known.keys().filter(|k| !items.contains_key(*k));
-        let mut kept = items.clone();
-        for key in missing {
-            if delist {
-                self.delist(key);
-            } else {
-                kept.insert(key.clone(), known[key].clone());
-            }
+        for key in known.keys().filter(|k| !items.contains_key(*k)) {
+            self.missing(key);
         }
         let mut seen = self.0.seen.lock().expect("no panic inside");
-        seen.entries = kept;
+        seen.entries.extend(items);
         seen.revision = revision;
     }
 
@@ -180,18 +174,29 @@
                     let mut seen = self.0.seen.lock().expect("no panic inside");
                     seen.entries.insert(found.key, Bytes::from(found.value));
                 }
-                None if self.may_delist() => {
-                    self.delist(&change.key);
-                    let mut seen = self.0.seen.lock().expect("no panic inside");
-                    seen.entries.remove(&change.key);
-                }
-                None => {}
+                None => self.missing(&change.key),
             }
         }
         let mut seen = self.0.seen.lock().expect("no panic inside");
         seen.revision = seen.revision.max(revision);
     }
 
+    /// Takes the word that an entry is missing.
+    fn missing(&self, key: &str) {
+        let (now, back_at) = (self.0.clock.now(), self.0.reach.back_at());
+        let gone = {
+            let mut seen = self.0.seen.lock().expect("no panic inside");
+            let gone = seen.entries.contains_key(key) && seen.is_gone(now, back_at);
+            if gone {
+                seen.entries.remove(key);
+            }
+            gone
+        };
+        if gone {
+            self.delist(key);
+        }
+    }
+
     fn entry(&self, key: &str, value: &[u8]) {
         let spec = match self.0.dialect.upstream(key, value) {
             Ok(spec) => spec,
