A stop leaves its tokens to others when the store is out; a start learns from seeds

The store is read first, since tokens in a write that may yet land can't be given away; without an answer each customer's tokens go to another instance; nothing is taken once a stop has begun to leave. An instance that starts while the store is out asks the instances that its settings name.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -280,6 +280,14 @@
         give
     }
 
+    /// Debits all tokens that are not reserved, for another instance: an instance that leaves while the
+    /// store is out of reach would strand them.
+    pub fn give_all(&mut self) -> u64 {
+        let all = self.balance();
+        self.given += all;
+        all
+    }
+
     /// Credits tokens from another instance.
     pub fn receive(&mut self, tokens: u64) {
         self.received += tokens;
--- a/crates/oriolehitch/tests/fleet/budgets.rs
+++ b/crates/oriolehitch/tests/fleet/budgets.rs
@@ -33,7 +33,7 @@
     stage.configure(1, 20_000);
     let mut served = 0;
     for _ in 0..4 {
-        let mut nodes = vec![stage.start().await, stage.start().await];
+        let mut nodes = [stage.start().await, stage.start().await];
         for i in 0..8 {
             let answer = send(stream(nodes[i % 2].front, "read")).await;
             served += u64::from(answer.status == 200);
@@ -127,6 +127,25 @@
     );
 }
 
+/// Symptom: an instance that starts while the store is out serves nothing until it is back. Cause: it
+/// knew of no other instance, since their list lies in the store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_start_during_an_outage_learns_from_the_others() {
+    let mut stage = Stage::open().await;
+    let a = stage.start().await;
+    for _ in 0..30 {
+        assert_eq!(send(stream(a.front, "read")).await.status, 200);
+    }
+    let holds = async || a.dump().await["budgets"]["c"]["balance"].as_u64() > Some(20_000);
+    until("the first one holds tokens", holds).await;
+    let relay = Relay::bind(stage.store.addr()).await.unwrap();
+    relay.cut(true);
+    let b = stage.spawn_knowing(relay.addr(), &[a.peer]);
+    stage.wait_ready(&b).await;
+    let served = async || send(stream(b.front, "read")).await.status == 200;
+    until("served with tokens of the other one", served).await;
+}
+
 /// Symptom: a change is missed for good. Sequence: watches bring nothing while the operator writes, then
 /// the history is dropped. Cause: the watch went on from a revision that it never was told of.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/oriolehitch/tests/fleet/lives.rs
+++ b/crates/oriolehitch/tests/fleet/lives.rs
@@ -33,6 +33,34 @@
     assert!(stage.store.keys("oriolehitch/instances/").is_empty());
 }
 
+/// Symptom: tokens stranded by planned stops. Sequence: an instance is told to stop while the store is
+/// silent. Cause: it could hand its tokens back to the store only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_during_an_outage_leaves_the_tokens_to_others() {
+    let mut stage = Stage::open().await;
+    let mut a = stage.start().await;
+    let b = stage.start().await;
+    for _ in 0..30 {
+        assert_eq!(send(stream(a.front, "read")).await.status, 200);
+    }
+    let knows = async || a.dump().await["instances"].as_array().map_or(0, Vec::len) == 2;
+    until("they know each other", knows).await;
+    let balance = async |node: &crate::stage::Node| {
+        let balance = &node.dump().await["budgets"]["c"]["balance"];
+        balance.as_u64().unwrap_or_default()
+    };
+    until("the first one holds tokens", async || balance(&a).await > 10_000).await;
+    stage.store.fault(platform::stub::Faults {
+        silent: true,
+        ..platform::stub::Faults::default()
+    });
+    let (held, before) = (balance(&a).await, balance(&b).await);
+    a.signal(Signal::TERM);
+    assert_eq!(a.ended().await, Some(0));
+    let after = balance(&b).await;
+    assert!(after >= before + held / 2, "{before} and {held} became {after}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_hangup_ends_nothing() {
     let mut stage = Stage::open().await;
--- a/crates/oriolehitch/tests/fleet/stage.rs
+++ b/crates/oriolehitch/tests/fleet/stage.rs
@@ -12,12 +12,15 @@
 
 /// Longest wait for anything: generous, since the machine may be busy.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Lines of each instance's log that a failed test shows.
+const LOG_LINES: usize = 40;
 /// The host of all routes.
 pub(crate) const HOST: &str = "h.example";
 
 /// One instance.
 pub(crate) struct Node {
     pub(crate) child: Child,
+    pub(crate) peer: SocketAddr,
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) ops: SocketAddr,
@@ -132,12 +135,17 @@
 
     /// Starts an instance that finds the store at an address.
     pub(crate) fn spawn(&mut self, store: SocketAddr) -> Node {
+        self.spawn_knowing(store, &[])
+    }
+
+    /// Starts an instance that is told of others.
+    pub(crate) fn spawn_knowing(&mut self, store: SocketAddr, peers: &[SocketAddr]) -> Node {
         self.started += 1;
         let [front, ready, peer, ops] = [(); 4].map(|()| free_port());
         let settings = json!({
             "name": format!("n{}", self.started), "region": "r", "zone": "z",
             "platform": format!("http://{store}"),
-            "listen": front, "peer_listen": peer, "log": "json", "dialect": "platform",
+            "listen": front, "peer_listen": peer, "peers": peers, "log": "json", "dialect": "platform",
             "fleet": {
                 "ready_listen": ready, "metrics_listen": ops, "stop_secs": 8,
                 "retry_ratio": 0.2, "retry_window_secs": 10, "retry_slack": 58,
@@ -156,6 +164,7 @@
             .expect("the program");
         Node {
             child,
+            peer,
             front,
             ready,
             ops,
@@ -172,8 +181,24 @@
     }
 }
 
+impl Stage {
+    /// Prints the ends of the instances' logs: a test has failed.
+    fn show_logs(&self) {
+        for n in 1..=self.started {
+            let file = self.dir.join(format!("n{n}.log"));
+            let text = std::fs::read_to_string(file).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            let last = lines.len().saturating_sub(LOG_LINES);
+            println!("instance n{n}:\n{}", lines[last..].join("\n"));
+        }
+    }
+}
+
 impl Drop for Stage {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.show_logs();
+        }
         // What is left is temporary.
         let _ = std::fs::remove_dir_all(&self.dir);
     }
--- a/crates/proxy/src/bank.rs
+++ b/crates/proxy/src/bank.rs
@@ -2,6 +2,7 @@
 //! instances. What is held is decided by `escrow`.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use crate::fleet::Fleet;
 use crate::follow::Reach;
 use crate::log::Log;
-use crate::peers::{Peers, Want};
+use crate::peers::{Gift, Peers, Want};
 
 /// Keys of budgets' records.
 const PREFIX: &str = "oriolehitch/budgets/";
@@ -36,6 +37,8 @@
 const STORE_FIRST: Duration = Duration::from_millis(30);
 /// Reading and writing the records takes no longer; what was sent may still take effect.
 const CHANGE_MOST: Duration = Duration::from_millis(800);
+/// A stopping instance tries the store for so long before it gives its tokens to others.
+const LEAVE_STORE: Duration = Duration::from_millis(250);
 /// A transaction takes so many records.
 const RECORDS_MOST: usize = 32;
 /// How often a transaction that lost against others is tried in one look.
@@ -65,6 +68,8 @@
     /// Counts the looks that have ended.
     looks: watch::Sender<u64>,
     means: OnceLock<Means>,
+    /// Nothing is taken any more.
+    leaving: AtomicBool,
 }
 
 #[derive(Default)]
@@ -130,6 +135,7 @@
             wake: Notify::new(),
             looks: watch::channel(0).0,
             means: OnceLock::new(),
+            leaving: AtomicBool::new(false),
         }))
     }
 
@@ -269,6 +275,9 @@
 
     /// Looks through all holdings once.
     async fn look(&self) {
+        if self.0.leaving.load(Ordering::Relaxed) {
+            return;
+        }
         if !self.wants_change() || self.means().reach.is_out() {
             self.ask_for_missing().await;
             return;
@@ -525,18 +534,70 @@
         self.0.log.note(Event::Transfer, detail);
     }
 
-    /// Hands back what is not reserved: the last act of a planned stop.
-    pub(crate) async fn leave(&self) {
+    /// Takes tokens from an instance that leaves; returns whether this one serves their customer.
+    pub(crate) fn accept(&self, gift: &Gift) -> bool {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let Some(account) = accounts.get_mut(&gift.customer) else {
+            return false;
+        };
+        account.holding.receive(gift.tokens);
+        true
+    }
+
+    /// Hands back what is not reserved, to the store or to other instances: the last act of a planned
+    /// stop. Returns whether all of it went.
+    pub(crate) async fn leave(&self) -> bool {
+        self.0.leaving.store(true, Ordering::Relaxed);
+        // A read first: tokens in a write that may yet land can't be given to anybody else.
+        let answers = timeout(LEAVE_STORE, self.read()).await;
+        if answers == Ok(true) {
+            self.give_back().await
+        } else {
+            self.give_away().await
+        }
+    }
+
+    async fn give_back(&self) -> bool {
         for _ in 0..TRIES {
             let txn = self.plan(true);
             if txn.put.is_empty() {
-                return;
+                return true;
             }
             match self.commit(txn).await {
-                Wrote::Done | Wrote::Failed => return,
+                Wrote::Done => return true,
+                Wrote::Failed => return false,
                 Wrote::Lost => {}
             }
         }
+        false
+    }
+
+    /// Gives all tokens to other instances, a customer's to one of them.
+    async fn give_away(&self) -> bool {
+        let means = self.means();
+        let others = means.fleet.others();
+        let gifts = self.gifts();
+        let mut all = true;
+        for (i, gift) in gifts.iter().enumerate() {
+            let Some(peer) = others.get(i % others.len().max(1)) else {
+                return false;
+            };
+            let given = means.peers.give(peer.addr, gift).await;
+            all &= given == Ok(true);
+            let detail = format_args!("to={} gift={gift:?} given={given:?}", peer.id);
+            self.0.log.note(Event::Transfer, detail);
+        }
+        all
+    }
+
+    fn gifts(&self) -> Vec<Gift> {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let gift = |(name, account): (&String, &mut Account)| Gift {
+            customer: name.clone(),
+            tokens: account.holding.give_all(),
+        };
+        let gifts = accounts.iter_mut().map(gift);
+        gifts.filter(|g| g.tokens > 0).collect()
     }
 }
 
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -51,6 +51,7 @@
     me: Member,
     key: String,
     lease_ms: u64,
+    seeds: Vec<Member>,
     store: Arc<dyn Store>,
     reach: Arc<Reach>,
     log: Arc<Log>,
@@ -62,12 +63,21 @@
     pub(crate) fn open(
         name: &str,
         me: Member,
+        seeds: &[SocketAddr],
         lease_least_ms: u64,
         store: Arc<dyn Store>,
         reach: Arc<Reach>,
         log: Arc<Log>,
     ) -> Fleet {
+        let own = me.addr;
+        let seed = |addr: &SocketAddr| Member {
+            id: addr.to_string(),
+            addr: *addr,
+            zone: String::new(),
+        };
+        let seeds = seeds.iter().filter(|a| **a != own).map(seed);
         Fleet(Arc::new(Inner {
+            seeds: seeds.collect(),
             me,
             key: format!("{PREFIX}{name}"),
             lease_ms: LEASE_MS.max(lease_least_ms),
@@ -95,8 +105,17 @@
         }
     }
 
-    /// Returns the other instances, those of the own zone first.
+    /// Returns the other instances, those of the own zone first; those that the settings name while the
+    /// list is not known.
     pub(crate) fn others(&self) -> Vec<Member> {
+        let listed = self.listed();
+        if listed.is_empty() {
+            return self.0.seeds.clone();
+        }
+        listed
+    }
+
+    fn listed(&self) -> Vec<Member> {
         let members = self.0.members.lock().expect("no panic inside");
         let mut others: Vec<Member> = members.values().cloned().collect();
         drop(members);
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -35,7 +35,7 @@
 /// sending after two answers that are not 200.
 const NOTICE: Duration = Duration::from_millis(2_300);
 /// Time at the end of a stop that is left for handing back tokens and the lease.
-const LAST_WORDS: Duration = Duration::from_millis(700);
+const LAST_WORDS: Duration = Duration::from_millis(1_000);
 /// The stop that settings name none for.
 const STOP_DEFAULT: Duration = Duration::from_secs(30);
 /// How often kept connections are looked through.
@@ -107,6 +107,7 @@
         let fleet = Fleet::open(
             &settings.name,
             me,
+            &settings.peers.clone().unwrap_or_default(),
             fleet_settings.lease_least_ms.unwrap_or_default(),
             Arc::clone(&store),
             Arc::clone(&reach),
@@ -223,17 +224,15 @@
         // The listener and idle connections close; the receivers may all be gone already.
         let _ = self.phase.send(Phase::Closing);
         let mut busy = router.busy.subscribe();
-        let until = began + self.stop_by.saturating_sub(LAST_WORDS);
+        let until = began + self.stop_by.saturating_sub(LAST_WORDS * 3 / 2);
         let idle = async {
             // The sender lives in the router, so waiting can't fail.
             let _ = busy.wait_for(|n| *n == 0).await;
         };
         let whole = timeout_at(until, idle).await.is_ok();
-        let last = async {
-            router.bank.leave().await;
-            router.fleet.leave().await;
-        };
-        let said = timeout(LAST_WORDS / 2, last).await.is_ok();
+        let said = timeout(LAST_WORDS, router.bank.leave()).await == Ok(true);
+        // What is not ended by then ends by itself.
+        let _ = timeout(LAST_WORDS / 4, router.fleet.leave()).await;
         let detail = format_args!("cut={} handed_back={said}", self.inflight());
         router.log.note(Event::Stopped, detail);
         self.ready.stop(CLOSE_GRACE);
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -42,6 +42,13 @@
     pub(crate) rate: u64,
 }
 
+/// Tokens of an instance that leaves and can't hand them back to the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Gift {
+    pub(crate) customer: String,
+    pub(crate) tokens: u64,
+}
+
 /// What an instance that asks for news has.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Have {
@@ -98,6 +105,11 @@
         Ok(desk.bank.give(&want))
     });
     take.expect("a new name");
+    let gift = module.register_method("gift", |params, desk, _| -> RpcResult<bool> {
+        let gift: Gift = params.one()?;
+        Ok(desk.bank.accept(&gift))
+    });
+    gift.expect("a new name");
     let news = module.register_method("news", |params, desk, _| -> RpcResult<News> {
         let have: Have = params.one()?;
         Ok(desk.news(&have))
@@ -175,6 +187,15 @@
         self.call(addr, "take", want).await
     }
 
+    /// Gives an instance tokens that were debited here; never repeated, like a call for tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer: the tokens may be lost to the budget then.
+    pub(crate) async fn give(&self, addr: SocketAddr, gift: &Gift) -> Result<bool, String> {
+        self.call(addr, "gift", gift).await
+    }
+
     /// Asks other instances for news whenever the store is out of reach.
     pub(crate) fn spawn_news(&self, fleet: Fleet, desk: Desk, reach: Arc<Reach>, log: Arc<Log>) {
         let peers = self.clone();
