--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -192,6 +192,12 @@
         self.known = Some(known);
     }
 
+    /// Returns the tokens that nobody holds, by the record as last read.
+    pub fn free(&self) -> u64 {
+        let charged = self.known.as_ref().map(|k| k.record.charged());
+        charged.map_or(0, |c| self.prepaid.saturating_sub(c))
+    }
+
     /// Returns the tokens that this instance should hold.
     fn target(&self, now: u64, me: &str, live: &BTreeSet<String>) -> u64 {
         let Some(known) = &self.known else {
--- a/crates/oriolehitch/tests/fleet/lives.rs
+++ b/crates/oriolehitch/tests/fleet/lives.rs
@@ -49,7 +49,10 @@
         let balance = &node.dump().await["budgets"]["c"]["balance"];
         balance.as_u64().unwrap_or_default()
     };
-    until("the first one holds tokens", async || balance(&a).await > 10_000).await;
+    until("the first one holds tokens", async || {
+        balance(&a).await > 10_000
+    })
+    .await;
     stage.store.fault(platform::stub::Faults {
         silent: true,
         ..platform::stub::Faults::default()
@@ -58,7 +61,10 @@
     a.signal(Signal::TERM);
     assert_eq!(a.ended().await, Some(0));
     let after = balance(&b).await;
-    assert!(after >= before + held / 2, "{before} and {held} became {after}");
+    assert!(
+        after >= before + held / 2,
+        "{before} and {held} became {after}"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -201,7 +201,8 @@
 
     /// Takes the word of another instance on what it has there.
     pub fn hear(&mut self, now: u64, from: u64, held: Held) {
-        self.heard.retain(|h| h.from != from && now < h.at + HEARD_MS);
+        self.heard
+            .retain(|h| h.from != from && now < h.at + HEARD_MS);
         let heard = Heard {
             from,
             at: now,
--- a/crates/proxy/src/bank.rs
+++ b/crates/proxy/src/bank.rs
@@ -225,6 +225,14 @@
         account.holding.refusal(tokens)
     }
 
+    /// Returns whether a budget had tokens that nobody holds when its record was read last.
+    pub(crate) fn has_free(&self, customer: &str, tokens: u64) -> bool {
+        let accounts = self.0.accounts.lock().expect("no panic inside");
+        accounts
+            .get(customer)
+            .is_some_and(|a| a.holding.free() >= tokens)
+    }
+
     /// Debits tokens for another instance.
     pub(crate) fn give(&self, want: &Want) -> u64 {
         let now = self.0.clock.now();
@@ -302,9 +310,8 @@
         let (now, me, live) = (self.0.clock.now(), self.me(), self.means().fleet.live());
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let mut holdings = accounts.values_mut().map(|a| &mut a.holding);
-        holdings.any(|h| {
-            h.known().is_none() || h.missing() > 0 || h.plan(now, &me, &live).is_some()
-        })
+        holdings
+            .any(|h| h.known().is_none() || h.missing() > 0 || h.plan(now, &me, &live).is_some())
     }
 
     fn missing(&self) -> Vec<String> {
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -36,11 +36,12 @@
 /// When to come back to an instance that knows no configuration yet, in milliseconds: it is read
 /// within a few calls of the store.
 const RETRY_UNKNOWN_MS: u64 = 500;
-/// When to come back for tokens that are out of reach, in milliseconds: holdings are filled twice a
-/// second while the store answers.
-const RETRY_TOKENS_MS: u64 = 700;
-/// The same while the store is out of reach.
-const RETRY_STORE_OUT_MS: u64 = 2_500;
+/// When to come back for tokens that are out of reach, in milliseconds, while the budget has free ones:
+/// they are taken within a second.
+const RETRY_FREE_MS: u64 = 700;
+/// The same while it has none, or the store is out of reach: outages last several seconds, and so does
+/// what others hand back. Coming back sooner is refused again.
+const RETRY_TOKENS_MS: u64 = 4_000;
 /// Longest wait of a caller that names none, in milliseconds.
 const WAIT_DEFAULT_MS: u64 = 60_000;
 
@@ -370,11 +371,8 @@
         if short == Short::Exhausted {
             return Err(refusal);
         }
-        let back_ms = if self.reach.is_out() {
-            RETRY_STORE_OUT_MS
-        } else {
-            RETRY_TOKENS_MS
-        };
+        let free = !self.reach.is_out() && self.bank.has_free(customer, tokens);
+        let back_ms = if free { RETRY_FREE_MS } else { RETRY_TOKENS_MS };
         Err(refusal.back_in(back_ms, job.left_ms()))
     }
 }
