A stopping instance serves, or answers, until its end; gifts go to instances that answer

New requests are served until the stop could cut them off, then answered 503 with a time to come back; the listener stays to the end. Instances are asked whether they answer before they are given tokens.

--- a/crates/proxy/src/bank.rs
+++ b/crates/proxy/src/bank.rs
@@ -283,7 +283,7 @@
 
     /// Looks through all holdings once.
     async fn look(&self) {
-        if self.0.leaving.load(Ordering::Relaxed) {
+        if self.is_leaving() {
             return;
         }
         if !self.wants_change() || self.means().reach.is_out() {
@@ -541,6 +541,11 @@
         self.0.log.note(Event::Transfer, detail);
     }
 
+    /// Returns whether a stop has begun to hand back tokens.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.0.leaving.load(Ordering::Relaxed)
+    }
+
     /// Takes tokens from an instance that leaves; returns whether this one serves their customer.
     pub(crate) fn accept(&self, gift: &Gift) -> bool {
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
@@ -582,7 +587,13 @@
     /// Gives all tokens to other instances, a customer's to one of them.
     async fn give_away(&self) -> bool {
         let means = self.means();
-        let others = means.fleet.others();
+        let mut others = Vec::new();
+        for peer in means.fleet.others() {
+            // Tokens sent to an instance that is gone are lost.
+            if means.peers.ping(peer.addr).await {
+                others.push(peer);
+            }
+        }
         let gifts = self.gifts();
         let mut all = true;
         for (i, gift) in gifts.iter().enumerate() {
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -34,6 +34,8 @@
 /// A stopping instance goes on taking connections for so long: balancers ask once a second, and stop
 /// sending after two answers that are not 200.
 const NOTICE: Duration = Duration::from_millis(2_300);
+/// A stopping instance takes no new request this long before its end: most requests end within it.
+const REQUEST_TIME: Duration = Duration::from_millis(3_500);
 /// Time at the end of a stop that is left for handing back tokens and the lease.
 const LAST_WORDS: Duration = Duration::from_millis(1_000);
 /// The stop that settings name none for.
@@ -129,6 +131,7 @@
             reach: Arc::clone(&reach),
             zone: settings.zone.clone(),
             stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             busy: watch::channel(0).0,
         });
 
@@ -209,6 +212,12 @@
         *self.router.busy.borrow()
     }
 
+    async fn idle(&self) {
+        let mut busy = self.router.busy.subscribe();
+        // The sender lives in the router, so waiting can't fail.
+        let _ = busy.wait_for(|n| *n == 0).await;
+    }
+
     /// Stops as planned: says that it is not ready, ends what runs, hands back its tokens, leaves.
     ///
     /// Returns whether nothing was cut off.
@@ -223,13 +232,15 @@
         sleep(NOTICE.min(self.stop_by / 2)).await;
         // The listener and idle connections close; the receivers may all be gone already.
         let _ = self.phase.send(Phase::Closing);
-        let mut busy = router.busy.subscribe();
+        // Where too few instances are ready, balancers go on sending to this one: new requests are
+        // served until it has nothing to do, or as long as one still has the time to end.
         let until = began + self.stop_by.saturating_sub(LAST_WORDS * 3 / 2);
-        let idle = async {
-            // The sender lives in the router, so waiting can't fail.
-            let _ = busy.wait_for(|n| *n == 0).await;
-        };
-        let whole = timeout_at(until, idle).await.is_ok();
+        let last_new = until.checked_sub(REQUEST_TIME).unwrap_or(began);
+        let mut whole = timeout_at(last_new, self.idle()).await.is_ok();
+        router.refusing.store(true, Ordering::Relaxed);
+        if !whole {
+            whole = timeout_at(until, self.idle()).await.is_ok();
+        }
         let said = timeout(LAST_WORDS, router.bank.leave()).await == Ok(true);
         // What is not ended by then ends by itself.
         let _ = timeout(LAST_WORDS / 4, router.fleet.leave()).await;
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -22,7 +22,7 @@
 pub(crate) enum Phase {
     /// Everything is taken.
     Serving,
-    /// Idle connections are closed, and no new ones are taken.
+    /// Idle connections are closed; new ones are taken for one request each.
     Closing,
 }
 
@@ -37,17 +37,11 @@
     Ok((listener, addr))
 }
 
-/// Serves connections until the phase says to close.
+/// Serves connections until the end of the process: one that is refused looks like a crash.
 pub(crate) fn serve(listener: TcpListener, router: Arc<Router>, phase: watch::Receiver<Phase>) {
     tokio::spawn(async move {
-        let mut closing = phase.clone();
         loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                // An error means that the instance is gone.
-                _ = closing.wait_for(|p| *p == Phase::Closing) => return,
-            };
-            match accepted {
+            match listener.accept().await {
                 Ok((stream, _)) => {
                     tokio::spawn(connection(stream, Arc::clone(&router), phase.clone()));
                 }
@@ -72,10 +66,15 @@
         .max_header_size(limits.header_bytes)
         .serve_connection(TokioIo::new(stream), answer);
     tokio::pin!(conn);
+    if *phase.borrow() != Phase::Serving {
+        // Its first answer closes it. Closed at once, it would look like a refused connection.
+        let _ = conn.await;
+        return;
+    }
     tokio::select! {
         // An error is the caller's: it left, or sent what is no request.
         _ = conn.as_mut() => return,
-        _ = phase.wait_for(|p| *p == Phase::Closing) => {}
+        _ = phase.wait_for(|p| *p != Phase::Serving) => {}
     }
     conn.as_mut().graceful_shutdown();
     let _ = conn.await;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -110,6 +110,10 @@
         Ok(desk.bank.accept(&gift))
     });
     gift.expect("a new name");
+    let ping = module.register_method("ping", |_, desk, _| -> RpcResult<bool> {
+        Ok(!desk.bank.is_leaving())
+    });
+    ping.expect("a new name");
     let news = module.register_method("news", |params, desk, _| -> RpcResult<News> {
         let have: Have = params.one()?;
         Ok(desk.news(&have))
@@ -187,6 +191,12 @@
         self.call(addr, "take", want).await
     }
 
+    /// Returns whether an instance answers, and stays.
+    pub(crate) async fn ping(&self, addr: SocketAddr) -> bool {
+        // No answer says enough.
+        self.call(addr, "ping", &()).await.unwrap_or(false)
+    }
+
     /// Gives an instance tokens that were debited here; never repeated, like a call for tokens.
     ///
     /// # Errors
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -36,6 +36,8 @@
 /// When to come back to an instance that knows no configuration yet, in milliseconds: it is read
 /// within a few calls of the store.
 const RETRY_UNKNOWN_MS: u64 = 500;
+/// When to come back to an instance that stops, in milliseconds: another one answers.
+const RETRY_STOPPING_MS: u64 = 50;
 /// When to come back for tokens that are out of reach, in milliseconds, while the budget has free ones:
 /// they are taken within a second.
 const RETRY_FREE_MS: u64 = 700;
@@ -61,6 +63,8 @@
     pub(crate) reach: Arc<Reach>,
     pub(crate) zone: String,
     pub(crate) stopping: AtomicBool,
+    /// A planned stop is so near that a new request could not end before it.
+    pub(crate) refusing: AtomicBool,
     /// Requests under way.
     pub(crate) busy: watch::Sender<u64>,
 }
@@ -232,6 +236,10 @@
         let ask = self.dialect.ask(&head)?;
         *known = Some(ask.clone());
         let wait_ms = ask.wait_ms.unwrap_or(WAIT_DEFAULT_MS);
+        if self.refusing.load(Ordering::Relaxed) {
+            let refusal = Refusal::new(Kind::Draining, "this instance is about to end");
+            return Err(refusal.back_in(RETRY_STOPPING_MS, wait_ms));
+        }
         let Some(active) = self.config.get() else {
             let refusal = Refusal::new(Kind::NotConfigured, "no configuration yet");
             return Err(refusal.back_in(RETRY_UNKNOWN_MS, wait_ms));
