--- a/crates/proxy/src/ask.rs
+++ b/crates/proxy/src/ask.rs
@@ -42,6 +42,4 @@
     pub left_ms: u64,
     /// The last event that the caller has.
     pub after_event: Option<u64>,
-    /// Rank among the upstream's requests; 0 goes first.
-    pub priority: u8,
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -311,7 +311,6 @@
         customer: job.customer.as_deref(),
         left_ms: job.left_ms().max(1),
         after_event,
-        priority: job.priority,
     };
     let mut req = Request::new(Full::new(job.body.clone()));
     *req.method_mut() = job.head.method.clone();
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use clock::Clock;
-use conf::{Account, Repeat, Route, Service};
+use conf::{Repeat, Route, Service};
 use dial::Dialer;
 use err::Kind;
 use escrow::Short;
@@ -102,8 +102,6 @@
     pub(crate) service: String,
     pub(crate) traits: Service,
     pub(crate) customer: Option<String>,
-    /// The customer's rank, or the route's; 0 goes first.
-    pub(crate) priority: u8,
     /// When it came, in milliseconds.
     pub(crate) arrived: u64,
     /// When its answer is no longer wanted, in milliseconds.
@@ -247,10 +245,7 @@
             return Err(refusal.back_in(RETRY_UNKNOWN_MS, wait_ms));
         };
         let route = self.route(&active, &ask, &head)?.clone();
-        let account = self.customer(&active, &ask, &route)?;
-        let rank = account.and_then(|a| a.priority);
-        let customer = account.map(|a| a.name.clone());
-        let priority = route.priority;
+        let customer = self.customer(&active, &ask, &route)?;
         let deadline = arrived + wait_ms.min(route.timeout_ms);
         let body = self.body(&active, &head, body, deadline).await?;
         let service = route.service(rand::random());
@@ -271,7 +266,6 @@
             route,
             service,
             traits: traits.unwrap_or_default(),
-            priority: rank.unwrap_or(priority),
             customer,
             arrived,
             deadline,
@@ -305,18 +299,18 @@
     }
 
     /// Returns the customer that holds the request's key; none where no key is wanted.
-    fn customer<'a>(
+    fn customer(
         &self,
-        active: &'a Active,
+        active: &Active,
         ask: &Ask,
         route: &Route,
-    ) -> Result<Option<&'a Account>, Refusal> {
+    ) -> Result<Option<String>, Refusal> {
         if route.public || active.routing.accounts.is_empty() {
             return Ok(None);
         }
         let key = ask.key.as_deref().unwrap_or_default();
         match active.routing.account(key) {
-            Some(account) => Ok(Some(account)),
+            Some(account) => Ok(Some(account.name.clone())),
             None => {
                 let version = active.routing.version;
                 let message = format!("the key belongs to no customer in version {version}");
