A stop waits for its requests to its last second, and serves new ones for 2.8 s

Most tokens now go back while the last requests end, what is left in the last 0.6 s; new requests are refused 2.8 s after the sign, so that they can still end. Instances are asked at the same time whether they answer, not one after the other. Test: lives::a_stop_waits_for_its_requests_to_its_last_second.

--- a/crates/oriolehitch/tests/fleet/call.rs
+++ b/crates/oriolehitch/tests/fleet/call.rs
@@ -27,6 +27,11 @@
 
 /// Returns a request on a route, with a new id.
 pub(crate) fn request(at: SocketAddr, route: &str) -> reqwest::RequestBuilder {
+    request_for(at, route, 4_000)
+}
+
+/// Returns a request whose caller waits for some milliseconds.
+fn request_for(at: SocketAddr, route: &str, wait_ms: u64) -> reqwest::RequestBuilder {
     let client = reqwest::Client::builder()
         .no_proxy()
         .build()
@@ -36,7 +41,7 @@
         .post(format!("http://{at}/{route}/x?y=1"))
         .header("host", HOST)
         .header("oriolehitch-request-id", id)
-        .header("oriolehitch-deadline-ms", "4000")
+        .header("oriolehitch-deadline-ms", wait_ms)
         .header("authorization", "Bearer key")
         .timeout(Duration::from_secs(15))
         .body("hello")
@@ -44,7 +49,12 @@
 
 /// Returns a request of a stream that costs up to 1,000 tokens.
 pub(crate) fn stream(at: SocketAddr, route: &str) -> reqwest::RequestBuilder {
-    request(at, route)
+    stream_for(at, route, 4_000)
+}
+
+/// Returns such a request whose caller waits for some milliseconds.
+pub(crate) fn stream_for(at: SocketAddr, route: &str, wait_ms: u64) -> reqwest::RequestBuilder {
+    request_for(at, route, wait_ms)
         .header("oriolehitch-model", "m")
         .header("oriolehitch-token-usage", "900,100")
         .header("oriolehitch-prefix-hash", "a1:500,b2:400")
--- a/crates/oriolehitch/tests/fleet/lives.rs
+++ b/crates/oriolehitch/tests/fleet/lives.rs
@@ -6,7 +6,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
-use crate::call::{request, send, stream};
+use crate::call::{request, send, stream, stream_for};
 use crate::stage::{until, Stage};
 
 /// Symptom: a planned stop cuts answers off, or never ends. Sequence: a stream is under way, and
@@ -96,6 +96,25 @@
     assert_eq!(node.ended().await, Some(0));
 }
 
+/// Symptom: an answer is cut off a second and a half before the time of a planned stop is over. Sequence: a
+/// stream that began before the stop ends in its last second. Cause: that time was set aside for
+/// handing tokens back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_waits_for_its_requests_to_its_last_second() {
+    let mut stage = Stage::open().await;
+    let mut node = stage.start().await;
+    stage.mode_of(2, Mode::Slow(6_900));
+    stage.mode_of(3, Mode::Slow(6_900));
+    let long = tokio::spawn(send(stream_for(node.front, "long", 10_000)));
+    until("it runs", async || stage.workers.iter().any(|w| !w.runs().is_empty())).await;
+    node.signal(Signal::TERM);
+    let long = long.await.unwrap();
+    assert_eq!((long.status, long.whole), (200, true));
+    assert_eq!(node.ended().await, Some(0));
+    let (charged, spent) = stage.budget("c");
+    assert_eq!(charged, spent, "nothing is stranded");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_hangup_ends_nothing() {
     let mut stage = Stage::open().await;
--- a/crates/oriolehitch/tests/fleet/stage.rs
+++ b/crates/oriolehitch/tests/fleet/stage.rs
@@ -228,6 +228,8 @@
             "MaxAttempts": attempts, "Public": false, "Resumable": resumable,
         })
     };
+    let mut long = route("long", "streaming", "pool", 1, false);
+    long["TimeoutMs"] = 10_000.into();
     json!({
         "Version": version,
         "Routes": [
@@ -235,6 +237,7 @@
             route("once", "non_idempotent", "desk", 1, false),
             route("talk", "streaming", "pool", 1, false),
             route("read", "streaming", "pool", 2, true),
+            long,
         ],
         "Services": [
             {"Name": "desk", "HealthPath": "/health", "MaxConnections": 100},
--- a/crates/proxy/src/bank.rs
+++ b/crates/proxy/src/bank.rs
@@ -12,10 +12,11 @@
 use kv::{Commit, Expect, Found, Put, Store, Txn};
 use rand::Rng;
 use tokio::sync::{watch, Notify};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::event::Event;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Member};
 use crate::follow::Reach;
 use crate::log::Log;
 use crate::peers::{Gift, Peers, Want};
@@ -587,13 +588,7 @@
     /// Gives all tokens to other instances, a customer's to one of them.
     async fn give_away(&self) -> bool {
         let means = self.means();
-        let mut others = Vec::new();
-        for peer in means.fleet.others() {
-            // Tokens sent to an instance that is gone are lost.
-            if means.peers.ping(peer.addr).await {
-                others.push(peer);
-            }
-        }
+        let others = self.staying().await;
         let gifts = self.gifts();
         let mut all = true;
         for (i, gift) in gifts.iter().enumerate() {
@@ -608,6 +603,18 @@
         all
     }
 
+    /// Returns the instances that answer and stay: tokens sent to one that is gone are lost.
+    async fn staying(&self) -> Vec<Member> {
+        let means = self.means();
+        let mut pings = JoinSet::new();
+        for peer in means.fleet.others() {
+            let peers = means.peers.clone();
+            pings.spawn(async move { peers.ping(peer.addr).await.then_some(peer) });
+        }
+        let answered = pings.join_all().await;
+        answered.into_iter().flatten().collect()
+    }
+
     fn gifts(&self) -> Vec<Gift> {
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let gift = |(name, account): (&String, &mut Account)| Gift {
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -34,10 +34,11 @@
 /// A stopping instance goes on taking connections for so long: balancers ask once a second, and stop
 /// sending after two answers that are not 200.
 const NOTICE: Duration = Duration::from_millis(2_300);
-/// A stopping instance takes no new request this long before its end: most requests end within it.
-const REQUEST_TIME: Duration = Duration::from_millis(3_500);
+/// A stopping instance goes on serving new requests for so long, or for a third of its time if that is
+/// less: those that came later could be cut off by its end.
+const SERVES_ON: Duration = Duration::from_millis(2_800);
 /// Time at the end of a stop that is left for handing back tokens and the lease.
-const LAST_WORDS: Duration = Duration::from_millis(1_000);
+const LAST_WORDS: Duration = Duration::from_millis(600);
 /// The stop that settings name none for.
 const STOP_DEFAULT: Duration = Duration::from_secs(30);
 /// How often kept connections are looked through.
@@ -234,14 +235,16 @@
         let _ = self.phase.send(Phase::Closing);
         // Where too few instances are ready, balancers go on sending to this one: new requests are
         // served until it has nothing to do, or as long as one still has the time to end.
-        let until = began + self.stop_by.saturating_sub(LAST_WORDS * 3 / 2);
-        let last_new = until.checked_sub(REQUEST_TIME).unwrap_or(began);
+        let last_new = began + SERVES_ON.min(self.stop_by / 3);
+        let until = began + self.stop_by.saturating_sub(LAST_WORDS);
         let mut whole = timeout_at(last_new, self.idle()).await.is_ok();
         router.refusing.store(true, Ordering::Relaxed);
+        // Most tokens go while the last requests end: at the end there is little time.
+        router.bank.leave().await;
         if !whole {
             whole = timeout_at(until, self.idle()).await.is_ok();
         }
-        let said = timeout(LAST_WORDS, router.bank.leave()).await == Ok(true);
+        let said = timeout(LAST_WORDS / 2, router.bank.leave()).await == Ok(true);
         // What is not ended by then ends by itself.
         let _ = timeout(LAST_WORDS / 4, router.fleet.leave()).await;
         let detail = format_args!("cut={} handed_back={said}", self.inflight());
