--- a/crates/proxy/src/loads.rs
+++ b/crates/proxy/src/loads.rs
@@ -78,7 +78,7 @@
 async fn listen(socket: Arc<UdpSocket>, pool: Arc<Mutex<Pool>>, clock: Clock) {
     let mut buf = vec![0; DATAGRAM_MOST];
     loop {
-        // An error here is another instance's closed port, told by its machine.
+        // An error here is another instance's closed port, told by its host.
         let Ok((n, _)) = socket.recv_from(&mut buf).await else {
             sleep(ROUND).await;
             continue;
