--- a/crates/conf/src/routing.rs
+++ b/crates/conf/src/routing.rs
@@ -70,10 +70,6 @@
 pub struct Service {
     /// Connections that one of its upstreams takes from all instances together.
     pub connections: u32,
-    /// Requests that one of its upstreams runs at once; 0 when unknown.
-    pub slots: u32,
-    /// Tokens that one of its engines can keep; 0 for a plain service.
-    pub cache_tokens: u64,
     /// Tokens in one event of a stream; 0 when unknown.
     pub tokens_per_event: u64,
 }
--- a/crates/dial/src/conn.rs
+++ b/crates/dial/src/conn.rs
@@ -26,8 +26,6 @@
     pub(crate) send: SendRequest<Full<Bytes>>,
     pub(crate) task: AbortHandle,
     pub(crate) pools: Arc<Mutex<Pools>>,
-    /// Whether nothing was sent on it before.
-    pub fresh: bool,
 }
 
 impl Conn {
--- a/crates/dial/src/pool.rs
+++ b/crates/dial/src/pool.rs
@@ -132,7 +132,6 @@
             send,
             task: task.abort_handle(),
             pools: Arc::clone(&self.0),
-            fresh: true,
         })
     }
 
@@ -148,12 +147,11 @@
 
     /// Keeps a connection whose answer was read to its end; `keep_alive` is the upstream's word on
     /// how long it keeps idle ones.
-    pub fn keep(&self, mut conn: Conn, keep_alive: Option<Duration>) {
+    pub fn keep(&self, conn: Conn, keep_alive: Option<Duration>) {
         let keep = match keep_alive {
             Some(named) => named.saturating_sub(IDLE_MARGIN).min(IDLE_MOST),
             None => IDLE_DEFAULT,
         };
-        conn.fresh = false;
         let upstream = conn.upstream.clone();
         let idle = Idle {
             conn,
--- a/crates/proxy/src/bank/charge.rs
+++ b/crates/proxy/src/bank/charge.rs
@@ -14,6 +14,11 @@
 }
 
 impl Charge {
+    pub(super) fn of(mut self, tokens: u64) -> Charge {
+        self.reserved = tokens;
+        self
+    }
+
     /// Counts the prompt, which an upstream is about to get.
     pub(crate) fn sent(&mut self, prompt: u64) {
         self.prompt = prompt;
@@ -51,13 +56,6 @@
     }
 }
 
-impl Charge {
-    pub(super) fn of(mut self, tokens: u64) -> Charge {
-        self.reserved = tokens;
-        self
-    }
-}
-
 /// Counts what a waiting request lacks, until it is dropped.
 pub(super) struct Lack<'a> {
     bank: &'a Bank,
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -31,7 +31,7 @@
 
 /// Largest body that the readiness and operators' listeners take, in bytes.
 const OPS_BODY_LIMIT: usize = 1 << 16;
-/// A stopping instance goes on taking connections for so long: balancers ask once a second, and stop
+/// A stopping instance keeps idle connections open for so long: balancers ask once a second, and stop
 /// sending after two answers that are not 200.
 const NOTICE: Duration = Duration::from_millis(2_300);
 /// A stopping instance goes on serving new requests for so long, or for a third of its time if that is
@@ -61,7 +61,6 @@
     router: Arc<Router>,
     phase: watch::Sender<Phase>,
     stop_by: Duration,
-    addr: SocketAddr,
     ready: web::Handle,
     ops: Option<web::Handle>,
     peer: jsonrpsee_server::ServerHandle,
@@ -178,28 +177,12 @@
             router,
             phase,
             stop_by: stop_by.unwrap_or(STOP_DEFAULT),
-            addr,
             ready,
             ops,
             peer,
         })
     }
 
-    /// Returns the address for callers.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
-    /// Returns the address that says whether connections are wanted.
-    pub fn ready_addr(&self) -> SocketAddr {
-        self.ready.addr()
-    }
-
-    /// Returns whether new connections are wanted.
-    pub fn is_ready(&self) -> bool {
-        self.router.is_ready()
-    }
-
     /// Logs that the settings were read again.
     pub fn reloaded(&self, what: &str) {
         self.router.log.note(Event::Reloaded, what);
@@ -231,7 +214,7 @@
             .log
             .note(Event::Stopping, format_args!("inflight={inflight}"));
         sleep(NOTICE.min(self.stop_by / 2)).await;
-        // The listener and idle connections close; the receivers may all be gone already.
+        // Idle connections close; there may be none.
         let _ = self.phase.send(Phase::Closing);
         // Where too few instances are ready, balancers go on sending to this one: new requests are
         // served until it has nothing to do, or as long as one still has the time to end.
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -90,14 +90,19 @@
         } else {
             BTreeMap::new()
         };
-        let leaving = self.0.pool.lock().expect("no panic inside").all_leaving();
         Told {
             revision: if newer { seen.revision } else { 0 },
             entries,
-            leaving: leaving.into_iter().collect(),
+            leaving: self.all_leaving(),
         }
     }
 
+    /// Returns the upstreams that some source said are leaving.
+    pub(crate) fn all_leaving(&self) -> Vec<String> {
+        let leaving = self.0.pool.lock().expect("no panic inside").all_leaving();
+        leaving.into_iter().collect()
+    }
+
     /// Returns the revision up to which the list is known.
     pub(crate) fn revision(&self) -> i64 {
         self.0.seen.lock().expect("no panic inside").revision
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -228,7 +228,7 @@
         let have = Have {
             version: desk.config.version(),
             revision: desk.listing.revision(),
-            leaving: desk.listing.tell(i64::MAX).leaving,
+            leaving: desk.listing.all_leaving(),
         };
         let news: News = match self.call(addr, "news", &have).await {
             Ok(news) => news,
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -41,6 +41,18 @@
 }
 
 impl Link {
+    /// Takes over an answer whose head was read; returns the head besides.
+    fn over(open: Open) -> (Link, response::Parts) {
+        let link = Link {
+            slot: open.slot,
+            conn: open.conn,
+            body: open.body,
+            reading: open.reading,
+            events: Events::default(),
+        };
+        (link, open.head)
+    }
+
     fn upstream(&self) -> &str {
         &self.slot.choice.spec.id
     }
@@ -123,20 +135,7 @@
         let whole = plain::finish_any(job, open).await;
         return whole.map(Begun::Whole).map_err(Failed::Unknown);
     }
-    let Open {
-        slot,
-        conn,
-        head,
-        body,
-        reading,
-    } = open;
-    let mut link = Link {
-        slot,
-        conn,
-        body,
-        reading,
-        events: Events::default(),
-    };
+    let (mut link, head) = Link::over(open);
     let until = job.router.clock.at(job.deadline);
     let next = timeout_at(until, link.next()).await;
     let upstream = link.upstream().to_string();
@@ -276,13 +275,8 @@
         );
         let log = &self.job.router.log;
         log.request(Event::Resumed, &self.job.ask.id, detail);
-        Ok(Link {
-            slot: open.slot,
-            conn: open.conn,
-            body: open.body,
-            reading: open.reading,
-            events: Events::default(),
-        })
+        let (link, _) = Link::over(open);
+        Ok(link)
     }
 
     /// Breaks the answer off, so that it can't look whole.
