A stop hands back the tokens of all customers, and says nothing twice

Cause, found while reading the change: a stop wrote one transaction, which takes 32 records, so that tokens of further customers stayed charged; and its second hand-back wrote the same lines again. The last word of a holding is now empty when the store has it, and the stop goes on until nothing is left to say.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -250,17 +250,20 @@
         Some(line)
     }
 
-    /// Returns the own line with everything handed back that can be: the last word before a stop.
-    pub fn leave(&mut self) -> Line {
+    /// Returns the own line with everything handed back that can be, unless the store has it so: the last
+    /// word before a stop.
+    pub fn leave(&mut self) -> Option<Line> {
+        self.known.as_ref()?;
         let back = self.balance();
         let back = back.min(self.line.granted.saturating_sub(self.returned));
         self.returned += back;
-        Line {
+        let line = Line {
             granted: self.line.granted,
             returned: self.returned,
             spent: self.spent,
             rate: 0,
-        }
+        };
+        (line != self.line).then_some(line)
     }
 
     /// Returns the record as last read.
--- a/crates/escrow/tests/fleet.rs
+++ b/crates/escrow/tests/fleet.rs
@@ -334,3 +334,24 @@
     holding.learn(ME, known);
     assert_eq!(holding.refusal(20_000), escrow::Short::Exhausted);
 }
+
+/// Symptom: a stop writes the same lines twice. Cause: the last word did not look at what the store had.
+#[test]
+fn a_last_word_that_the_store_has_is_not_said_again() {
+    let live = live(&[ME]);
+    let mut store = Store::default();
+    let mut holding = Holding::default();
+    assert_eq!(holding.leave(), None, "nothing is known");
+    holding.set_prepaid(1_000_000);
+    holding.learn(ME, store.known(0));
+    holding.lack(50_000);
+    let line = holding.plan(0, ME, &live).expect("wants tokens");
+    assert!(store.commit(0, store.record.with(ME, line, &live)));
+    holding.learn(ME, store.known(1));
+    let last = holding.leave().expect("tokens to hand back");
+    assert_eq!(last.returned, last.granted);
+    assert!(store.commit(1, store.record.with(ME, last, &live)));
+    holding.learn(ME, store.known(2));
+    assert_eq!(holding.leave(), None);
+    assert_eq!(store.record.charged(), 0);
+}
--- a/crates/proxy/src/bank/handover.rs
+++ b/crates/proxy/src/bank/handover.rs
@@ -88,15 +88,17 @@
     }
 
     async fn give_back(&self) -> bool {
-        for _ in 0..TRIES {
+        let mut lost = 0;
+        while lost < TRIES {
             let txn = self.plan(true);
             if txn.put.is_empty() {
                 return true;
             }
             match self.commit(txn).await {
-                Wrote::Done => return true,
+                // A transaction takes a part of many customers only.
+                Wrote::Done => {}
                 Wrote::Failed => return false,
-                Wrote::Lost => {}
+                Wrote::Lost => lost += 1,
             }
         }
         false
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -25,7 +25,7 @@
 const CHANGE_MOST: Duration = Duration::from_millis(800);
 /// A transaction takes so many records.
 const RECORDS_MOST: usize = 32;
-/// Longest pause before such a try, in milliseconds.
+/// Longest pause before a transaction that lost against others is tried again, in milliseconds.
 const TRY_PAUSE_MS: u64 = 12;
 
 /// How a transaction ended.
@@ -189,7 +189,7 @@
             }
             let holding = &mut account.holding;
             let line = if leaving {
-                holding.known().is_some().then(|| holding.leave())
+                holding.leave()
             } else {
                 holding.plan(now, &me, &live)
             };
