Scenarios of the fleet take their ports from the system

The stage looked for free ports and gave them to the program, and another process took one in between. The program binds port 0 now and says what it got in event 2001, from which the stage reads it. Ruled out: the load, since the process never listened. No expectation of a test changed.

--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -167,9 +167,12 @@
             None => None,
         };
         let detail = format_args!(
-            "id={} zone={} callers={addr} peers={peer_addr}",
+            "id={} zone={} callers={addr} peers={peer_addr} ready={} metrics={}",
             router.fleet.me(),
-            settings.zone
+            settings.zone,
+            ready.addr(),
+            ops.as_ref()
+                .map_or("-".to_string(), |o| o.addr().to_string()),
         );
         log.note(Event::Started, detail);
         let stop_by = fleet_settings.stop_secs.map(Duration::from_secs_f64);
