A transaction of budgets fits the store's limit

Cause: the store takes 32 entries in one transaction, conditions and writes together; 24 records make 48. The two sites of nine instances have 10 customers each, and the stand-in had no limit.

Ruled out: contention of 77 instances on the records (the log shows 400, not a lost condition), the list of 140 upstreams (all listed after 4 s).

--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod wire;
 
 pub use client::{Client, Counts, Failure, Found, Swap};
-pub use store::{Answer, Change, Commit, Expect, Listing, News, Put, Store, Txn};
+pub use store::{Answer, Change, Commit, Expect, Listing, News, Put, Store, Txn, TXN_MOST};
--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -5,6 +5,10 @@
 
 use crate::client::{Counts, Failure, Found};
 
+/// Conditions, writes and deletions that one transaction holds together at most: the platform's store
+/// refuses a larger one whole.
+pub const TXN_MOST: usize = 32;
+
 /// The future answer of a call.
 pub type Answer<'a, T> = Pin<Box<dyn Future<Output = Result<T, Failure>> + Send + 'a>>;
 
@@ -71,6 +75,13 @@
     pub delete: Vec<String>,
 }
 
+impl Txn {
+    /// Returns how many conditions, writes and deletions it holds.
+    pub fn size(&self) -> usize {
+        self.expect.len() + self.put.len() + self.delete.len()
+    }
+}
+
 /// The end of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Commit {
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use escrow::{Holding, Known, Line, Record};
-use kv::{Commit, Expect, Found, Put, Txn};
+use kv::{Commit, Expect, Found, Put, Txn, TXN_MOST};
 use rand::Rng;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
@@ -23,8 +23,8 @@
 const STORE_FIRST: Duration = Duration::from_millis(30);
 /// Reading and writing the records takes no longer; what was sent may still take effect.
 const CHANGE_MOST: Duration = Duration::from_millis(800);
-/// A transaction takes so many records.
-const RECORDS_MOST: usize = 32;
+/// A transaction takes so many records: each needs a condition and a write.
+const RECORDS_MOST: usize = TXN_MOST / 2;
 /// Longest pause before a transaction that lost against others is tried again, in milliseconds.
 const TRY_PAUSE_MS: u64 = 12;
 
