Large zones hold a customer's tokens at one instance, from which the others draw

Load: 550 prompts a second of 12 k tokens on average at 77 instances and 24 customers; each instance's own part of a customer's grant is one or two prompts, so that each second one waits for the store, and its write meets the others' at the customer's record (5.4 writes a second and instance, most of them in vain).

Change: in zones of more than six instances a customer has one home (rendezvous, by names that outlive restarts; the next one takes over when it does not answer). A request draws exactly what it lacks from there, in one call; the home reserves as for a request of its own, waits for the store for all of them at once, and says which refusal it is. What is spent is told with the next draw, so that only homes write. Smaller zones stay as they are.

Ruled out: holding more per instance (strands more, and the pool binds); two homes a zone (twice the writes, no use yet); drawing more than a request lacks (77 x 24 rests strand more than the pool).

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -45,7 +45,10 @@
     /// What is spent on record and the request together pass what is prepaid.
     Exhausted,
     /// Tokens may remain elsewhere.
-    OutOfReach,
+    OutOfReach {
+        /// Nobody held them when the record was read last.
+        free: bool,
+    },
 }
 
 /// One customer's tokens at one instance.
@@ -67,6 +70,10 @@
     /// Went to other instances.
     given: u64,
     spent: u64,
+    /// Of what is spent here, another instance was told, which has it in its line.
+    passed: u64,
+    /// Spent at other instances by their word, for the own line.
+    heard: u64,
     reserved: u64,
     demand: Rate,
     /// Tokens that waiting requests lack.
@@ -130,6 +137,13 @@
         fits
     }
 
+    /// Reserves as many of some tokens as there are, and returns how many.
+    pub fn reserve_part(&mut self, tokens: u64) -> u64 {
+        let part = tokens.min(self.usable());
+        self.reserved += part;
+        part
+    }
+
     /// Ends a reservation; what was not spent is free again.
     ///
     /// # Panics
@@ -143,6 +157,34 @@
         self.spent += spent;
     }
 
+    /// Returns what is spent by the own line's word, were it written now.
+    fn tellable(&self) -> u64 {
+        self.spent + self.heard - self.passed - self.told
+    }
+
+    /// Returns the tokens spent that no line tells of yet: the instance that this one draws from takes
+    /// them into its own. Told once: were the word lost, less would be on record than is spent.
+    pub fn pass_on(&mut self) -> u64 {
+        let news = self.tellable().saturating_sub(self.planned);
+        self.passed += news;
+        news
+    }
+
+    /// Takes the word of an instance that draws from this one on what it has spent.
+    pub fn hear(&mut self, spent: u64) {
+        self.heard += spent;
+    }
+
+    /// Passes a reservation on to an instance that draws from this one.
+    ///
+    /// # Panics
+    ///
+    /// Panics when more was reserved than ever was.
+    pub fn hand_over(&mut self, reserved: u64) {
+        self.settle(reserved, 0);
+        self.given += reserved;
+    }
+
     /// Counts tokens that a waiting request lacks.
     pub fn lack(&mut self, tokens: u64) {
         self.lacking += tokens;
@@ -161,11 +203,12 @@
     /// Returns why a request of some tokens is refused.
     pub fn refusal(&self, tokens: u64) -> Short {
         let spent = self.known.as_ref().map_or(0, |k| k.record.spent);
-        let newer = self.spent.saturating_sub(self.told + self.line.spent);
+        let newer = self.tellable().saturating_sub(self.line.spent);
         if spent + newer + tokens > self.prepaid {
             Short::Exhausted
         } else {
-            Short::OutOfReach
+            let free = self.free() >= tokens;
+            Short::OutOfReach { free }
         }
     }
 
@@ -202,7 +245,8 @@
         let unconfirmed = self.returned - self.line.returned;
         self.carried += self.line.charged() - unconfirmed;
         self.returned = 0;
-        self.told = self.planned;
+        self.told += self.planned;
+        self.planned = 0;
         self.line = Line {
             rate: theirs.rate,
             ..Line::default()
@@ -249,7 +293,7 @@
         let mut line = Line {
             granted: self.line.granted,
             returned: self.returned,
-            spent: self.spent - self.told,
+            spent: self.tellable(),
             rate: self.demand.get(now),
         };
         let low = have < target * LOW_PCT / 100 && target - have >= STEP_LEAST;
@@ -270,7 +314,7 @@
             return None;
         }
         self.reported_at = now;
-        self.planned = self.spent;
+        self.planned = self.tellable();
         Some(line)
     }
 
@@ -284,10 +328,10 @@
         let line = Line {
             granted: self.line.granted,
             returned: self.returned,
-            spent: self.spent - self.told,
+            spent: self.tellable(),
             rate: 0,
         };
-        self.planned = self.spent;
+        self.planned = self.tellable();
         (line != self.line).then_some(line)
     }
 
--- a/crates/escrow/src/lib.rs
+++ b/crates/escrow/src/lib.rs
@@ -10,9 +10,11 @@
 //! No I/O, clock or randomness: the time comes in with each event, in milliseconds.
 
 mod holding;
+mod home;
 mod rate;
 mod record;
 
 pub use holding::{Holding, Known, Short};
+pub use home::homes;
 pub use rate::Rate;
 pub use record::{Book, Line, Record};
--- a/crates/escrow/tests/fleet.rs
+++ b/crates/escrow/tests/fleet.rs
@@ -154,7 +154,8 @@
             0..40 => self.request(at),
             40..70 => self.end(at),
             70..88 => self.talk(at),
-            88..93 => self.transfer(at),
+            88..91 => self.transfer(at),
+            91..93 => self.draw(at),
             93..96 => self.late(),
             96..98 => self.crash(at),
             _ => self.top_up(),
@@ -233,6 +234,36 @@
         }
     }
 
+    /// A request's tokens from another one; the call, or its answer, may be lost.
+    fn draw(&mut self, at: usize) {
+        let home = self.rng.random_range(0..self.nodes.len());
+        if home == at {
+            return;
+        }
+        let tokens = self.rng.random_range(1_000..40_000);
+        let part = self.nodes[at].holding.reserve_part(tokens);
+        let spent = self.nodes[at].holding.pass_on();
+        let called = self.rng.random_range(0..8) > 0;
+        let answered = called && self.rng.random_range(0..8) > 0;
+        let lacking = tokens - part;
+        let holding = &mut self.nodes[home].holding;
+        if called {
+            holding.hear(spent);
+        }
+        let drawn = called && holding.reserve(lacking);
+        if drawn {
+            holding.hand_over(lacking);
+        }
+        let node = &mut self.nodes[at];
+        if drawn && answered {
+            node.holding.receive(lacking);
+            assert!(node.holding.reserve(lacking));
+            node.open.push(tokens);
+        } else {
+            node.holding.settle(part, 0);
+        }
+    }
+
     /// What it had under way may have been spent to the last token. It starts again under its name, or
     /// another one takes its place; or its name is taken while it still runs.
     fn crash(&mut self, at: usize) {
@@ -427,7 +458,8 @@
         at: 0,
     };
     holding.learn(known);
-    assert_eq!(holding.refusal(20_000), escrow::Short::OutOfReach);
+    let elsewhere = escrow::Short::OutOfReach { free: false };
+    assert_eq!(holding.refusal(20_000), elsewhere);
     let spent = Line {
         granted: 95_000,
         spent: 90_000,
@@ -457,3 +489,31 @@
     assert_eq!(node.holding.leave(), None);
     assert_eq!(store.record.1.charged, 0);
 }
+
+/// Symptom: each instance asks another one for the same tokens, or all of them one. Cause: the home of
+/// a customer was chosen by what an instance sees, or did not depend on the customer.
+#[test]
+fn a_large_zone_has_one_home_for_a_customer_and_spreads_customers() {
+    let names = |n: usize| (0..n).map(|i| format!("n{i}")).collect::<Vec<_>>();
+    assert!(escrow::homes("c", &names(6), String::as_str).is_empty());
+    let zone = names(30);
+    let mut firsts = BTreeMap::new();
+    for c in 0..300 {
+        let customer = format!("c{c}");
+        let homes = escrow::homes(&customer, &zone, String::as_str);
+        assert_eq!(homes.len(), 2);
+        *firsts.entry(homes[0].clone()).or_insert(0) += 1;
+        // One that leaves moves its own customers only, to the instance that was asked second.
+        let left: Vec<String> = zone.iter().filter(|n| *n != homes[0]).cloned().collect();
+        assert_eq!(escrow::homes(&customer, &left, String::as_str)[0], homes[1]);
+        let other: Vec<String> = zone.iter().filter(|n| *n != homes[1]).cloned().collect();
+        assert_eq!(
+            escrow::homes(&customer, &other, String::as_str)[0],
+            homes[0]
+        );
+    }
+    assert!(
+        firsts.len() > 25 && firsts.values().all(|n| *n < 30),
+        "{firsts:?}"
+    );
+}
--- a/crates/proxy/src/bank/charge.rs
+++ b/crates/proxy/src/bank/charge.rs
@@ -34,6 +34,12 @@
         self.answer += tokens;
     }
 
+    /// Passes the tokens on to an instance that draws from this one.
+    pub(super) fn hand_over(mut self) {
+        let reserved = std::mem::take(&mut self.reserved);
+        self.bank.with(&self.customer, |h| h.hand_over(reserved));
+    }
+
     /// Returns the tokens that were spent.
     pub(crate) fn spent(&self) -> u64 {
         self.prompt + self.answer
--- a/crates/proxy/src/bank/handover.rs
+++ b/crates/proxy/src/bank/handover.rs
@@ -22,7 +22,7 @@
     /// Asks other instances for what a customer's requests lack.
     pub(super) async fn ask_peers(&self, customer: &str) {
         let means = self.means();
-        for peer in self.askable().iter().take(PEERS_ASKED) {
+        for peer in self.askable(customer).iter().take(PEERS_ASKED) {
             let Some(want) = self.want(customer) else {
                 return;
             };
@@ -37,13 +37,14 @@
         }
     }
 
-    /// Returns the other instances in the order in which they are asked: those of the own zone first,
-    /// and among them each time others, since no one knows who has tokens.
-    fn askable(&self) -> Vec<Member> {
-        let mut others = self.means().fleet.others();
+    /// Returns the other instances in the order in which they are asked: the customer's homes, those of
+    /// the own zone, and among them each time others, since no one knows who has tokens.
+    fn askable(&self, customer: &str) -> Vec<Member> {
+        let fleet = &self.means().fleet;
+        let homes = fleet.homes_elsewhere(customer);
+        let mut others = fleet.others();
         others.shuffle(&mut rand::rng());
-        let own = self.means().fleet.zone();
-        others.sort_by_key(|m| m.zone != own);
+        others.sort_by_key(|m| (!homes.contains(&m.id), m.zone != fleet.zone()));
         others
     }
 
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -2,6 +2,7 @@
 //! instances. What is held is decided by `escrow`.
 
 mod charge;
+mod draw;
 mod handover;
 mod refill;
 
@@ -24,6 +25,7 @@
 
 pub(crate) use charge::Charge;
 use charge::Lack;
+pub(crate) use draw::{Draw, Drawn};
 
 /// Longest time that a request waits for tokens: a few calls of the store and of other instances.
 const WAIT_MOST: Duration = Duration::from_millis(600);
@@ -93,7 +95,7 @@
         self.0.wake.notify_one();
     }
 
-    /// Reserves tokens, waiting a little for the store and for other instances.
+    /// Reserves tokens, waiting a little for other instances and for the store.
     ///
     /// # Errors
     ///
@@ -104,13 +106,35 @@
         tokens: u64,
         deadline: Instant,
     ) -> Result<Charge, Short> {
-        let charge = Charge {
+        let homes = self.means().fleet.homes(customer);
+        if !homes.is_empty() {
+            let reserved = self.reserve_at_home(&homes, customer, tokens).await;
+            if let Some(reserved) = reserved {
+                return reserved;
+            }
+        }
+        self.reserve_here(customer, tokens, deadline).await
+    }
+
+    fn charge(&self, customer: &str) -> Charge {
+        Charge {
             bank: self.clone(),
             customer: customer.to_string(),
             reserved: 0,
             prompt: 0,
             answer: 0,
-        };
+        }
+    }
+
+    /// Reserves tokens of the own holding, waiting a little for the store and for other instances to
+    /// fill it.
+    async fn reserve_here(
+        &self,
+        customer: &str,
+        tokens: u64,
+        deadline: Instant,
+    ) -> Result<Charge, Short> {
+        let charge = self.charge(customer);
         match self.first_try(customer, tokens) {
             Tried::Reserved => return Ok(charge.of(tokens)),
             Tried::Refused(short) => return Err(short),
@@ -156,20 +180,16 @@
     }
 
     fn refusal(&self, customer: &str, tokens: u64) -> Short {
+        let out = self.means().reach.is_out();
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let Some(account) = accounts.get_mut(customer) else {
-            return Short::OutOfReach;
+            return Short::OutOfReach { free: false };
         };
         account.dry_until = Some(Instant::now() + DRY);
-        account.holding.refusal(tokens)
-    }
-
-    /// Returns whether a budget had tokens that nobody holds when its record was read last.
-    pub(crate) fn has_free(&self, customer: &str, tokens: u64) -> bool {
-        let accounts = self.0.accounts.lock().expect("no panic inside");
-        accounts
-            .get(customer)
-            .is_some_and(|a| a.holding.free() >= tokens)
+        match account.holding.refusal(tokens) {
+            Short::OutOfReach { free } => Short::OutOfReach { free: free && !out },
+            exhausted => exhausted,
+        }
     }
 
     /// Debits tokens for another instance.
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use kv::{Commit, Expect, Failure, Found, Put, Store, Txn};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use tokio::time::sleep;
 
 use crate::event::Event;
@@ -63,6 +64,10 @@
     lease: Mutex<i64>,
 }
 
+fn in_zone<'a>(members: &'a BTreeMap<String, Member>, zone: &str) -> Vec<(&'a String, &'a Member)> {
+    members.iter().filter(|(_, m)| m.zone == zone).collect()
+}
+
 impl Fleet {
     pub(crate) fn open(
         name: &str,
@@ -130,6 +135,30 @@
         listed
     }
 
+    /// Returns the instances of the own zone to draw a customer's tokens from; none where this one holds
+    /// them itself.
+    pub(crate) fn homes(&self, customer: &str) -> SmallVec<[Member; 2]> {
+        let members = self.0.members.lock().expect("no panic inside");
+        let zone = in_zone(&members, &self.0.me.zone);
+        let homes = escrow::homes(customer, &zone, |m| m.0.as_str());
+        let others = homes.iter().take_while(|m| m.1.id != self.0.me.id);
+        others.map(|m| m.1.clone()).collect()
+    }
+
+    /// Returns the incarnations that hold a customer's tokens for the zones, but for the own one.
+    pub(crate) fn homes_elsewhere(&self, customer: &str) -> BTreeSet<String> {
+        let members = self.0.members.lock().expect("no panic inside");
+        let zones: BTreeSet<&str> = members.values().map(|m| m.zone.as_str()).collect();
+        let home = |zone: &str| {
+            let zone = in_zone(&members, zone);
+            let homes = escrow::homes(customer, &zone, |m| m.0.as_str());
+            homes.first().map(|m| m.1.id.clone())
+        };
+        let mut homes: BTreeSet<String> = zones.into_iter().filter_map(home).collect();
+        homes.remove(&self.0.me.id);
+        homes
+    }
+
     fn listed(&self) -> Vec<Member> {
         let members = self.0.members.lock().expect("no panic inside");
         let mut others: Vec<Member> = members.values().cloned().collect();
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, Instant};
 
-use crate::bank::Bank;
+use crate::bank::{Bank, Draw, Drawn};
 use crate::config::Config;
 use crate::event::Event;
 use crate::fleet::Fleet;
@@ -110,6 +110,11 @@
         Ok(desk.bank.accept(&gift))
     });
     gift.expect("a new name");
+    let draw = module.register_async_method("draw", |params, desk, _| async move {
+        let draw: Draw = params.one()?;
+        RpcResult::Ok(desk.bank.drawn(&draw).await)
+    });
+    draw.expect("a new name");
     let ping = module.register_method("ping", |_, desk, _| -> RpcResult<bool> {
         Ok(!desk.bank.is_leaving())
     });
@@ -191,6 +196,16 @@
         self.call(addr, "take", want).await
     }
 
+    /// Draws the tokens of one request from its customer's home, which has debited them when it
+    /// answers; never repeated, like a call for tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer: tokens that it debited are then lost to the budget.
+    pub(crate) async fn draw(&self, addr: SocketAddr, draw: &Draw) -> Result<Drawn, String> {
+        self.call(addr, "draw", draw).await
+    }
+
     /// Returns whether an instance answers, and stays.
     pub(crate) async fn ping(&self, addr: SocketAddr) -> bool {
         // No answer says enough.
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -370,17 +370,22 @@
             Ok(charge) => return Ok(Some(charge)),
             Err(short) => short,
         };
-        let (kind, why) = match short {
-            Short::Exhausted => (Kind::BudgetExhausted, "the budget does not cover"),
-            Short::OutOfReach => (Kind::BudgetOutOfReach, "no tokens in reach for"),
+        let (kind, why, back_ms) = match short {
+            Short::Exhausted => (Kind::BudgetExhausted, "the budget does not cover", None),
+            Short::OutOfReach { free } => {
+                let back_ms = if free { RETRY_FREE_MS } else { RETRY_TOKENS_MS };
+                (
+                    Kind::BudgetOutOfReach,
+                    "no tokens in reach for",
+                    Some(back_ms),
+                )
+            }
         };
         let message = format!("{why} {tokens} tokens of {customer}, waited_ms={waited}");
         let refusal = Refusal::new(kind, message);
-        if short == Short::Exhausted {
-            return Err(refusal);
-        }
-        let free = !self.reach.is_out() && self.bank.has_free(customer, tokens);
-        let back_ms = if free { RETRY_FREE_MS } else { RETRY_TOKENS_MS };
-        Err(refusal.back_in(back_ms, job.left_ms()))
+        Err(match back_ms {
+            Some(back_ms) => refusal.back_in(back_ms, job.left_ms()),
+            None => refusal,
+        })
     }
 }
