A line that is newer than its record waits for the record

Cause: a write for one customer landed without an answer; a write for another customer lost and brought the book with the first one's new line, but not its record: the plan took the new line out of the old record. The store would have refused that write; the invariant came first.

Change: a line that changes with a newer book than the record makes the record unknown until it is read again. escrow: a_line_that_is_newer_than_its_record_waits_for_it ended the process before.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -220,15 +220,19 @@
         }
     }
 
-    /// Takes the own line as the book in the store has it.
+    /// Takes the own line as the book in the store has it at a revision.
     ///
-    /// A write whose answer was lost shows here: its tokens are charged, so they count.
+    /// A write whose answer was lost shows here: its tokens are charged, so they count. The record is
+    /// unknown then until it is read again: the one before does not hold them.
     ///
     /// # Panics
     ///
     /// Panics when a counter of the line went back: tokens could then be granted twice.
-    pub fn confirm(&mut self, line: Line) {
+    pub fn confirm(&mut self, line: Line, revision: i64) {
         let was = self.line;
+        if line != was && self.known.as_ref().is_some_and(|k| k.revision < revision) {
+            self.known = None;
+        }
         assert!(
             line.granted >= was.granted && line.returned >= was.returned && line.spent >= was.spent,
             "own line went back"
--- a/crates/escrow/tests/fleet.rs
+++ b/crates/escrow/tests/fleet.rs
@@ -82,7 +82,7 @@
         self.book = Some(revision);
         let line = book.line(CUSTOMER);
         if revision == 0 || book.owner == self.id {
-            self.holding.confirm(line);
+            self.holding.confirm(line, revision);
         } else {
             self.holding.replaced(line);
         }
@@ -335,6 +335,33 @@
     assert_eq!(store.record.1.charged, line.granted);
 }
 
+/// Symptom: an instance ends itself, "a line is part of its sum". Sequence: a take for one customer lands
+/// without an answer; a write for another customer loses, and brings the book, but not the first one's
+/// record. Cause: the new line was taken together with the old record.
+#[test]
+fn a_line_that_is_newer_than_its_record_waits_for_it() {
+    let (mut store, mut node) = alone(1_000_000);
+    node.holding.ask(0, 50_000);
+    node.read(&store, 0);
+    let line = node.holding.plan(0, ALONE).expect("wants tokens");
+    assert!(store.commit(&node.write(line)), "without an answer");
+    let (revision, book) = store.book("one");
+    node.book = Some(revision);
+    node.holding.confirm(book.line(CUSTOMER), revision);
+    assert_eq!(node.holding.balance(), line.granted, "they count at once");
+    node.holding.lack(200_000);
+    assert_eq!(node.holding.plan(5_000, ALONE), None);
+    assert!(node.holding.known().is_none(), "to be read again");
+    let (revision, record) = store.record;
+    node.holding.learn(Known {
+        record,
+        revision,
+        at: 5_000,
+    });
+    let line = node.holding.plan(5_000, ALONE).expect("wants more");
+    node.commit(&mut store, line, 5_010);
+}
+
 /// Symptom: tokens handed back and spent. Sequence: the write that hands them back is lost, they are
 /// spent here, the write lands, another instance takes them. Cause: the debit came with the answer.
 #[test]
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -367,7 +367,7 @@
         for (name, account) in accounts.iter_mut() {
             let line = book.line(name);
             if revision == 0 || book.owner == me {
-                account.holding.confirm(line);
+                account.holding.confirm(line, revision);
             } else {
                 account.holding.replaced(line);
             }
