A slow link that is full sends callers elsewhere

Change: place::Link counts bytes each way against the bandwidth in the settings. With 120 ms waiting the instance is not ready for 6 s and closes connections after their answers, so that callers come to others; with 250 ms waiting on the way out long requests are refused at once, to come back in 50 ms elsewhere.

Ruled out: refusing by what comes in (the body is here already), a refusal before the body (an unread body resets the connection and with it the answer).

Tests: place: link.rs.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -77,6 +77,9 @@
     pub retry_window_secs: Option<f64>,
     /// Repetitions that all instances may make in a span besides the share.
     pub retry_slack: Option<f64>,
+    /// Bandwidth of the instance's own link each way, in megabits a second; none means that it never
+    /// counts as full.
+    pub link_mbps: Option<f64>,
     /// Shortest lease that the platform grants, in milliseconds.
     pub lease_least_ms: Option<u64>,
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,11 +7,13 @@
 
 mod health;
 mod known;
+mod link;
 mod missing;
 mod pool;
 mod retry;
 mod upstream;
 
+pub use link::Link;
 pub use missing::Missing;
 pub use pool::{Choice, Denied, Pool, Want};
 pub use retry::{Bounds, Retries};
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -238,6 +238,7 @@
     after_event: Option<u64>,
 ) -> Result<Open, Failed> {
     let req = request(job, &slot, after_event);
+    job.router.link(|l, now| l.goes(now, job.body.len()));
     let until = job.router.clock.at(silent_at(job, &slot));
     let Ok(sent) = timeout_at(until, conn.send(req)).await else {
         let waited = job.router.clock.now() - slot.sent_at;
--- a/crates/proxy/src/bank/draw.rs
+++ b/crates/proxy/src/bank/draw.rs
@@ -1,17 +1,19 @@
 //! Tokens that a request needs from its customer's home, and the home's side of it.
 
+use std::future::Future;
 use std::time::Duration;
 
 use escrow::Short;
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 use super::{Bank, Charge};
 use crate::event::Event;
 use crate::fleet::Member;
+use crate::peers::CALL_TIMEOUT;
 
-/// A home waits so long for the store and for other homes: less than the call of the instance that
-/// draws may take, since tokens that are debited for a call that has ended are lost to the budget.
+/// A home waits so long for the store and for other homes: less than the instance that draws waits for
+/// the home.
 const DRAW_WAIT: Duration = Duration::from_millis(150);
 
 /// A call for the tokens of one request.
@@ -72,28 +74,38 @@
         None
     }
 
-    /// Calls a home. The call goes on when the request ends: what the home has debited is kept here.
+    /// Calls a home.
     async fn draw_from(&self, home: &Member, customer: &str, tokens: u64) -> Drawn {
         let draw = self.draw(customer, tokens);
-        let (bank, home) = (self.clone(), home.clone());
-        let call = tokio::spawn(async move {
-            match bank.means().peers.draw(home.addr, &draw).await {
-                Ok(Drawn::Tokens) => {
-                    bank.with(&draw.customer, |h| h.receive(draw.tokens));
-                    Drawn::Tokens
-                }
-                Ok(drawn) => drawn,
-                Err(why) => {
-                    let detail = format_args!(
-                        "customer={} drawn={} from={} failed={why}",
-                        draw.customer, draw.tokens, home.id
-                    );
-                    bank.0.log.note(Event::Transfer, detail);
-                    Drawn::NotHere
-                }
+        let (bank, addr) = (self.clone(), home.addr);
+        let call = async move {
+            let drawn = bank.means().peers.draw(addr, &draw).await?;
+            if drawn == Drawn::Tokens {
+                bank.with(&draw.customer, |h| h.receive(draw.tokens));
             }
-        });
-        call.await.expect("a call does not panic")
+            Ok(drawn)
+        };
+        self.debiting(home, call).await.unwrap_or_else(|why| {
+            let detail = format_args!("customer={customer} from={} failed={why}", home.id);
+            self.0.log.note(Event::Transfer, detail);
+            Drawn::NotHere
+        })
+    }
+
+    /// Waits a little for a call that may debit tokens at another instance. The call goes on when the
+    /// wait, or the request that it is for, ends: what it brings late is kept here.
+    pub(super) async fn debiting<T: Send + 'static>(
+        &self,
+        peer: &Member,
+        call: impl Future<Output = Result<T, String>> + Send + 'static,
+    ) -> Result<T, String> {
+        match timeout(CALL_TIMEOUT, tokio::spawn(call)).await {
+            Ok(ended) => ended.expect("a call does not panic"),
+            Err(_) => {
+                self.means().peers.rest(peer.addr);
+                Err("no answer in time".to_string())
+            }
+        }
     }
 
     fn draw(&self, customer: &str, tokens: u64) -> Draw {
--- a/crates/proxy/src/bank/handover.rs
+++ b/crates/proxy/src/bank/handover.rs
@@ -21,18 +21,19 @@
 impl Bank {
     /// Asks other instances for what a customer's requests lack.
     pub(super) async fn ask_peers(&self, customer: &str) {
-        let means = self.means();
         for peer in self.askable(customer).iter().take(PEERS_ASKED) {
             let Some(want) = self.want(customer) else {
                 return;
             };
-            match means.peers.take(peer.addr, &want).await {
-                Ok(0) => {}
-                Ok(tokens) => self.receive(customer, tokens, &peer.id),
-                Err(why) => {
-                    let detail = format_args!("customer={customer} from={} failed={why}", peer.id);
-                    self.0.log.note(Event::Transfer, detail);
-                }
+            let (bank, from) = (self.clone(), peer.clone());
+            let call = async move {
+                let tokens = bank.means().peers.take(from.addr, &want).await?;
+                bank.receive(&want.customer, tokens, &from.id);
+                Ok(())
+            };
+            if let Err(why) = self.debiting(peer, call).await {
+                let detail = format_args!("customer={customer} from={} failed={why}", peer.id);
+                self.0.log.note(Event::Transfer, detail);
             }
         }
     }
@@ -61,6 +62,9 @@
     }
 
     fn receive(&self, customer: &str, tokens: u64, from: &str) {
+        if tokens == 0 {
+            return;
+        }
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         if let Some(account) = accounts.get_mut(customer) {
             account.holding.receive(tokens);
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -12,7 +12,7 @@
 use jsonrpsee_server::{RpcModule, Server, ServerBuilder, ServerHandle};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::bank::{Bank, Draw, Drawn};
 use crate::config::Config;
@@ -23,7 +23,10 @@
 use crate::log::Log;
 
 /// An instance answers within a few milliseconds, or is not there: a request waits for it.
-const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// An answer that comes later than that is still taken up to this time: it may bring tokens that were
+/// debited, and would be lost to the budget.
+const ANSWER_MOST: Duration = Duration::from_secs(3);
 /// An instance that did not answer is not called for this time.
 const REST: Duration = Duration::from_millis(1_500);
 /// How often an instance that can't read the store asks another one for news: well within the two
@@ -151,7 +154,7 @@
             }
         }
         let client = HttpClientBuilder::default()
-            .request_timeout(CALL_TIMEOUT)
+            .request_timeout(ANSWER_MOST)
             .build(format!("http://{addr}"))
             .map_err(|e| e.to_string())?;
         let line = Line {
@@ -164,7 +167,7 @@
 
     /// Leaves an instance alone for a while; its next call gets a new connection, since the old one
     /// may hang for good.
-    fn rest(&self, addr: SocketAddr) {
+    pub(crate) fn rest(&self, addr: SocketAddr) {
         let mut lines = self.0.lock().expect("no panic inside");
         if let Some(line) = lines.get_mut(&addr) {
             line.rest_until = Some(Instant::now() + REST);
@@ -187,6 +190,20 @@
         })
     }
 
+    /// Calls where an answer that comes late brings nothing.
+    async fn call_briefly<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        param: &impl Serialize,
+    ) -> Result<T, String> {
+        let answer = timeout(CALL_TIMEOUT, self.call(addr, method, param)).await;
+        answer.unwrap_or_else(|_| {
+            self.rest(addr);
+            Err("no answer in time".to_string())
+        })
+    }
+
     /// Asks an instance for tokens; it has debited them when it answers, so this is never repeated.
     ///
     /// # Errors
@@ -209,7 +226,7 @@
     /// Returns whether an instance answers, and stays.
     pub(crate) async fn ping(&self, addr: SocketAddr) -> bool {
         // No answer says enough.
-        self.call(addr, "ping", &()).await.unwrap_or(false)
+        self.call_briefly(addr, "ping", &()).await.unwrap_or(false)
     }
 
     /// Gives an instance tokens that were debited here; never repeated, like a call for tokens.
@@ -218,7 +235,7 @@
     ///
     /// Returns why there is no answer: the tokens may be lost to the budget then.
     pub(crate) async fn give(&self, addr: SocketAddr, gift: &Gift) -> Result<bool, String> {
-        self.call(addr, "gift", gift).await
+        self.call_briefly(addr, "gift", gift).await
     }
 
     /// Asks other instances for news whenever the store is out of reach.
@@ -245,7 +262,7 @@
             revision: desk.listing.revision(),
             leaving: desk.listing.all_leaving(),
         };
-        let news: News = match self.call(addr, "news", &have).await {
+        let news: News = match self.call_briefly(addr, "news", &have).await {
             Ok(news) => news,
             Err(why) => {
                 log.note(
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -14,7 +14,7 @@
 use crate::body::{Cut, Out};
 use crate::event::Event;
 use crate::refusal::Refusal;
-use crate::router::Job;
+use crate::router::{Job, Router};
 
 /// An answer up to this size is read whole, in bytes; a larger one goes on as it comes.
 const WHOLE_MOST: usize = 1 << 20;
@@ -116,6 +116,7 @@
         Outcome::Well
     });
     job.router.dialer.keep(conn, reading.keep_alive);
+    job.router.link(|l, now| l.passes(now, bytes.len()));
     let res = whole(job, &head, bytes);
     if is_error && job.is_repeatable() {
         return Ok(Done::Error(res));
@@ -160,7 +161,7 @@
     let router = job.router.clone();
     job.ended("ok", &open.slot.choice.spec.id);
     tokio::spawn(async move {
-        let passed = timeout_at(until, pass(open.body, begun, &tx)).await;
+        let passed = timeout_at(until, pass(open.body, begun, &router, &tx)).await;
         match passed {
             Ok(Ok(())) => {
                 open.slot.end(Outcome::Well);
@@ -184,6 +185,7 @@
 async fn pass(
     mut body: Incoming,
     begun: Bytes,
+    router: &Router,
     tx: &mpsc::Sender<Result<Bytes, Cut>>,
 ) -> Result<(), String> {
     let left = |_| "the caller left".to_string();
@@ -191,6 +193,7 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| e.to_string())?;
         if let Ok(data) = frame.into_data() {
+            router.link(|l, now| l.passes(now, data.len()));
             tx.send(Ok(data)).await.map_err(left)?;
         }
     }
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -14,7 +14,7 @@
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Request, Response};
-use place::{Key, Pool, Retries};
+use place::{Key, Link, Pool, Retries};
 use smallvec::SmallVec;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
@@ -36,8 +36,9 @@
 /// When to come back to an instance that knows no configuration yet, in milliseconds: it is read
 /// within a few calls of the store.
 const RETRY_UNKNOWN_MS: u64 = 500;
-/// When to come back to an instance that stops, in milliseconds: another one answers.
-const RETRY_STOPPING_MS: u64 = 50;
+/// When to come back after an instance that stops, or whose link is full, in milliseconds: another one
+/// answers.
+const RETRY_ELSEWHERE_MS: u64 = 50;
 /// When to come back for tokens that are out of reach, in milliseconds, while the budget has free ones:
 /// they are taken within a second.
 const RETRY_FREE_MS: u64 = 700;
@@ -58,6 +59,7 @@
     pub(crate) pool: Arc<Mutex<Pool>>,
     pub(crate) listing: Listing,
     pub(crate) dialer: Dialer,
+    pub(crate) link: Mutex<Link>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) fleet: Fleet,
     pub(crate) reach: Arc<Reach>,
@@ -180,7 +182,18 @@
 impl Router {
     /// Returns whether new connections are wanted.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.config.get().is_some() && self.listing.is_known()
+        let knows = self.config.get().is_some() && self.listing.is_known();
+        knows && !self.is_stopping() && !self.is_crowded()
+    }
+
+    fn is_crowded(&self) -> bool {
+        self.link(|l, now| l.is_crowded(now))
+    }
+
+    /// Looks at the own link, or counts what goes over it.
+    pub(crate) fn link<T>(&self, f: impl FnOnce(&mut Link, u64) -> T) -> T {
+        let now = self.clock.now();
+        f(&mut self.link.lock().expect("no panic inside"), now)
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -207,7 +220,7 @@
                 self.dialect.refuse(ask.as_ref(), &refusal).map(Out::Whole)
             }
         };
-        if chunked || self.is_stopping() {
+        if chunked || self.is_stopping() || self.is_crowded() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
         }
@@ -238,7 +251,7 @@
         let wait_ms = ask.wait_ms.unwrap_or(WAIT_DEFAULT_MS);
         if self.refusing.load(Ordering::Relaxed) {
             let refusal = Refusal::new(Kind::Draining, "this instance is about to end");
-            return Err(refusal.back_in(RETRY_STOPPING_MS, wait_ms));
+            return Err(refusal.back_in(RETRY_ELSEWHERE_MS, wait_ms));
         }
         let Some(active) = self.config.get() else {
             let refusal = Refusal::new(Kind::NotConfigured, "no configuration yet");
@@ -248,6 +261,14 @@
         let customer = self.customer(&active, &ask, &route)?;
         let deadline = arrived + wait_ms.min(route.timeout_ms);
         let body = self.body(&active, &head, body, deadline).await?;
+        let full = self.link(|l, now| {
+            l.came(now, body.len());
+            l.is_full_for(now, body.len())
+        });
+        if full {
+            let refusal = Refusal::new(Kind::Overloaded, "this instance's link is full");
+            return Err(refusal.back_in(RETRY_ELSEWHERE_MS, wait_ms));
+        }
         let service = route.service(rand::random());
         let service = service.map(str::to_string).ok_or_else(|| {
             let message = format!("route {} has no service", route.name);
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -251,6 +251,8 @@
         self.count += 1;
         let tokens = self.job.traits.tokens_per_event;
         self.job.delivered(tokens);
+        let bytes = event.bytes.len();
+        self.job.router.link(|l, now| l.passes(now, bytes));
         let sent = self.tx.send(Ok(event.bytes)).await;
         sent.is_err().then_some(End::CallerLeft)
     }
