Silence says nothing of an upstream while the own link is full

Cause: connects that time out on a full link put sound upstreams out for everyone behind that instance.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -203,7 +203,8 @@
                 log.request(Event::AttemptFailed, &job.ask.id, detail);
                 let outcome = match e {
                     ConnectError::Full => Outcome::Refused,
-                    ConnectError::Refused(_) | ConnectError::TimedOut => Outcome::Silent,
+                    ConnectError::Refused(_) => Outcome::Silent,
+                    ConnectError::TimedOut => silence(job),
                 };
                 slot.end(outcome);
             }
@@ -243,7 +244,7 @@
     let Ok(sent) = timeout_at(until, conn.send(req)).await else {
         let waited = job.router.clock.now() - slot.sent_at;
         let upstream = slot.choice.spec.id.clone();
-        slot.end(Outcome::Silent);
+        slot.end(silence(job));
         let why = format!("upstream={upstream} silent for {waited} ms");
         return Err(Failed::Unknown(why));
     };
@@ -294,6 +295,15 @@
     }
 }
 
+/// Returns what silence says of an upstream: nothing while the own link is full.
+fn silence(job: &Job) -> Outcome {
+    if job.router.is_crowded() {
+        Outcome::Dropped
+    } else {
+        Outcome::Silent
+    }
+}
+
 /// Returns when an upstream that says nothing is given up, in milliseconds.
 fn silent_at(job: &Job, slot: &Slot) -> u64 {
     let last = !job.is_repeatable() || job.attempts >= job.route.attempts;
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -186,7 +186,8 @@
         knows && !self.is_stopping() && !self.is_crowded()
     }
 
-    fn is_crowded(&self) -> bool {
+    /// Returns whether the own link is full, or was a moment ago.
+    pub(crate) fn is_crowded(&self) -> bool {
         self.link(|l, now| l.is_crowded(now))
     }
 
