Fewer calls of the store: one probe in an outage, no first grants in large fleets

Change: out of reach, one call in 400 ms asks for all tasks; instances of fleets above nine take no tokens without demand (the test now wants none at all); lists every 30 s instead of 10; 400 ms between watches that bring news.

Ruled out: longer watches (a silent connection must show within three seconds).

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -14,8 +14,8 @@
 /// of a budget only, and there the more the less is left.
 const LASTS_MS: u64 = 50_000;
 /// Percentage of the pool that an instance without demand takes at first, so that its first
-/// requests need not wait for the store; in fleets of more than `SMALL_FLEET` instances so much less
-/// that all of them take as much together.
+/// requests need not wait for the store. Not in fleets of more than `SMALL_FLEET` instances: all of
+/// them together would take most of the pool, and lose against each other while they do.
 const FIRST_PCT: u64 = 1;
 /// A grant below this percentage of its target is filled up.
 const LOW_PCT: u64 = 75;
@@ -278,7 +278,11 @@
         let rates = others + rate;
         let left = self.prepaid.saturating_sub(known.record.spent);
         let pool = left * pool_pct(left, rates) / 100;
-        let first = pool * FIRST_PCT / 100 * SMALL_FLEET / sharers.max(SMALL_FLEET);
+        let first = if sharers <= SMALL_FLEET {
+            pool * FIRST_PCT / 100
+        } else {
+            0
+        };
         let wanted = (rate * HORIZON_MS / 1000).max(first);
         let share = u128::from(pool) * u128::from(rate) / u128::from(rates.max(1));
         let share = u64::try_from(share).unwrap_or(u64::MAX).max(first);
--- a/crates/escrow/tests/fleet.rs
+++ b/crates/escrow/tests/fleet.rs
@@ -455,7 +455,7 @@
 /// Symptom: a fleet of a hundred instances holds all that may be granted before the first request
 /// came. Cause: each took a fixed share at its start.
 #[test]
-fn first_grants_of_many_instances_leave_the_most_to_demand() {
+fn many_instances_take_nothing_without_demand() {
     let mut store = Store::default();
     for i in 0..100 {
         let mut node = Node::new(&format!("n{i}"), &format!("n{i}.1"), 1_000_000_000);
@@ -464,8 +464,7 @@
             node.commit(&mut store, line, 0);
         }
     }
-    let charged = store.record.1.charged;
-    assert!(charged > 0 && charged < 30_000_000, "{charged}");
+    assert_eq!(store.record.1.charged, 0);
 }
 
 /// Symptom: 402 for a customer whose tokens lie stranded or elsewhere. Cause: what is charged was
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -1,12 +1,13 @@
 //! Follows the keys under a prefix of the store, and knows whether the store answers.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use clock::Clock;
 use kv::{Change, Failure, Found, News, Store};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::sync::Notify;
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use crate::event::Event;
 use crate::log::Log;
@@ -17,12 +18,16 @@
 /// Pause after a watch that brought changes: what changes meanwhile comes with the next one together.
 /// Without it a fleet that starts beside a hundred upstreams makes a call for each of them at each
 /// instance. Short against the two seconds in which a change is in force.
-const GAP: Duration = Duration::from_millis(250);
+const GAP: Duration = Duration::from_millis(400);
 /// Pause after a call that failed: short against the two seconds in which a change is in force, long
 /// against a call.
 const AGAIN_AFTER: Duration = Duration::from_millis(250);
-/// All keys are read again after this time: a watch may go on without ever bringing what changed.
-const LIST_EVERY: Duration = Duration::from_secs(10);
+/// While the store is out of reach, one call in this time asks whether it is back, for all tasks: calls that
+/// are refused are paid for like others.
+const PROBE_EVERY: Duration = Duration::from_millis(400);
+/// All keys are read again after this time: a watch may go on without ever bringing what changed. No such
+/// case is known; it bounds what one would do.
+const LIST_EVERY: Duration = Duration::from_secs(30);
 /// Without an answer for this long the store counts as out of reach, in milliseconds, once a call has
 /// failed.
 const OUT_AFTER_MS: u64 = 1_500;
@@ -35,6 +40,8 @@
     answered_at: AtomicU64,
     back_at: AtomicU64,
     out: AtomicBool,
+    back: Notify,
+    probe_at: Mutex<Instant>,
 }
 
 impl Reach {
@@ -45,6 +52,29 @@
             answered_at: AtomicU64::new(clock.now()),
             back_at: AtomicU64::new(0),
             out: AtomicBool::new(false),
+            back: Notify::new(),
+            probe_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until the store is back, or until it is the caller's turn to ask.
+    async fn turn(&self) {
+        loop {
+            let back = self.back.notified();
+            if !self.is_out() {
+                return;
+            }
+            let at = {
+                let mut probe_at = self.probe_at.lock().expect("no panic inside");
+                let now = Instant::now();
+                if now >= *probe_at {
+                    *probe_at = now + PROBE_EVERY;
+                    return;
+                }
+                *probe_at
+            };
+            // Either way the state is looked at again.
+            let _ = timeout_at(at, back).await;
         }
     }
 
@@ -55,6 +85,7 @@
         if self.out.swap(false, Ordering::Relaxed) {
             self.back_at.store(now, Ordering::Relaxed);
             self.log.note(Event::StoreBack, "");
+            self.back.notify_waiters();
         }
     }
 
@@ -172,6 +203,7 @@
         // What changed meanwhile may have left the history.
         self.after = None;
         sleep(AGAIN_AFTER).await;
+        self.reach.turn().await;
         Update::Lost
     }
 }
