entry: no circle of imports any more

shared.rs imported seven modules that import it. Each is now two files: what the shared state holds (bank: the handle on the decisions, lines: who waits, peers: calls of other instances, msg: what they say) and the task or the filters that work with it (bankd, admission, rpc). Operators' changes (accept) stand above gossip, which stands above configd.

Moved as it was, but for the metrics that a call of another instance is handed instead of all of the state.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -9,9 +9,9 @@
 use serde_json::{json, Value};
 use web::{Req, Res};
 
+use crate::accept::{self, Wish};
 use crate::bank_io::{record_key, segment_key};
 use crate::callers::refusal;
-use crate::configd::{self, Wish};
 use crate::event::Event;
 use crate::registry;
 use crate::shared::{Active, Shared};
@@ -213,7 +213,7 @@
         who: put.who,
         what: put.what,
     };
-    let revision = configd::accept(shared, wish).await?;
+    let revision = accept::accept(shared, wish).await?;
     Ok(Res::json(200, &json!({"revision": revision})))
 }
 
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -1,46 +1,15 @@
-//! Requests that wait for an upstream, with the channels that wake them.
+//! Lets requests wait for an upstream, and lets them in.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use err::{Error, Kind};
-use route::queue::{Queue, Ticket, Verdict};
+use route::queue::{Ticket, Verdict};
 use route::{upstream, Rooms};
 use tokio::sync::oneshot;
 
+use crate::lines::Pool;
 use crate::shared::Shared;
 
-/// What a request waits for: a kind of upstream, and the model or service.
-type Pool = (upstream::Kind, String);
-
-/// Who waits for one pool.
-#[derive(Default)]
-struct Line {
-    queue: Queue,
-    waiters: BTreeMap<Ticket, oneshot::Sender<bool>>,
-}
-
-impl Line {
-    fn tell(&mut self, ticket: Ticket, go: bool) {
-        if let Some(tx) = self.waiters.remove(&ticket) {
-            // A caller that left meanwhile has dropped its end.
-            let _ = tx.send(go);
-        }
-    }
-}
-
-/// The queues of one instance, by what upstreams serve.
-#[derive(Default)]
-pub struct Admission(BTreeMap<Pool, Line>);
-
-impl Admission {
-    /// Returns how many wait, by what they wait for.
-    pub fn waiting(&self) -> BTreeMap<String, usize> {
-        let row = |(k, l): (&Pool, &Line)| (k.1.clone(), l.queue.len());
-        self.0.iter().map(row).collect()
-    }
-}
-
 /// Waits until an upstream can take a request.
 ///
 /// # Errors
--- a/crates/entry/src/bank_io.rs
+++ b/crates/entry/src/bank_io.rs
@@ -7,7 +7,7 @@
 use kv::{Failure, Found, Swap};
 use serde_json::Value;
 
-use crate::rpc::{method, KeepMsg, OpenMsg, RecallMsg};
+use crate::msg::{method, KeepMsg, OpenMsg, RecallMsg};
 use crate::shared::Shared;
 
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -59,7 +59,10 @@
         to: cx.me.clone(),
         tokens,
     };
-    let reply = cx.peers.call(cx, &addr, method::RECALL, &msg).await;
+    let reply = cx
+        .peers
+        .call(&cx.metrics, &addr, method::RECALL, &msg)
+        .await;
     reply.unwrap_or(None)
 }
 
@@ -76,7 +79,7 @@
         key: key.to_string(),
         upto,
     };
-    let reply = cx.peers.call(cx, &addr, method::OPEN, &msg).await;
+    let reply = cx.peers.call(&cx.metrics, &addr, method::OPEN, &msg).await;
     reply.unwrap_or(None)
 }
 
@@ -90,7 +93,7 @@
     for member in cx.live().into_iter().filter(|m| m.zone != *zone) {
         let kept = cx
             .peers
-            .call::<_, bool>(cx, &member.peer_addr, method::KEEP, &msg)
+            .call::<_, bool>(&cx.metrics, &member.peer_addr, method::KEEP, &msg)
             .await;
         if kept == Ok(true) {
             return true;
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -10,7 +10,7 @@
 
 use crate::configd;
 use crate::event::Event;
-use crate::rpc::{method, GossipMsg};
+use crate::msg::{method, GossipMsg};
 use crate::shared::Shared;
 
 const EVERY: Duration = Duration::from_millis(1_000);
@@ -66,7 +66,7 @@
     let addr = &partner.peer_addr;
     let reply = shared
         .peers
-        .call::<_, GossipMsg>(&shared, addr, method::GOSSIP, &msg)
+        .call::<_, GossipMsg>(&shared.metrics, addr, method::GOSSIP, &msg)
         .await;
     if let Ok(reply) = reply {
         take(&shared, reply, addr);
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -10,14 +10,14 @@
 use route::{Pool, RetryBudget};
 use tokio::sync::watch;
 
-use crate::admission::Admission;
 use crate::clock::{wall_ms, Clock};
 use crate::event::Event;
 use crate::journal::Journal;
+use crate::lines::Admission;
 use crate::metric::Metrics;
-use crate::rpc::{self, Peers};
+use crate::peers::Peers;
 use crate::shared::Shared;
-use crate::{admin, bankd, callers, configd, gossip, loads, orders, registry};
+use crate::{admin, bank, bankd, callers, configd, gossip, loads, orders, registry, rpc};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const ADMIN_BODY_LIMIT: usize = 64 << 20;
@@ -45,7 +45,7 @@
     pub async fn spawn(settings: Settings) -> Result<Instance> {
         let bound = rpc::bind(settings.peer_listen()).await;
         let (server, peer_addr) = bound.map_err(|e| anyhow!("peer listener: {e}"))?;
-        let (bank, inbox) = bankd::open();
+        let (bank, inbox) = bank::open();
         let shared = Arc::new(share(settings, peer_addr, bank)?);
         bankd::spawn(inbox, &shared);
         let peer = rpc::serve(server, Arc::clone(&shared));
@@ -147,7 +147,7 @@
     }
 }
 
-fn share(settings: Settings, peer_addr: SocketAddr, bank: bankd::Handle) -> Result<Shared> {
+fn share(settings: Settings, peer_addr: SocketAddr, bank: bank::Handle) -> Result<Shared> {
     // Half of it names the time of the start, the other half is random.
     let start = format!("{:08x}{:08x}", wall_ms() / 1000, rand::random::<u32>());
     let me = format!("{}.{start}", settings.name);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,7 +1,9 @@
 //! One running instance: listeners, filters of a request, and the tasks around the decisions.
 
+pub mod accept;
 pub mod admin;
 pub mod admission;
+pub mod bank;
 pub mod bank_io;
 pub mod bankd;
 pub mod callers;
@@ -10,9 +12,12 @@
 pub mod gossip;
 pub mod instance;
 pub mod journal;
+pub mod lines;
 pub mod loads;
 pub mod metric;
+pub mod msg;
 pub mod orders;
+pub mod peers;
 pub mod pipe;
 pub mod registry;
 pub mod rpc;
--- a/crates/entry/src/pipe/chat.rs
+++ b/crates/entry/src/pipe/chat.rs
@@ -15,7 +15,7 @@
 use super::{auth, choose, reserve};
 use crate::bank_io;
 use crate::event::Event;
-use crate::rpc::{method, DropOutMsg};
+use crate::msg::{method, DropOutMsg};
 use crate::shared::Shared;
 
 const ENGINE: upstream::Kind = upstream::Kind::Engine;
@@ -238,7 +238,7 @@
     };
     let reply = shared
         .peers
-        .call(shared, &addr, method::DROP_OUT, &msg)
+        .call(&shared.metrics, &addr, method::DROP_OUT, &msg)
         .await;
     reply.unwrap_or(true)
 }
--- a/crates/entry/src/pipe/claim.rs
+++ b/crates/entry/src/pipe/claim.rs
@@ -12,7 +12,7 @@
 use super::cx::Cx;
 use crate::clock::wall_ms;
 use crate::event::Event;
-use crate::rpc::method;
+use crate::msg::method;
 use crate::shared::Shared;
 
 /// How long a claim may take; longer means that the platform is out.
@@ -170,7 +170,7 @@
     };
     let asked = shared
         .peers
-        .call(shared, &addr, method::ATTEMPT, &theirs.attempt);
+        .call(&shared.metrics, &addr, method::ATTEMPT, &theirs.attempt);
     asked.await.unwrap_or(Word::Silent)
 }
 
--- a/crates/entry/src/pipe/reserve.rs
+++ b/crates/entry/src/pipe/reserve.rs
@@ -10,7 +10,7 @@
 
 use super::cx::{Cx, Hold};
 use super::parse::Chat;
-use crate::rpc::{method, ExtendMsg, ReserveMsg, VoidMsg};
+use crate::msg::{method, ExtendMsg, ReserveMsg, VoidMsg};
 use crate::shared::Shared;
 
 /// How long a home may look for tokens, in milliseconds.
@@ -155,7 +155,7 @@
     let addr = shared.peer_addr(home)?;
     shared
         .peers
-        .call(shared, &addr, method::RESERVE, msg)
+        .call(&shared.metrics, &addr, method::RESERVE, msg)
         .await
         .ok()
 }
@@ -176,7 +176,7 @@
             };
             let done = shared
                 .peers
-                .call::<_, bool>(&shared, &addr, method::VOID, &msg);
+                .call::<_, bool>(&shared.metrics, &addr, method::VOID, &msg);
             if done.await.is_ok() {
                 return;
             }
@@ -205,7 +205,10 @@
         shared.bank.extend(msg).await
     } else {
         let addr = shared.peer_addr(&hold.holder).ok_or_else(gone)?;
-        let called = shared.peers.call(shared, &addr, method::EXTEND, &msg).await;
+        let called = shared
+            .peers
+            .call(&shared.metrics, &addr, method::EXTEND, &msg)
+            .await;
         called.ok()
     };
     match reply {
--- a/crates/entry/src/pipe/settle.rs
+++ b/crates/entry/src/pipe/settle.rs
@@ -10,7 +10,7 @@
 use super::reserve::homes;
 use crate::clock::wall_ms;
 use crate::event::Event;
-use crate::rpc::{method, SettleMsg};
+use crate::msg::{method, SettleMsg};
 use crate::shared::Shared;
 
 /// How long an end marker waits for its bill.
@@ -114,7 +114,9 @@
         return shared.bank.settle(msg.clone()).await;
     }
     let addr = shared.peer_addr(to)?;
-    let reply: Result<Option<Settled>, String> =
-        shared.peers.call(shared, &addr, method::SETTLE, msg).await;
+    let reply: Result<Option<Settled>, String> = shared
+        .peers
+        .call(&shared.metrics, &addr, method::SETTLE, msg)
+        .await;
     reply.ok().flatten()
 }
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -1,234 +1,24 @@
-//! Between instances: typed messages over jsonrpsee.
+//! Answers other instances, over jsonrpsee.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::Arc;
 
-use budget::msg::{Doubt, Reserve, RunAt};
-use budget::{Post, ReserveReply, Settled};
+use budget::{ReserveReply, Settled};
 use claim::Word;
-use conf::{Chunk, Head};
-use jsonrpsee_core::client::ClientT;
-use jsonrpsee_core::params::ArrayParams;
 use jsonrpsee_core::RpcResult;
-use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee_server::{RpcModule, ServerBuilder, ServerConfig, ServerHandle};
-use peer::Told;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
-use serde_json::value::{to_raw_value, RawValue};
+use serde::Serialize;
 
+use crate::msg::{
+    method, DropOutMsg, ExtendMsg, GossipMsg, KeepMsg, OpenMsg, PullMsg, RecallMsg, ReserveMsg,
+    SettleMsg, VoidMsg,
+};
+use crate::peers::MESSAGE_LIMIT;
 use crate::shared::Shared;
 
-/// Longer than a home lets an entry wait for tokens.
-const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
-const MESSAGE_LIMIT: u32 = 8 << 20;
 const CONNECTIONS: u32 = 4096;
 
-/// A reservation, as one instance asks another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ReserveMsg {
-    /// The request.
-    pub req: Reserve,
-    /// How long the asker waits, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// A widening of a hold.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ExtendMsg {
-    /// The customer.
-    pub account: String,
-    /// The hold.
-    pub hold: u64,
-    /// Where the entry will send the request.
-    pub at: RunAt,
-    /// Tokens more.
-    pub tokens: u64,
-    /// How long the asker waits, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// The end of a reservation that nobody will use.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct VoidMsg {
-    /// The customer.
-    pub account: String,
-    /// The request's id.
-    pub request: String,
-    /// The entry's incarnation.
-    pub entry: String,
-}
-
-/// The word of an entry whose caller left.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct DropOutMsg {
-    /// The customer.
-    pub account: String,
-    /// The hold.
-    pub hold: u64,
-    /// The entry's incarnation.
-    pub entry: String,
-}
-
-/// A settlement.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct SettleMsg {
-    /// The customer.
-    pub account: String,
-    /// The settlement.
-    pub post: Post,
-    /// What may have been spent besides.
-    pub doubts: Vec<Doubt>,
-}
-
-/// A copy of a settlement, to be kept until it is recorded.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct KeepMsg {
-    /// The customer.
-    pub account: String,
-    /// The settlement.
-    pub post: Post,
-}
-
-/// A call for unspent tokens.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct RecallMsg {
-    /// The customer.
-    pub account: String,
-    /// The holder that lacks them.
-    pub to: String,
-    /// Tokens.
-    pub tokens: u64,
-}
-
-/// A step of a joint grant.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct OpenMsg {
-    /// The customer.
-    pub account: String,
-    /// The joint grant's key.
-    pub key: String,
-    /// Tokens opened after the step, cumulative.
-    pub upto: u64,
-}
-
-/// What two instances tell each other again and again.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct GossipMsg {
-    /// What the sender knows of instances, itself first.
-    pub told: Told,
-    /// The revision of the sender's configuration.
-    pub revision: u64,
-    /// Upstreams that are leaving.
-    pub leaving: Vec<String>,
-}
-
-/// A call for a configuration.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PullMsg {
-    /// Hashes of chunks that the asker has.
-    pub have: Vec<String>,
-}
-
-/// A configuration, less the chunks that the asker has.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PullReply {
-    /// The head; none while the instance has no configuration.
-    pub head: Option<Head>,
-    /// Chunks.
-    pub chunks: Vec<Chunk>,
-}
-
-/// Names of the methods.
-pub mod method {
-    /// Holds tokens back.
-    pub const RESERVE: &str = "reserve";
-    /// Widens a hold.
-    pub const EXTEND: &str = "extend";
-    /// Gives up a reservation.
-    pub const VOID: &str = "void";
-    /// Serves a request no more.
-    pub const DROP_OUT: &str = "drop_out";
-    /// Settles a hold.
-    pub const SETTLE: &str = "settle";
-    /// Keeps a copy of a settlement.
-    pub const KEEP: &str = "keep";
-    /// Hands over unspent tokens.
-    pub const RECALL: &str = "recall";
-    /// Opens a step of a joint grant.
-    pub const OPEN: &str = "open";
-    /// Exchanges what is known of instances.
-    pub const GOSSIP: &str = "gossip";
-    /// Fetches a configuration.
-    pub const PULL: &str = "pull";
-    /// Tells how far an attempt is.
-    pub const ATTEMPT: &str = "attempt";
-}
-
-/// Clients of other instances, by address.
-#[derive(Default)]
-pub struct Peers {
-    clients: Mutex<BTreeMap<String, HttpClient>>,
-    cut: Mutex<Vec<String>>,
-}
-
-impl Peers {
-    fn client(&self, addr: &str) -> Result<HttpClient, String> {
-        let mut clients = self.clients.lock().expect("no panic inside");
-        if let Some(client) = clients.get(addr) {
-            return Ok(client.clone());
-        }
-        let built = HttpClientBuilder::default()
-            .request_timeout(CALL_TIMEOUT)
-            .max_request_size(MESSAGE_LIMIT)
-            .max_response_size(MESSAGE_LIMIT)
-            .build(format!("http://{addr}"));
-        let client = built.map_err(|e| e.to_string())?;
-        clients.insert(addr.to_string(), client.clone());
-        Ok(client)
-    }
-
-    /// Cuts the links to some addresses, for tests; replaces an earlier cut.
-    pub fn set_cut(&self, addrs: Vec<String>) {
-        *self.cut.lock().expect("no panic inside") = addrs;
-    }
-
-    fn is_cut(&self, addr: &str) -> bool {
-        let cut = self.cut.lock().expect("no panic inside");
-        cut.iter().any(|a| a == addr)
-    }
-
-    /// Calls a method of another instance.
-    ///
-    /// # Errors
-    ///
-    /// Returns why there is no answer; the call may have been carried out.
-    pub async fn call<P: Serialize, R: DeserializeOwned>(
-        &self,
-        shared: &Shared,
-        addr: &str,
-        name: &str,
-        msg: &P,
-    ) -> Result<R, String> {
-        if self.is_cut(addr) {
-            return Err("the link is cut".to_string());
-        }
-        let client = self.client(addr)?;
-        // As raw texts, so that their bytes are counted without writing them a second time.
-        let text = to_raw_value(msg).map_err(|e| e.to_string())?;
-        let sent = text.get().len();
-        let mut params = ArrayParams::new();
-        params.insert(text).map_err(|e| e.to_string())?;
-        let called = client.request(name, params).await;
-        let reply: Box<RawValue> = called.map_err(|e| e.to_string())?;
-        let got = reply.get().len();
-        shared.metrics.message(name, (sent + got) as u64);
-        serde_json::from_str(reply.get()).map_err(|e| e.to_string())
-    }
-}
-
 /// Binds the listener for other instances.
 ///
 /// # Errors
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,13 +10,13 @@
 use route::{Pool, RetryBudget};
 use tokio::sync::watch;
 
-use crate::admission::Admission;
-use crate::bankd;
+use crate::bank;
 use crate::clock::Clock;
 use crate::event::Event;
 use crate::journal::Journal;
+use crate::lines::Admission;
 use crate::metric::Metrics;
-use crate::rpc::Peers;
+use crate::peers::Peers;
 
 /// A configuration in force.
 #[derive(Debug)]
@@ -66,7 +66,7 @@
     /// The client for requests that may not be repeated: a new connection for each.
     pub http_once: reqwest::Client,
     /// Budgets.
-    pub bank: bankd::Handle,
+    pub bank: bank::Handle,
     /// The configuration in force.
     pub config: RwLock<Option<Arc<Active>>>,
     /// Upstreams.
