A beginning is read again only where that is worth it, and at one engine for all

Change: reading a shared beginning anew costs three quarters of its time besides, half of that at the engine that is next in rank for it. Ranks come from xxh3 with a seed instead of a mixer of our own.

Ruled out: going home whenever the home still makes the aim (not tried: a hot beginning would fill its engine).

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -20,6 +20,12 @@
 /// What a request to another availability zone is taken to cost besides, in milliseconds: the way
 /// there and back, and the bytes that are paid for.
 const ZONE_MS: f64 = 4.0;
+/// What reading the shared beginning of a prompt once more costs besides its time, as a part of that
+/// time: the engine's other requests wait for it, and it pushes other beginnings out.
+const AGAIN_PART: f64 = 0.75;
+/// Part of that at the engine that is next in turn for the beginning: when the first one is busy, all
+/// instances read it anew there, rather than each at another one.
+const NEXT_PART: f64 = 0.5;
 /// What a request is taken to cost at an upstream at which all requests fail, in milliseconds.
 const FAILING_MS: f64 = 2_000.0;
 /// Percentage of the slots above which an upstream counts as full: reports are late, and other
@@ -254,7 +260,7 @@
         };
         let kept = fit.len() * 100 >= staying.len() * KEPT_PCT;
         let from = if kept { &fit } else { &staying };
-        let home = self.home(want, from);
+        let homes = homes(want, from);
         let usual = self.usual(want.service);
         let untried = from.iter().filter(|(k, _)| !want.tried.contains(k));
         let (mut rated, mut full) = (Vec::with_capacity(from.len()), 0);
@@ -263,7 +269,7 @@
                 full += 1;
                 continue;
             }
-            rated.push(rate_one(*key, up, now, want, home == Some(*key), usual));
+            rated.push(rate_one(*key, up, now, want, homes.turn(*key), usual));
         }
         if rated.is_empty() && full > 0 {
             let retry_ms = RETRY_LEAST_MS + want.random % RETRY_LEAST_MS;
@@ -272,17 +278,6 @@
         Ok(rated)
     }
 
-    /// Returns where all instances send prompts with the same beginning.
-    ///
-    /// Each instance sees a part of the requests only. Were each to go by what it sent itself, the same
-    /// beginning would be read by as many engines as there are instances.
-    fn home(&self, want: &Want<'_>, from: &[(Key, &Upstream)]) -> Option<Key> {
-        let shared = want.parts.len().checked_sub(2)?;
-        let what = want.parts[shared].id;
-        let best = from.iter().max_by_key(|(_, u)| u.rank(what));
-        best.map(|(key, _)| *key)
-    }
-
     /// Returns what this instance has at its upstreams, for the others.
     pub fn held(&self, now: u64) -> Vec<(u64, Held)> {
         let busy = self.upstreams.iter().flatten().filter(|u| u.inflight > 0);
@@ -359,14 +354,63 @@
     up.occupancy(now) * 100 >= up.slots() * pct
 }
 
-fn rate_one(key: Key, up: &Upstream, now: u64, want: &Want<'_>, home: bool, usual: Usual) -> Rated {
+/// Where all instances send prompts with the same beginning.
+///
+/// Each instance sees a part of the requests only. Were each to go by what it sent itself, the same
+/// beginning would be read by as many engines as there are instances.
+#[derive(Clone, Copy, Debug, Default)]
+struct Homes {
+    first: Option<Key>,
+    next: Option<Key>,
+}
+
+/// Whose turn it is to read a beginning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    First,
+    Next,
+    Later,
+}
+
+impl Homes {
+    fn turn(&self, key: Key) -> Turn {
+        if self.first == Some(key) {
+            Turn::First
+        } else if self.next == Some(key) {
+            Turn::Next
+        } else {
+            Turn::Later
+        }
+    }
+}
+
+fn homes(want: &Want<'_>, from: &[(Key, &Upstream)]) -> Homes {
+    let Some(shared) = want.parts.len().checked_sub(2) else {
+        return Homes::default();
+    };
+    let what = want.parts[shared].id;
+    let rank = |(_, up): &&(Key, &Upstream)| up.rank(what);
+    let first = from.iter().max_by_key(rank).map(|(key, _)| *key);
+    let others = from.iter().filter(|(key, _)| Some(*key) != first);
+    let next = others.max_by_key(rank).map(|(key, _)| *key);
+    Homes { first, next }
+}
+
+fn rate_one(key: Key, up: &Upstream, now: u64, want: &Want<'_>, turn: Turn, usual: Usual) -> Rated {
     let slowness = up.slowness(now);
     let (unread, work) = if want.prompt > 0 {
-        let unread = unread(up, now, want, home);
+        let unread = unread(up, now, want, turn == Turn::First);
         (unread, work(unread, want.prompt))
     } else {
         (0, 0.0)
     };
+    let own = want.parts.last().map_or(want.prompt, |p| p.tokens);
+    let again = f64::from(unread.saturating_sub(own)) * usual.read_ms;
+    let again = match turn {
+        Turn::First => 0.0,
+        Turn::Next => again * AGAIN_PART * NEXT_PART,
+        Turn::Later => again * AGAIN_PART,
+    };
     let expect_ms = if want.prompt > 0 {
         let own = (FIRST_MS + work * usual.read_ms) * slowness;
         let waits = (up.reading_ms(now) * slowness).max(up.delay(now));
@@ -390,7 +434,7 @@
         unread,
         work,
         expect_ms,
-        cost_ms: expect_ms + away + failing + crowd,
+        cost_ms: expect_ms + again + away + failing + crowd,
     }
 }
 
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::health::Health;
 use crate::known::Known;
@@ -160,10 +160,7 @@
 
     /// Returns its rank for something that all instances want at the same upstream.
     pub fn rank(&self, what: u64) -> u64 {
-        let mut x = self.hash ^ what.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        x ^ (x >> 31)
+        xxh3_64_with_seed(&what.to_le_bytes(), self.hash)
     }
 
     /// Takes its word on its load.
