Budgets near their end are not written for each request

A budget that lasts five seconds more tapers a grant to 0.15 s of demand, less than one prompt: each request took its own tokens, up to twelve times a second and customer. Requests that lack tokens which nobody has read all records again every 250 ms.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -13,6 +13,9 @@
 /// `POOL_PCT`; one that ends sooner to so much less. Tokens that a crash strands are missed at the end
 /// of a budget only, and there the more the less is left.
 const LASTS_MS: u64 = 50_000;
+/// Demand that a grant covers at least, in milliseconds, however soon the budget ends: without it each
+/// request needs a write of its own then, and loses against the others'.
+const LEAST_MS: u64 = 500;
 /// Percentage of the pool that an instance without demand takes at first, so that its first
 /// requests need not wait for the store. Not in fleets of more than `SMALL_FLEET` instances: all of
 /// them together would take most of the pool, and lose against each other while they do.
@@ -286,7 +289,7 @@
         let wanted = (rate * HORIZON_MS / 1000).max(first);
         let share = u128::from(pool) * u128::from(rate) / u128::from(rates.max(1));
         let share = u64::try_from(share).unwrap_or(u64::MAX).max(first);
-        wanted.min(share)
+        wanted.min(share.max(rate * LEAST_MS / 1000))
     }
 
     /// Returns the own line as it should stand in the store, when that is worth a write.
--- a/crates/escrow/tests/fleet.rs
+++ b/crates/escrow/tests/fleet.rs
@@ -543,3 +543,33 @@
         "{firsts:?}"
     );
 }
+
+/// Symptom: a dozen writes a second for one customer, most of them in vain. Sequence: a budget that lasts
+/// for five seconds more is drawn on by several instances. Cause: the taper left each of them less than
+/// one prompt, so that each request took its own tokens.
+#[test]
+fn a_budget_near_its_end_is_not_written_for_each_request() {
+    let (mut store, mut node) = alone(1_000_000);
+    node.read(&store, 0);
+    let (mut writes, mut served) = (0, 0);
+    // Prompts of 10,000 tokens, ten a second: 100,000 tokens a second.
+    for i in 0..90 {
+        let now = i * 100;
+        node.holding.ask(now, 10_000);
+        if !node.holding.reserve(10_000) {
+            node.holding.lack(10_000);
+            if let Some(line) = node.holding.plan(now, ALONE) {
+                node.commit(&mut store, line, now);
+                writes += 1;
+            }
+            node.holding.lack_no_more(10_000);
+            if !node.holding.reserve(10_000) {
+                continue;
+            }
+        }
+        node.holding.settle(10_000, 10_000);
+        served += 1;
+    }
+    assert!(served >= 88, "{served}");
+    assert!(writes < 30, "{writes}");
+}
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -27,8 +27,9 @@
 /// Instances that start together do not look at the same time: longest random addition, in
 /// milliseconds.
 const LOOK_SPREAD_MS: u64 = 100;
-/// Records older than this are read again before requests are refused by them, in milliseconds.
-const RECORDS_OLD_MS: u64 = 250;
+/// Records older than this are read again before requests are refused by them, in milliseconds: what
+/// others hand back shows a second later at most, and callers come back later than that.
+const RECORDS_OLD_MS: u64 = 1_000;
 /// Shortest pause between two looks that requests ask for.
 const LOOK_LEAST: Duration = Duration::from_millis(20);
 /// The store alone is waited for so long; then other instances are asked beside it.
