Requests under way are bounded by the memory of the process

Change: place::Room lets in what fits into 60 % of the memory in the settings, by body and 48 KiB a request; the rest is refused at once, to come back elsewhere.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -80,6 +80,9 @@
     /// Bandwidth of the instance's own link each way, in megabits a second; none means that it never
     /// counts as full.
     pub link_mbps: Option<f64>,
+    /// Memory that the process may take, in megabytes; none means that requests under way are not
+    /// bounded by it.
+    pub memory_mb: Option<u64>,
     /// Shortest lease that the platform grants, in milliseconds.
     pub lease_least_ms: Option<u64>,
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -11,10 +11,12 @@
 mod missing;
 mod pool;
 mod retry;
+mod room;
 mod upstream;
 
 pub use link::Link;
 pub use missing::Missing;
 pub use pool::{Choice, Denied, Pool, Want};
 pub use retry::{Bounds, Retries};
+pub use room::Room;
 pub use upstream::{Held, Key, Load, Outcome, Part, Spec, Ticket, Upstream};
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -10,7 +10,7 @@
 use conf::Settings;
 use dial::Dialer;
 use kv::Store;
-use place::{Bounds, Link, Pool, Retries};
+use place::{Bounds, Link, Pool, Retries, Room};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
@@ -126,6 +126,7 @@
             pool,
             listing: listing.clone(),
             dialer: dialer.clone(),
+            room: Mutex::new(Room::new(fleet_settings.memory_mb)),
             link: Mutex::new(Link::new(fleet_settings.link_mbps)),
             retries: Mutex::new(Retries::new(bounds(&fleet_settings))),
             fleet: fleet.clone(),
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -14,7 +14,7 @@
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Request, Response};
-use place::{Key, Link, Pool, Retries};
+use place::{Key, Link, Pool, Retries, Room};
 use smallvec::SmallVec;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
@@ -59,6 +59,7 @@
     pub(crate) pool: Arc<Mutex<Pool>>,
     pub(crate) listing: Listing,
     pub(crate) dialer: Dialer,
+    pub(crate) room: Mutex<Room>,
     pub(crate) link: Mutex<Link>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) fleet: Fleet,
@@ -72,12 +73,29 @@
 }
 
 /// Counts one request under way, until it is dropped.
-pub(crate) struct Busy(Arc<Router>);
+pub(crate) struct Busy {
+    router: Arc<Router>,
+    /// Memory that it took, in bytes.
+    room: usize,
+}
+
+impl Busy {
+    /// Takes the memory for the request; returns whether it fits.
+    fn take_room(&mut self, body: usize) -> bool {
+        let mut room = self.router.room.lock().expect("no panic inside");
+        let taken = room.take(body);
+        self.room = taken.unwrap_or_default();
+        taken.is_some()
+    }
+}
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.busy.send_modify(|n| *n -= 1);
-        self.0.metrics.inflight.dec();
+        let mut room = self.router.room.lock().expect("no panic inside");
+        room.give_back(self.room);
+        drop(room);
+        self.router.busy.send_modify(|n| *n -= 1);
+        self.router.metrics.inflight.dec();
     }
 }
 
@@ -204,7 +222,10 @@
     fn begin(self: &Arc<Self>) -> Busy {
         self.busy.send_modify(|n| *n += 1);
         self.metrics.inflight.inc();
-        Busy(Arc::clone(self))
+        Busy {
+            router: Arc::clone(self),
+            room: 0,
+        }
     }
 
     /// Answers a request.
@@ -246,7 +267,7 @@
         known: &mut Option<Ask>,
     ) -> Result<Response<Out>, Refusal> {
         let arrived = self.clock.now();
-        let busy = self.begin();
+        let mut busy = self.begin();
         let ask = self.dialect.ask(&head)?;
         *known = Some(ask.clone());
         let wait_ms = ask.wait_ms.unwrap_or(WAIT_DEFAULT_MS);
@@ -262,14 +283,8 @@
         let customer = self.customer(&active, &ask, &route)?;
         let deadline = arrived + wait_ms.min(route.timeout_ms);
         let body = self.body(&active, &head, body, deadline).await?;
-        let full = self.link(|l, now| {
-            l.came(now, body.len());
-            l.is_full_for(now, body.len())
-        });
-        if full {
-            let refusal = Refusal::new(Kind::Overloaded, "this instance's link is full");
-            return Err(refusal.back_in(RETRY_ELSEWHERE_MS, wait_ms));
-        }
+        self.room_for(&mut busy, body.len())
+            .map_err(|full| full.back_in(RETRY_ELSEWHERE_MS, wait_ms))?;
         let service = route.service(rand::random());
         let service = service.map(str::to_string).ok_or_else(|| {
             let message = format!("route {} has no service", route.name);
@@ -306,6 +321,22 @@
         }
     }
 
+    /// Takes what a request needs here; the error says that another instance has more of it.
+    fn room_for(&self, busy: &mut Busy, body: usize) -> Result<(), Refusal> {
+        let full = self.link(|l, now| {
+            l.came(now, body);
+            l.is_full_for(now, body)
+        });
+        let why = if full {
+            "this instance's link is full"
+        } else if !busy.take_room(body) {
+            "this instance's memory is full"
+        } else {
+            return Ok(());
+        };
+        Err(Refusal::new(Kind::Overloaded, why))
+    }
+
     fn route<'a>(
         &self,
         active: &'a Active,
