First lists may be old: a start asks less of the store, and is answered where rates are used up

Change: the store's trait tells linearizable from serializable lists. A first list, and one after a failure, may be old: the watch from its revision brings the rest.

--- a/crates/kv/src/client.rs
+++ b/crates/kv/src/client.rs
@@ -8,6 +8,7 @@
 use serde_json::{json, Value};
 use tokio::sync::mpsc;
 
+use crate::store::Reading;
 use crate::wire::{self, KeyValue};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -133,10 +134,24 @@
     ///
     /// Returns the failure when there is no answer.
     pub async fn list(&self, prefix: &str) -> Result<(Vec<Found>, i64), Failure> {
+        self.read_range(prefix, Reading::Linearizable).await
+    }
+
+    /// Reads all keys with a prefix, as new as is wanted.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub async fn read_range(
+        &self,
+        prefix: &str,
+        reading: Reading,
+    ) -> Result<(Vec<Found>, i64), Failure> {
         self.0.counts.reads.fetch_add(1, Ordering::Relaxed);
         let body = json!({
             "key": wire::b64(prefix.as_bytes()),
             "range_end": wire::b64(&wire::prefix_end(prefix)),
+            "serializable": reading == Reading::Serializable,
         });
         let res = self.call("/v3/kv/range", &body).await?;
         Ok((found(&res["kvs"]), wire::number(&res["header"]["revision"])))
--- a/crates/kv/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -6,7 +6,7 @@
 use serde_json::{json, Value};
 
 use crate::client::{found, Client, Counts, Failure, Found};
-use crate::store::{Answer, Change, Commit, Listing, News, Store, Txn};
+use crate::store::{Answer, Change, Commit, Listing, News, Reading, Store, Txn};
 use crate::wire;
 
 impl Store for Client {
@@ -14,9 +14,9 @@
         Box::pin(Client::get(self, key))
     }
 
-    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Listing> {
+    fn list<'a>(&'a self, prefix: &'a str, reading: Reading) -> Answer<'a, Listing> {
         Box::pin(async move {
-            let (items, revision) = Client::list(self, prefix).await?;
+            let (items, revision) = self.read_range(prefix, reading).await?;
             Ok(Listing { items, revision })
         })
     }
--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod wire;
 
 pub use client::{Client, Counts, Failure, Found, Swap};
-pub use store::{Answer, Change, Commit, Expect, Listing, News, Put, Store, Txn, TXN_MOST};
+pub use store::{
+    Answer, Change, Commit, Expect, Listing, News, Put, Reading, Store, Txn, TXN_MOST,
+};
--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -21,6 +21,16 @@
     pub revision: i64,
 }
 
+/// How new a read must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// It shows every write that was answered before it.
+    Linearizable,
+    /// It may be seconds old, costs the store less, and is answered where rates are used up. A watch from
+    /// its revision brings what it lacks.
+    Serializable,
+}
+
 /// What a watch brought.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum News {
@@ -102,7 +112,7 @@
     fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Found>>;
 
     /// Reads all keys with a prefix.
-    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Listing>;
+    fn list<'a>(&'a self, prefix: &'a str, reading: Reading) -> Answer<'a, Listing>;
 
     /// Waits until a key with a prefix changes after a revision, or for `wait_ms`.
     fn watch<'a>(&'a self, prefix: &'a str, after: i64, wait_ms: u64) -> Answer<'a, News>;
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -5,7 +5,7 @@
 
 use escrow::{Book, Holding, Known, Line, Record};
 use futures_util::future::join_all;
-use kv::{Commit, Expect, Found, Put, Txn, TXN_MOST};
+use kv::{Commit, Expect, Found, Put, Reading, Txn, TXN_MOST};
 use rand::Rng;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
@@ -199,7 +199,7 @@
                 }
             }
         }
-        match means.store.list(PREFIX).await {
+        match means.store.list(PREFIX, Reading::Linearizable).await {
             Ok(listing) => {
                 means.reach.answered();
                 self.learn_all(&listing.items);
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clock::Clock;
-use kv::{Change, Failure, Found, News, Store};
+use kv::{Change, Failure, Found, News, Reading, Store};
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
@@ -128,6 +128,8 @@
     /// Longest wait of one watch, in milliseconds.
     wait_ms: u64,
     after: Option<i64>,
+    /// The history after the last list is gone.
+    compacted: bool,
     list_at: Instant,
     /// No watch begins before this.
     watch_at: Instant,
@@ -146,6 +148,7 @@
             prefix: prefix.to_string(),
             wait_ms,
             after: None,
+            compacted: false,
             list_at: Instant::now(),
             watch_at: Instant::now(),
         }
@@ -166,10 +169,11 @@
     }
 
     async fn list(&mut self) -> Update {
-        match self.store.list(&self.prefix).await {
+        match self.store.list(&self.prefix, self.reading()).await {
             Ok(listing) => {
                 self.reach.answered();
                 self.after = Some(listing.revision);
+                self.compacted = false;
                 self.list_at = Instant::now() + LIST_EVERY;
                 Update::Listed(listing.items, listing.revision)
             }
@@ -177,6 +181,19 @@
         }
     }
 
+    /// Returns how new a list must be.
+    ///
+    /// One from which a watch goes on may be old: the watch brings the rest at once. That matters when
+    /// hundreds of instances that lost power together list thousands of upstreams. Not when the history is
+    /// gone, for an old list would be behind it again; nor for a list beside a watch, which is newer.
+    fn reading(&self) -> Reading {
+        if self.after.is_none() && !self.compacted {
+            Reading::Serializable
+        } else {
+            Reading::Linearizable
+        }
+    }
+
     async fn watch(&mut self, after: i64) -> Option<Update> {
         sleep_until(self.watch_at).await;
         let news = self.store.watch(&self.prefix, after, self.wait_ms).await;
@@ -192,6 +209,7 @@
             Ok(News::Compacted) => {
                 self.reach.answered();
                 self.after = None;
+                self.compacted = true;
                 None
             }
             Err(failure) => Some(self.lost(&failure).await),
