Events of a full link, and of its end

The instance's answer to balancers changed without a line that said why. 2007 and 2008 say it, with the milliseconds that wait on the way out; link.rs holds that each is told once.

--- a/crates/place/src/link.rs
+++ b/crates/place/src/link.rs
@@ -50,6 +50,8 @@
     inward: Queue,
     outward: Queue,
     rest_until: u64,
+    /// What was last told of whether it is crowded.
+    told: bool,
 }
 
 impl Link {
@@ -99,6 +101,14 @@
         self.per_ms.map_or(0.0, |p| self.outward.get(now, p) / p)
     }
 
+    /// Returns whether it is crowded, when that has changed since it was last asked for.
+    pub fn turned(&mut self, now: u64) -> Option<bool> {
+        let crowded = self.is_crowded(now);
+        let turned = crowded != self.told;
+        self.told = crowded;
+        turned.then_some(crowded)
+    }
+
     /// Returns whether new connections are wanted elsewhere.
     pub fn is_crowded(&self, now: u64) -> bool {
         now < self.rest_until
--- a/crates/place/tests/link.rs
+++ b/crates/place/tests/link.rs
@@ -51,10 +51,12 @@
     let mut link = Link::new(Some(10.0));
     assert_eq!(press(&mut link, 0, 130, 7_700, 500).0, 0);
     assert!(link.is_crowded(500), "told before anything is refused");
+    assert_eq!((link.turned(500), link.turned(501)), (Some(true), None));
     let (refused, longest) = press(&mut link, 500, 130, 7_700, 5_000);
     assert!((150..250).contains(&refused), "{refused} of 650");
     assert!(longest < 270.0, "{longest}");
     assert!(!link.is_full_for(5_500, 600), "short ones pass");
     assert!(link.is_crowded(9_000), "they would come back at once");
     assert!(!link.is_crowded(12_000));
+    assert_eq!(link.turned(12_000), Some(false));
 }
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -18,6 +18,10 @@
     Reloaded,
     /// An invariant failed: the process ends at once.
     Broken,
+    /// The own link is full: new connections are wanted elsewhere.
+    LinkFull,
+    /// The own link is free again.
+    LinkFree,
     /// Another configuration is in force.
     ConfigInForce,
     /// A configuration can't be read; the one before stays in force.
@@ -75,6 +79,8 @@
         Level::ERROR,
         "invariant failed, process ends",
     ),
+    row(Event::LinkFull, 2007, Level::WARN, "own link is full"),
+    row(Event::LinkFree, 2008, Level::INFO, "own link is free again"),
     row(
         Event::ConfigInForce,
         2101,
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -212,7 +212,17 @@
     /// Looks at the own link, or counts what goes over it.
     pub(crate) fn link<T>(&self, f: impl FnOnce(&mut Link, u64) -> T) -> T {
         let now = self.clock.now();
-        f(&mut self.link.lock().expect("no panic inside"), now)
+        let mut link = self.link.lock().expect("no panic inside");
+        let seen = f(&mut link, now);
+        let (turned, waits_ms) = (link.turned(now), link.outward_ms(now));
+        drop(link);
+        let detail = format_args!("outward_ms={waits_ms:.0}");
+        match turned {
+            Some(true) => self.log.note(Event::LinkFull, detail),
+            Some(false) => self.log.note(Event::LinkFree, detail),
+            None => {}
+        }
+        seen
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
