--- /dev/null
+++ b/crates/escrow/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Budgets of a fleet, without a network.
+
+mod cases;
+mod random;
+mod store;
--- /dev/null
+++ b/crates/escrow/tests/fleet/random.rs
@@ -0,0 +1,211 @@
+//! Random fleets over a store that loses answers and lands writes late: never more than prepaid.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::store::{Node, Store};
+
+struct Fleet {
+    rng: StdRng,
+    now: u64,
+    store: Store,
+    nodes: Vec<Node>,
+    spent: u64,
+    prepaid: u64,
+    born: u64,
+}
+
+impl Fleet {
+    fn open(seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            rng: StdRng::seed_from_u64(seed),
+            now: 0,
+            store: Store::default(),
+            nodes: Vec::new(),
+            spent: 0,
+            prepaid: 500_000,
+            born: 0,
+        };
+        for _ in 0..5 {
+            fleet.birth();
+        }
+        fleet
+    }
+
+    fn birth(&mut self) {
+        let name = format!("n{}", self.born);
+        self.start(&name);
+    }
+
+    fn start(&mut self, name: &str) {
+        self.born += 1;
+        let id = format!("{name}.{}", self.born);
+        self.nodes.push(Node::new(name, &id, self.prepaid));
+    }
+
+    fn step(&mut self) {
+        self.now += self.rng.random_range(1..200);
+        let at = self.rng.random_range(0..self.nodes.len());
+        match self.rng.random_range(0..100) {
+            0..40 => self.request(at),
+            40..70 => self.end(at),
+            70..88 => self.talk(at),
+            88..91 => self.transfer(at),
+            91..93 => self.draw(at),
+            93..96 => self.late(),
+            96..98 => self.crash(at),
+            _ => self.top_up(),
+        }
+        self.check();
+    }
+
+    fn request(&mut self, at: usize) {
+        let tokens = self.rng.random_range(1_000..40_000);
+        let now = self.now;
+        self.nodes[at].holding.ask(now, tokens);
+        if !self.nodes[at].holding.reserve(tokens) {
+            // It waits while the store is asked.
+            self.nodes[at].holding.lack(tokens);
+            self.talk(at);
+            self.nodes[at].holding.lack_no_more(tokens);
+            if !self.nodes[at].holding.reserve(tokens) {
+                return;
+            }
+        }
+        self.nodes[at].open.push(tokens);
+    }
+
+    fn end(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        let Some(tokens) = node.open.pop() else {
+            return;
+        };
+        let spent = self.rng.random_range(0..=tokens);
+        node.holding.settle(tokens, spent);
+        self.spent += spent;
+    }
+
+    fn talk(&mut self, at: usize) {
+        let sharers = self.nodes.len() as u64;
+        let lost = self.rng.random_range(0..4) == 0;
+        let late = self.rng.random_range(0..4) == 0;
+        let node = &mut self.nodes[at];
+        if self.rng.random_range(0..3) > 0 {
+            node.read(&self.store, self.now);
+        }
+        let Some(line) = node.holding.plan(self.now, sharers) else {
+            return;
+        };
+        let write = node.write(line);
+        if late {
+            self.store.late.push(write);
+            return;
+        }
+        if self.store.commit(&write) && !lost {
+            node.read(&self.store, self.now);
+        }
+    }
+
+    fn late(&mut self) {
+        if self.store.late.is_empty() {
+            return;
+        }
+        let at = self.rng.random_range(0..self.store.late.len());
+        let write = self.store.late.swap_remove(at);
+        self.store.commit(&write);
+    }
+
+    fn transfer(&mut self, from: usize) {
+        let to = self.rng.random_range(0..self.nodes.len());
+        if to == from {
+            return;
+        }
+        let wanted = self.rng.random_range(0..60_000);
+        let asker = &self.nodes[to].holding;
+        let (balance, rate) = (asker.balance(), asker.rate(self.now));
+        let giver = &mut self.nodes[from].holding;
+        let tokens = giver.give(self.now, wanted, balance, rate);
+        if self.rng.random_range(0..4) > 0 {
+            self.nodes[to].holding.receive(tokens);
+        }
+    }
+
+    /// A request's tokens from another one; the call, or its answer, may be lost.
+    fn draw(&mut self, at: usize) {
+        let home = self.rng.random_range(0..self.nodes.len());
+        if home == at {
+            return;
+        }
+        let tokens = self.rng.random_range(1_000..40_000);
+        let part = self.nodes[at].holding.reserve_part(tokens);
+        let spent = self.nodes[at].holding.pass_on();
+        let called = self.rng.random_range(0..8) > 0;
+        let answered = called && self.rng.random_range(0..8) > 0;
+        let lacking = tokens - part;
+        let holding = &mut self.nodes[home].holding;
+        if called {
+            holding.hear(spent);
+        }
+        let drawn = called && holding.reserve(lacking);
+        if drawn {
+            holding.hand_over(lacking);
+        }
+        let node = &mut self.nodes[at];
+        if drawn && answered {
+            node.holding.receive(lacking);
+            assert!(node.holding.reserve(lacking));
+            node.open.push(tokens);
+        } else {
+            node.holding.settle(part, 0);
+        }
+    }
+
+    /// What it had under way may have been spent to the last token. It starts again under its name, or
+    /// another one takes its place; or its name is taken while it still runs.
+    fn crash(&mut self, at: usize) {
+        let fate = self.rng.random_range(0..8);
+        let name = self.nodes[at].name.clone();
+        if fate == 0 && self.nodes.len() < 8 {
+            self.start(&name);
+            return;
+        }
+        let node = self.nodes.swap_remove(at);
+        self.spent += node.open.iter().sum::<u64>();
+        if fate < 4 {
+            self.start(&name);
+        } else {
+            self.birth();
+        }
+    }
+
+    fn top_up(&mut self) {
+        self.prepaid += 20_000;
+        for node in &mut self.nodes {
+            node.holding.set_prepaid(self.prepaid);
+        }
+    }
+
+    fn check(&self) {
+        let open: u64 = self.nodes.iter().flat_map(|n| &n.open).sum();
+        assert!(self.spent + open <= self.prepaid, "budget exceeded");
+        assert!(self.store.record.1.charged <= self.prepaid);
+        assert!(
+            self.store.record.1.spent <= self.spent + open,
+            "spent twice"
+        );
+    }
+}
+
+#[test]
+fn budgets_hold_over_lost_answers_late_writes_transfers_and_crashes() {
+    let mut used = 0;
+    for seed in 0..200 {
+        let mut fleet = Fleet::open(seed);
+        for _ in 0..2_000 {
+            fleet.step();
+        }
+        used += fleet.spent * 100 / fleet.prepaid;
+    }
+    // A fleet that spends nothing would pass as well.
+    assert!(used / 200 > 50, "only {used} in 200 budgets");
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,13 +10,17 @@
 mod link;
 mod missing;
 mod pool;
+mod rate;
 mod retry;
 mod room;
 mod upstream;
+mod usual;
+mod want;
 
 pub use link::Link;
 pub use missing::Missing;
-pub use pool::{Choice, Denied, Pool, Want};
+pub use pool::Pool;
 pub use retry::{Bounds, Retries};
 pub use room::Room;
 pub use upstream::{Held, Key, Load, Outcome, Part, Spec, Ticket, Upstream};
+pub use want::{Choice, Denied, Want};
--- /dev/null
+++ b/crates/place/src/want.rs
@@ -0,0 +1,55 @@
+//! What a request wants of an upstream, and what it gets.
+
+use crate::upstream::{Key, Part, Spec, Ticket};
+
+/// What a request wants.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The own availability zone.
+    pub zone: &'a str,
+    /// The parts of its prompt, in order; the last one is its own.
+    pub parts: &'a [Part],
+    /// Tokens of its prompt; 0 for a plain call.
+    pub prompt: u32,
+    /// Upstreams that were tried.
+    pub tried: &'a [Key],
+    /// When its answer is no longer wanted, in milliseconds.
+    pub deadline: u64,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Uniform over all values.
+    pub random: u64,
+}
+
+/// A chosen upstream.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The upstream.
+    pub key: Key,
+    /// As its list shows it.
+    pub spec: Spec,
+    /// The request there.
+    pub ticket: Ticket,
+    /// Tokens that it will have to read, as far as known.
+    pub unread: u32,
+    /// The same, weighed by how many tokens stand before them.
+    pub work: f64,
+    /// When the first token, or the answer, is expected, in milliseconds from now.
+    pub expect_ms: f64,
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// None is known.
+    Unknown,
+    /// All that are known were tried, leave, or are out.
+    NoneLeft,
+    /// They are so busy that the answer would come too late.
+    Busy {
+        /// Milliseconds after which coming back makes sense.
+        retry_ms: u64,
+    },
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -15,8 +15,8 @@
 use crate::ask::Sending;
 use crate::dialect::{Reading, Word};
 use crate::event::Event;
+use crate::job::Job;
 use crate::refusal::Refusal;
-use crate::router::Job;
 
 /// Part of an upstream's connections that all instances together use: others may use it too.
 const CONNECTIONS_PCT: usize = 80;
--- /dev/null
+++ b/crates/proxy/src/job.rs
@@ -0,0 +1,149 @@
+//! One request on its way through the filters.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use conf::{Repeat, Route, Service};
+use hyper::http::request;
+use place::Key;
+use smallvec::SmallVec;
+
+use crate::ask::Ask;
+use crate::bank::Charge;
+use crate::event::Event;
+use crate::router::Router;
+
+/// Counts one request under way, until it is dropped.
+pub(crate) struct Busy {
+    router: Arc<Router>,
+    /// Memory that it took, in bytes.
+    room: usize,
+}
+
+impl Busy {
+    /// Begins to count a request.
+    pub(crate) fn open(router: &Arc<Router>) -> Busy {
+        router.busy.send_modify(|n| *n += 1);
+        router.metrics.inflight.inc();
+        Busy {
+            router: Arc::clone(router),
+            room: 0,
+        }
+    }
+
+    /// Takes the memory for the request; returns whether it fits.
+    pub(crate) fn take_room(&mut self, body: usize) -> bool {
+        let mut room = self.router.room.lock().expect("no panic inside");
+        let taken = room.take(body);
+        self.room = taken.unwrap_or_default();
+        taken.is_some()
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let mut room = self.router.room.lock().expect("no panic inside");
+        room.give_back(self.room);
+        drop(room);
+        self.router.busy.send_modify(|n| *n -= 1);
+        self.router.metrics.inflight.dec();
+    }
+}
+
+/// What was expected of an upstream, and what came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Expected {
+    /// Tokens of the prompt that it would have to read.
+    pub(crate) unread: u32,
+    /// When its answer or first event was expected, in milliseconds after the sending.
+    pub(crate) first_ms: f64,
+    /// When it was sent, in milliseconds after the request's arrival.
+    pub(crate) sent_ms: u64,
+    /// When that came, in milliseconds after the request's arrival.
+    pub(crate) came_ms: u64,
+}
+
+/// One request on its way through the filters.
+pub(crate) struct Job {
+    pub(crate) router: Arc<Router>,
+    pub(crate) ask: Ask,
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    pub(crate) service: String,
+    pub(crate) traits: Service,
+    pub(crate) customer: Option<String>,
+    /// When it came, in milliseconds.
+    pub(crate) arrived: u64,
+    /// When its answer is no longer wanted, in milliseconds.
+    pub(crate) deadline: u64,
+    /// Upstreams that were tried.
+    pub(crate) tried: SmallVec<[Key; 4]>,
+    /// How often it was sent.
+    pub(crate) attempts: u32,
+    pub(crate) charge: Option<Charge>,
+    /// Whether an upstream may have run it.
+    pub(crate) may_have_run: bool,
+    /// What was expected of the last upstream, for the log.
+    pub(crate) expected: Expected,
+    pub(crate) _busy: Busy,
+}
+
+impl Job {
+    /// Returns the milliseconds until the deadline.
+    pub(crate) fn left_ms(&self) -> u64 {
+        self.deadline.saturating_sub(self.router.clock.now())
+    }
+
+    /// Returns whether it may run more than once.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.route.repeat != Repeat::Never
+    }
+
+    /// Returns whether it may be sent once more, and takes a repetition for that.
+    pub(crate) fn may_repeat(&self) -> bool {
+        if self.attempts >= self.route.attempts || self.left_ms() == 0 {
+            return false;
+        }
+        let (now, sharers) = (self.router.clock.now(), self.router.fleet.sharers());
+        let mut retries = self.router.retries.lock().expect("no panic inside");
+        retries.take(now, &self.service, sharers)
+    }
+
+    /// Counts tokens of the answer that go to the caller.
+    pub(crate) fn delivered(&mut self, tokens: u64) {
+        if let Some(charge) = &mut self.charge {
+            charge.delivered(tokens);
+        }
+        self.router.metrics.tokens.inc_by(tokens);
+    }
+
+    /// Notes that the answer or the first event has come.
+    pub(crate) fn first_came(&mut self) {
+        let took = self.router.clock.now() - self.arrived;
+        self.expected.came_ms = took;
+        self.router.metrics.first(&self.route.name, took);
+    }
+
+    /// Logs how it ended.
+    pub(crate) fn ended(&self, code: &str, upstream: &str) {
+        self.router.metrics.ended(&self.route.name, code);
+        let detail = format_args!(
+            "route={} customer={} upstream={upstream} attempts={} code={code} ms={} sent_ms={} \
+             first_ms={} expected_ms={:.0} unread={} of={} tokens={}",
+            self.route.name,
+            self.customer.as_deref().unwrap_or("-"),
+            self.attempts,
+            self.router.clock.now() - self.arrived,
+            self.expected.sent_ms,
+            self.expected.came_ms,
+            self.expected.first_ms,
+            self.expected.unread,
+            self.ask.prompt,
+            self.charge.as_ref().map_or(0, Charge::spent),
+        );
+        self.router
+            .log
+            .request(Event::Answered, &self.ask.id, detail);
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod follow;
 mod instance;
+mod job;
 mod listen;
 mod listing;
 mod loads;
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -13,8 +13,9 @@
 use crate::attempt::{attempt, Attempts, Failed, Open};
 use crate::body::{Cut, Out};
 use crate::event::Event;
+use crate::job::Job;
 use crate::refusal::Refusal;
-use crate::router::{Job, Router};
+use crate::router::Router;
 
 /// An answer up to this size is read whole, in bytes; a larger one goes on as it comes.
 const WHOLE_MOST: usize = 1 << 20;
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use clock::Clock;
-use conf::{Repeat, Route, Service};
+use conf::Route;
 use dial::Dialer;
 use err::Kind;
 use escrow::Short;
@@ -14,7 +14,7 @@
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Request, Response};
-use place::{Key, Link, Pool, Retries, Room};
+use place::{Link, Pool, Retries, Room};
 use smallvec::SmallVec;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
@@ -27,6 +27,7 @@
 use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::follow::Reach;
+use crate::job::{Busy, Expected, Job};
 use crate::listing::Listing;
 use crate::log::Log;
 use crate::metric::Metrics;
@@ -72,131 +73,6 @@
     pub(crate) busy: watch::Sender<u64>,
 }
 
-/// Counts one request under way, until it is dropped.
-pub(crate) struct Busy {
-    router: Arc<Router>,
-    /// Memory that it took, in bytes.
-    room: usize,
-}
-
-impl Busy {
-    /// Takes the memory for the request; returns whether it fits.
-    fn take_room(&mut self, body: usize) -> bool {
-        let mut room = self.router.room.lock().expect("no panic inside");
-        let taken = room.take(body);
-        self.room = taken.unwrap_or_default();
-        taken.is_some()
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        let mut room = self.router.room.lock().expect("no panic inside");
-        room.give_back(self.room);
-        drop(room);
-        self.router.busy.send_modify(|n| *n -= 1);
-        self.router.metrics.inflight.dec();
-    }
-}
-
-/// What was expected of an upstream, and what came.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Expected {
-    /// Tokens of the prompt that it would have to read.
-    pub(crate) unread: u32,
-    /// When its answer or first event was expected, in milliseconds after the sending.
-    pub(crate) first_ms: f64,
-    /// When it was sent, in milliseconds after the request's arrival.
-    pub(crate) sent_ms: u64,
-    /// When that came, in milliseconds after the request's arrival.
-    pub(crate) came_ms: u64,
-}
-
-/// One request on its way through the filters.
-pub(crate) struct Job {
-    pub(crate) router: Arc<Router>,
-    pub(crate) ask: Ask,
-    pub(crate) head: request::Parts,
-    pub(crate) body: Bytes,
-    pub(crate) route: Route,
-    pub(crate) service: String,
-    pub(crate) traits: Service,
-    pub(crate) customer: Option<String>,
-    /// When it came, in milliseconds.
-    pub(crate) arrived: u64,
-    /// When its answer is no longer wanted, in milliseconds.
-    pub(crate) deadline: u64,
-    /// Upstreams that were tried.
-    pub(crate) tried: SmallVec<[Key; 4]>,
-    /// How often it was sent.
-    pub(crate) attempts: u32,
-    pub(crate) charge: Option<Charge>,
-    /// Whether an upstream may have run it.
-    pub(crate) may_have_run: bool,
-    /// What was expected of the last upstream, for the log.
-    pub(crate) expected: Expected,
-    _busy: Busy,
-}
-
-impl Job {
-    /// Returns the milliseconds until the deadline.
-    pub(crate) fn left_ms(&self) -> u64 {
-        self.deadline.saturating_sub(self.router.clock.now())
-    }
-
-    /// Returns whether it may run more than once.
-    pub(crate) fn is_repeatable(&self) -> bool {
-        self.route.repeat != Repeat::Never
-    }
-
-    /// Returns whether it may be sent once more, and takes a repetition for that.
-    pub(crate) fn may_repeat(&self) -> bool {
-        if self.attempts >= self.route.attempts || self.left_ms() == 0 {
-            return false;
-        }
-        let (now, sharers) = (self.router.clock.now(), self.router.fleet.sharers());
-        let mut retries = self.router.retries.lock().expect("no panic inside");
-        retries.take(now, &self.service, sharers)
-    }
-
-    /// Counts tokens of the answer that go to the caller.
-    pub(crate) fn delivered(&mut self, tokens: u64) {
-        if let Some(charge) = &mut self.charge {
-            charge.delivered(tokens);
-        }
-        self.router.metrics.tokens.inc_by(tokens);
-    }
-
-    /// Notes that the answer or the first event has come.
-    pub(crate) fn first_came(&mut self) {
-        let took = self.router.clock.now() - self.arrived;
-        self.expected.came_ms = took;
-        self.router.metrics.first(&self.route.name, took);
-    }
-
-    /// Logs how it ended.
-    pub(crate) fn ended(&self, code: &str, upstream: &str) {
-        self.router.metrics.ended(&self.route.name, code);
-        let detail = format_args!(
-            "route={} customer={} upstream={upstream} attempts={} code={code} ms={} sent_ms={} \
-             first_ms={} expected_ms={:.0} unread={} of={} tokens={}",
-            self.route.name,
-            self.customer.as_deref().unwrap_or("-"),
-            self.attempts,
-            self.router.clock.now() - self.arrived,
-            self.expected.sent_ms,
-            self.expected.came_ms,
-            self.expected.first_ms,
-            self.expected.unread,
-            self.ask.prompt,
-            self.charge.as_ref().map_or(0, Charge::spent),
-        );
-        self.router
-            .log
-            .request(Event::Answered, &self.ask.id, detail);
-    }
-}
-
 impl Router {
     /// Returns whether new connections are wanted.
     pub(crate) fn is_ready(&self) -> bool {
@@ -229,15 +105,6 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    fn begin(self: &Arc<Self>) -> Busy {
-        self.busy.send_modify(|n| *n += 1);
-        self.metrics.inflight.inc();
-        Busy {
-            router: Arc::clone(self),
-            room: 0,
-        }
-    }
-
     /// Answers a request.
     pub(crate) async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<Out> {
         // A body in chunks ends where its sender says. Were a length named besides, the two could
@@ -277,7 +144,7 @@
         known: &mut Option<Ask>,
     ) -> Result<Response<Out>, Refusal> {
         let arrived = self.clock.now();
-        let mut busy = self.begin();
+        let mut busy = Busy::open(self);
         let ask = self.dialect.ask(&head)?;
         *known = Some(ask.clone());
         let wait_ms = ask.wait_ms.unwrap_or(WAIT_DEFAULT_MS);
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -16,9 +16,9 @@
 use crate::dialect::Reading;
 use crate::event::Event;
 use crate::events::{self, Events};
+use crate::job::Job;
 use crate::plain;
 use crate::refusal::Refusal;
-use crate::router::Job;
 
 /// Events that may wait for a slow caller.
 const EVENTS_DEPTH: usize = 16;
