Callers refused for tokens in an outage come back in 4 s again, all of them

Cause: whether free tokens can be taken was asked in the router for every refusal; moved into Bank::refusal, it was left out where a request comes within the 300 ms after a search that found nothing: those callers were told 0.7 s and refused again.

--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -168,7 +168,7 @@
         }
         let dry = account.dry_until.is_some_and(|t| Instant::now() < t);
         if dry {
-            return Tried::Refused(account.holding.refusal(tokens));
+            return Tried::Refused(self.why(&account.holding, tokens));
         }
         Tried::Wait
     }
@@ -180,13 +180,18 @@
     }
 
     fn refusal(&self, customer: &str, tokens: u64) -> Short {
-        let out = self.means().reach.is_out();
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let Some(account) = accounts.get_mut(customer) else {
             return Short::OutOfReach { free: false };
         };
         account.dry_until = Some(Instant::now() + DRY);
-        match account.holding.refusal(tokens) {
+        self.why(&account.holding, tokens)
+    }
+
+    /// Returns why a holding has no tokens for a request: free ones can't be taken while the store is out.
+    fn why(&self, holding: &Holding, tokens: u64) -> Short {
+        let out = self.means().reach.is_out();
+        match holding.refusal(tokens) {
             Short::OutOfReach { free } => Short::OutOfReach { free: free && !out },
             exhausted => exhausted,
         }
