--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -90,13 +90,16 @@
         let now = self.clock.now();
         let mut link = self.link.lock().expect("no panic inside");
         let seen = f(&mut link, now);
-        let (turned, waits_ms) = (link.turned(now), link.outward_ms(now));
+        let turned = link.turned(now).map(|full| (full, link.outward_ms(now)));
         drop(link);
-        let detail = format_args!("outward_ms={waits_ms:.0}");
-        match turned {
-            Some(true) => self.log.note(Event::LinkFull, detail),
-            Some(false) => self.log.note(Event::LinkFree, detail),
-            None => {}
+        if let Some((full, waits_ms)) = turned {
+            let event = if full {
+                Event::LinkFull
+            } else {
+                Event::LinkFree
+            };
+            let detail = format_args!("outward_ms={waits_ms:.0}");
+            self.log.note(event, detail);
         }
         seen
     }
