An upstream that starts again under its name is another one; entries of other writers name none

Cause: an entry's birth was not read, so that prefixes thought cached, rates, ejection, loads told by other instances, idle connections and requests under way of the earlier life were taken for the later one's.

Now a life is named by id and birth: in the pool, for connections, in what instances tell each other of loads and leavings. A later life ends the connections of the earlier one, those in use too. An entry that can't be read takes its upstream out of use, one log line for each entry and revision.

--- a/crates/dial/src/pool.rs
+++ b/crates/dial/src/pool.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::{timeout_at, Instant};
 
 use crate::conn::Conn;
@@ -32,7 +33,7 @@
 /// Where to connect to.
 #[derive(Clone, Copy, Debug)]
 pub struct Target<'a> {
-    /// The upstream's incarnation: another one may have its address later.
+    /// The upstream's life: another one may have its address, or its name, later.
     pub upstream: &'a str,
     /// Its address.
     pub addr: SocketAddr,
@@ -61,6 +62,8 @@
 struct Pool {
     idle: Vec<Idle>,
     open: usize,
+    /// The tasks of the open connections, those in use among them.
+    tasks: Vec<AbortHandle>,
 }
 
 /// The connections of all upstreams.
@@ -71,6 +74,7 @@
     pub(crate) fn closed(&mut self, upstream: &str) {
         if let Some(pool) = self.0.get_mut(upstream) {
             pool.open -= 1;
+            pool.tasks.retain(|t| !t.is_finished());
             if pool.open == 0 {
                 self.0.remove(upstream);
             }
@@ -126,7 +130,7 @@
         let task = tokio::spawn(async move {
             let _ = conn.await;
         });
-        place.keep();
+        place.keep(task.abort_handle());
         Ok(Conn {
             upstream: to.upstream.to_string(),
             send,
@@ -173,6 +177,20 @@
         drop(dropped);
     }
 
+    /// Closes all connections of an upstream whose life has ended, those in use too: what waits on them
+    /// for an answer learns at once that none will come.
+    pub fn cut(&self, upstream: &str) {
+        let tasks = {
+            let mut pools = self.0.lock().expect("no panic inside");
+            let pool = pools.0.get_mut(upstream);
+            pool.map(|p| std::mem::take(&mut p.tasks))
+        };
+        for task in tasks.unwrap_or_default() {
+            task.abort();
+        }
+        self.forget(upstream);
+    }
+
     /// Closes the kept connections that have been idle for too long.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -206,8 +224,12 @@
 }
 
 impl Place<'_> {
-    fn keep(mut self) {
+    fn keep(mut self, task: AbortHandle) {
         self.kept = true;
+        let mut pools = self.pools.lock().expect("no panic inside");
+        if let Some(pool) = pools.0.get_mut(self.upstream) {
+            pool.tasks.push(task);
+        }
     }
 }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use link::Link;
 pub use missing::Missing;
-pub use pool::Pool;
+pub use pool::{Listed, Pool};
 pub use retry::{Bounds, Retries};
 pub use room::Room;
 pub use upstream::{Held, Key, Load, Outcome, Part, Spec, Ticket, Upstream};
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -16,6 +16,22 @@
 /// Shortest time after which a refused request may come back, in milliseconds.
 const RETRY_LEAST_MS: u64 = 300;
 
+/// What an entry of the list is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// An upstream that was not known.
+    New,
+    /// A known upstream started again under its name: nothing of its earlier life holds any more.
+    Reborn {
+        /// The life that ended.
+        ended: String,
+    },
+    /// A known upstream leaves.
+    Leaving,
+    /// Nothing new.
+    Known,
+}
+
 /// All upstreams.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -26,16 +42,34 @@
 }
 
 impl Pool {
-    /// Takes an entry of the list; returns whether it is new, or newly leaving.
-    pub fn list(&mut self, spec: Spec) -> bool {
-        if let Some(key) = self.by_id.get(&spec.id).copied() {
-            let up = self.get_mut(key);
-            let news = spec.leaving && !up.leaving;
-            up.leaving |= spec.leaving;
-            up.gone = false;
-            up.spec = spec;
-            return news;
+    /// Takes an entry of the list.
+    pub fn list(&mut self, spec: Spec) -> Listed {
+        let Some(key) = self.by_id.get(&spec.id).copied() else {
+            self.add(spec);
+            return Listed::New;
+        };
+        let up = self.get_mut(key);
+        if spec.is_before(&up.spec) {
+            return Listed::Known;
+        }
+        if spec.is_reborn_since(&up.spec) {
+            let (id, ended) = (spec.id.clone(), up.spec.life());
+            up.gone = true;
+            self.drop_idle(key);
+            self.add(spec);
+            self.get_mut(self.by_id[&id]).reborn = true;
+            return Listed::Reborn { ended };
+        }
+        let news = spec.leaving && !up.leaving;
+        up.relist(spec);
+        if news {
+            Listed::Leaving
+        } else {
+            Listed::Known
         }
+    }
+
+    fn add(&mut self, spec: Spec) {
         let id = spec.id.clone();
         let free = self.upstreams.iter().position(Option::is_none);
         let at = free.unwrap_or(self.upstreams.len());
@@ -46,27 +80,25 @@
             self.upstreams[at] = up;
         }
         self.by_id.insert(id, Key(at as u32));
-        true
     }
 
-    /// Takes the end of an entry of the list; returns whether it was there.
-    pub fn delist(&mut self, id: &str) -> bool {
-        let Some(key) = self.by_id.get(id).copied() else {
-            return false;
-        };
+    /// Takes the end of an entry of the list; returns the life that it ended, if it was there.
+    pub fn delist(&mut self, id: &str) -> Option<String> {
+        let key = self.by_id.get(id).copied()?;
         let up = self.get_mut(key);
         let was = !up.gone;
         up.gone = true;
+        let life = up.spec.life();
         self.drop_idle(key);
-        was
+        was.then_some(life)
     }
 
-    /// Notes that an upstream is leaving, by whatever source; returns whether that is new.
-    pub fn leaving(&mut self, id: &str) -> bool {
-        let Some(key) = self.by_id.get(id).copied() else {
+    /// Notes that a life of an upstream is leaving, by whatever source; returns whether that is new.
+    pub fn leaving(&mut self, life: &str) -> bool {
+        let of_life = |u: &&mut Upstream| u.spec.life() == life;
+        let Some(up) = self.upstreams.iter_mut().flatten().find(of_life) else {
             return false;
         };
-        let up = self.get_mut(key);
         let news = !up.leaving;
         up.leaving = true;
         news
@@ -77,10 +109,10 @@
         self.upstreams.iter().flatten().filter(|u| !u.gone)
     }
 
-    /// Returns the upstreams that all sources together say are leaving.
+    /// Returns the lives of upstreams that all sources together say are leaving.
     pub fn all_leaving(&self) -> BTreeSet<String> {
         let leaving = self.upstreams.iter().flatten().filter(|u| u.leaving);
-        leaving.map(|u| u.spec.id.clone()).collect()
+        leaving.map(|u| u.spec.life()).collect()
     }
 
     fn get(&self, key: Key) -> &Upstream {
@@ -97,7 +129,10 @@
         let up = self.get(key);
         if up.gone && up.inflight == 0 {
             let id = up.spec.id.clone();
-            self.by_id.remove(&id);
+            // A later life may have the name by now.
+            if self.by_id.get(&id) == Some(&key) {
+                self.by_id.remove(&id);
+            }
             self.upstreams[key.0 as usize] = None;
         }
     }
--- a/crates/place/src/rate.rs
+++ b/crates/place/src/rate.rs
@@ -140,7 +140,8 @@
     let shared = want.parts.len().saturating_sub(1);
     let mut kept = 0;
     for (i, part) in want.parts.iter().enumerate() {
-        let has = (home && i < shared) || up.known.has(now, part.id);
+        let presumed = home && !up.reborn && i < shared;
+        let has = presumed || up.known.has(now, part.id);
         if !has {
             break;
         }
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -33,8 +33,10 @@
 /// An upstream as its list shows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Spec {
-    /// Its incarnation: one that starts again has a new one.
+    /// Its name. One that starts again has a new one, or the same and another birth.
     pub id: String,
+    /// When this life of it began, in milliseconds since the Unix epoch; none where its list does not say.
+    pub born: Option<u64>,
     /// The service that it answers for.
     pub service: String,
     /// Where it listens.
@@ -47,6 +49,27 @@
     pub leaving: bool,
 }
 
+impl Spec {
+    /// Returns the name of this life of it: a process that starts again under the same name has nothing of
+    /// what the earlier one had.
+    pub fn life(&self) -> String {
+        match self.born {
+            Some(born) => format!("{}@{born}", self.id),
+            None => self.id.clone(),
+        }
+    }
+
+    /// Returns whether this is a later life of the upstream that another entry of the same name shows.
+    pub(crate) fn is_reborn_since(&self, earlier: &Spec) -> bool {
+        matches!((self.born, earlier.born), (Some(now), Some(then)) if now > then)
+    }
+
+    /// Returns whether this is an earlier life of the upstream that another entry of the same name shows.
+    pub(crate) fn is_before(&self, later: &Spec) -> bool {
+        later.is_reborn_since(self)
+    }
+}
+
 /// Its own word on its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -123,7 +146,13 @@
     /// Its health.
     pub health: Health,
     pub(crate) known: Known,
-    hash: u64,
+    /// It started again while it was listed: it has only what it was sent since, also where all instances
+    /// send the same beginnings to it.
+    pub(crate) reborn: bool,
+    /// By its name: places among the others stay over restarts.
+    name_hash: u64,
+    /// By its life: what is said of an earlier one does not concern it.
+    life_hash: u64,
     load: Load,
     load_at: Option<u64>,
     since_report: u32,
@@ -139,13 +168,15 @@
     /// Makes an upstream of which only its list has spoken.
     pub fn new(spec: Spec) -> Upstream {
         Upstream {
-            hash: xxh3_64(spec.id.as_bytes()),
+            name_hash: xxh3_64(spec.id.as_bytes()),
+            life_hash: xxh3_64(spec.life().as_bytes()),
             leaving: spec.leaving,
             spec,
             inflight: 0,
             gone: false,
             health: Health::default(),
             known: Known::default(),
+            reborn: false,
             load: Load::default(),
             load_at: None,
             since_report: 0,
@@ -160,7 +191,7 @@
 
     /// Returns its rank for something that all instances want at the same upstream.
     pub fn rank(&self, what: u64) -> u64 {
-        xxh3_64_with_seed(&what.to_le_bytes(), self.hash)
+        xxh3_64_with_seed(&what.to_le_bytes(), self.name_hash)
     }
 
     /// Takes its word on its load.
@@ -183,9 +214,18 @@
         reported.max(self.inflight + others)
     }
 
-    /// Returns the name that instances use for it among each other.
+    /// Returns the name that instances use among each other for this life of it.
     pub fn hash(&self) -> u64 {
-        self.hash
+        self.life_hash
+    }
+
+    /// Takes what its list shows now of the same life.
+    pub(crate) fn relist(&mut self, spec: Spec) {
+        self.leaving |= spec.leaving;
+        self.gone = false;
+        let born = spec.born.or(self.spec.born);
+        self.spec = Spec { born, ..spec };
+        self.life_hash = xxh3_64(self.spec.life().as_bytes());
     }
 
     /// Returns what this instance has there.
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use place::{Choice, Denied, Held, Load, Outcome, Part, Pool, Spec, Want};
+use place::{Choice, Denied, Held, Listed, Load, Outcome, Part, Pool, Spec, Want};
 
 const ENGINES: u32 = 18;
 
 fn spec(i: u32, service: &str) -> Spec {
     Spec {
         id: format!("i{i}"),
+        born: None,
         service: service.to_string(),
         addr: SocketAddr::from(([127, 0, 0, 1], 9000 + i as u16)),
         zone: format!("z{}", i % 3),
@@ -20,7 +21,7 @@
 
 fn pool(n: u32, service: &str) -> Pool {
     let mut pool = Pool::default();
-    (0..n).for_each(|i| assert!(pool.list(spec(i, service))));
+    (0..n).for_each(|i| assert_eq!(pool.list(spec(i, service)), Listed::New));
     pool
 }
 
@@ -223,7 +224,7 @@
         ..call("z0")
     };
     assert_eq!(pool.choose(1, &again).unwrap_err(), Denied::NoneLeft);
-    assert!(pool.delist("i1"));
+    assert_eq!(pool.delist("i1").as_deref(), Some("i1"));
     assert_eq!(pool.choose(2, &call("z0")).unwrap_err(), Denied::NoneLeft);
     let nobody = Want {
         service: "other",
--- /dev/null
+++ b/crates/place/tests/lives.rs
@@ -0,0 +1,128 @@
+//! Upstreams that start again under the name that they had.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use place::{Choice, Held, Listed, Load, Outcome, Part, Pool, Spec, Want};
+
+const PARTS: [Part; 3] = [
+    Part {
+        id: 1,
+        tokens: 2_000,
+    },
+    Part {
+        id: 2,
+        tokens: 6_000,
+    },
+    Part { id: 3, tokens: 500 },
+];
+
+fn spec(born: u64) -> Spec {
+    Spec {
+        id: "e".to_string(),
+        born: Some(born),
+        service: "pool".to_string(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        zone: "z".to_string(),
+        slots: 8,
+        leaving: false,
+    }
+}
+
+fn choose(pool: &mut Pool, now: u64) -> Choice {
+    let want = Want {
+        service: "pool",
+        zone: "z",
+        parts: &PARTS,
+        prompt: 8_500,
+        tried: &[],
+        deadline: now + 10_000,
+        repeatable: true,
+        random: 1,
+    };
+    pool.choose(now, &want).expect("one upstream")
+}
+
+/// Symptom: prompts wait at an engine that was taken to have read their beginnings, and requests are refused
+/// for load that nobody has there. Sequence: an engine crashes with requests under way and is listed again
+/// under its name. Cause: the entry was taken for the earlier life's, which kept what was learnt of it.
+#[test]
+fn nothing_of_an_earlier_life_holds() {
+    let mut pool = Pool::default();
+    pool.list(spec(100));
+    let first = choose(&mut pool, 0);
+    let known = choose(&mut pool, 10);
+    assert!(known.unread <= 500, "it has them now: {}", known.unread);
+    pool.report(
+        20,
+        known.key,
+        Load {
+            running: 6,
+            waiting: 9,
+            slots: 8,
+        },
+    );
+    let told = HashMap::from([(
+        pool.listed().next().expect("listed").hash(),
+        Held {
+            reading_ms: 9_000.0,
+            inflight: 5,
+        },
+    )]);
+    pool.hear(20, 77, &told);
+    let ended = "e@100".to_string();
+    assert_eq!(pool.list(spec(200)), Listed::Reborn { ended });
+    let up = pool.listed().next().expect("the later life");
+    assert_eq!((up.inflight, up.occupancy(30)), (0, 0));
+    // What others still say of the earlier life does not concern the later one.
+    pool.hear(40, 78, &told);
+    assert_eq!(pool.listed().next().expect("listed").occupancy(40), 0);
+    let again = choose(&mut pool, 50);
+    assert!(again.unread > 8_000, "it has nothing: {}", again.unread);
+    // The ends of the earlier life's requests, and its late report, reach nobody.
+    pool.report(
+        60,
+        first.key,
+        Load {
+            running: 8,
+            waiting: 8,
+            slots: 8,
+        },
+    );
+    for choice in [&first, &known] {
+        pool.end(60, choice.key, choice.ticket, Outcome::Silent);
+    }
+    let up = pool.listed().next().expect("listed");
+    assert_eq!(up.inflight, 1);
+    assert!(!up.health.is_out(61));
+}
+
+/// Symptom: an engine that has started again gets no work. Sequence: it was leaving; other instances, which
+/// have not read its new entry, say so again. Cause: they named the upstream, not its life.
+#[test]
+fn a_leaving_ends_with_its_life() {
+    let mut pool = Pool::default();
+    pool.list(spec(100));
+    assert!(pool.leaving("e@100"));
+    pool.list(spec(200));
+    assert!(!pool.leaving("e@100"), "it is gone");
+    assert!(pool.listed().all(|u| !u.leaving));
+    assert!(pool.leaving("e@200"));
+}
+
+/// Symptom: an engine's earlier life is listed again. Sequence: a list that is seconds old comes after the
+/// watch that told of the later life. Cause: the last entry that came was taken for the newest.
+#[test]
+fn an_older_entry_changes_nothing() {
+    let mut pool = Pool::default();
+    pool.list(spec(200));
+    assert_eq!(pool.list(spec(100)), Listed::Known);
+    assert_eq!(pool.listed().next().expect("listed").spec.born, Some(200));
+    // One that does not say is of the life that is known.
+    let silent = Spec {
+        born: None,
+        ..spec(0)
+    };
+    assert_eq!(pool.list(silent), Listed::Known);
+    assert_eq!(pool.listed().next().expect("listed").spec.born, Some(200));
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -183,13 +183,14 @@
         job.expected.first_ms = choice.expect_ms;
         let slot = Slot::open(job, choice);
         let spec = &slot.choice.spec;
-        if let Some(conn) = job.router.dialer.kept(&spec.id) {
+        let life = spec.life();
+        if let Some(conn) = job.router.dialer.kept(&life) {
             return Ok((slot, conn));
         }
         let sharers = job.router.fleet.sharers();
         let all = job.traits.connections as usize * CONNECTIONS_PCT / 100;
         let target = Target {
-            upstream: &spec.id,
+            upstream: &life,
             addr: spec.addr,
             most: if all == 0 { usize::MAX } else { all / sharers },
         };
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -38,6 +38,8 @@
     Members,
     /// An upstream is new.
     UpstreamNew,
+    /// An upstream started again under its name.
+    UpstreamReborn,
     /// An upstream is leaving.
     UpstreamLeaving,
     /// An upstream is no longer listed.
@@ -117,6 +119,12 @@
         Level::ERROR,
         "upstream's entry can't be read",
     ),
+    row(
+        Event::UpstreamReborn,
+        2405,
+        Level::INFO,
+        "upstream started again under its name",
+    ),
     row(Event::Answered, 2501, Level::INFO, "answered"),
     row(Event::Refused, 2502, Level::INFO, "refused"),
     row(Event::AttemptFailed, 2503, Level::INFO, "attempt failed"),
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -7,7 +7,7 @@
 use clock::Clock;
 use dial::Dialer;
 use kv::{Change, Found, Store};
-use place::{Missing, Pool};
+use place::{Listed, Missing, Pool};
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::Dialect;
@@ -22,7 +22,7 @@
     pub(crate) revision: i64,
     /// Entries as they stand in the store, by key.
     pub(crate) entries: BTreeMap<String, String>,
-    /// Upstreams that some source said are leaving.
+    /// Lives of upstreams that some source said are leaving.
     pub(crate) leaving: Vec<String>,
 }
 
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Returns the upstreams that some source said are leaving.
+    /// Returns the lives of upstreams that some source said are leaving.
     pub(crate) fn all_leaving(&self) -> Vec<String> {
         let leaving = self.0.pool.lock().expect("no panic inside").all_leaving();
         leaving.into_iter().collect()
@@ -120,12 +120,12 @@
         }
     }
 
-    /// Notes that an upstream is leaving, by whatever source.
-    pub(crate) fn leaving(&self, id: &str, source: &str) {
-        let news = self.0.pool.lock().expect("no panic inside").leaving(id);
+    /// Notes that a life of an upstream is leaving, by whatever source.
+    pub(crate) fn leaving(&self, life: &str, source: &str) {
+        let news = self.0.pool.lock().expect("no panic inside").leaving(life);
         if news {
-            self.0.dialer.forget(id);
-            let detail = format_args!("upstream={id} source={source}");
+            self.0.dialer.forget(life);
+            let detail = format_args!("upstream={life} source={source}");
             self.0.log.note(Event::UpstreamLeaving, detail);
         }
     }
@@ -202,39 +202,44 @@
         }
     }
 
+    /// Takes an entry. One that can't be read, for others write there too, names no upstream to use.
     fn entry(&self, key: &str, value: &[u8]) {
         let spec = match self.0.dialect.upstream(key, value) {
             Ok(spec) => spec,
             Err(why) => {
                 let detail = format_args!("key={key} why={why}");
                 self.0.log.note(Event::UpstreamBroken, detail);
-                return;
+                return self.delist(key);
             }
         };
-        let (id, leaving) = (spec.id.clone(), spec.leaving);
+        let life = spec.life();
         let detail = format!(
-            "upstream={id} service={} zone={} addr={}",
+            "upstream={life} service={} zone={} addr={}",
             spec.service, spec.zone, spec.addr
         );
-        let news = self.0.pool.lock().expect("no panic inside").list(spec);
-        if !news {
-            return;
-        }
-        let event = if leaving {
-            self.0.dialer.forget(&id);
-            Event::UpstreamLeaving
-        } else {
-            Event::UpstreamNew
+        let leaving = spec.leaving;
+        let listed = self.0.pool.lock().expect("no panic inside").list(spec);
+        let event = match listed {
+            Listed::Known => return,
+            Listed::Reborn { ended } => {
+                self.0.dialer.cut(&ended);
+                Event::UpstreamReborn
+            }
+            Listed::New | Listed::Leaving if leaving => {
+                self.0.dialer.forget(&life);
+                Event::UpstreamLeaving
+            }
+            Listed::New | Listed::Leaving => Event::UpstreamNew,
         };
         self.0.log.note(event, detail);
     }
 
     fn delist(&self, key: &str) {
         let id = self.0.dialect.upstream_id(key);
-        let was = self.0.pool.lock().expect("no panic inside").delist(id);
-        if was {
-            self.0.dialer.forget(id);
-            let detail = format_args!("upstream={id}");
+        let ended = self.0.pool.lock().expect("no panic inside").delist(id);
+        if let Some(life) = ended {
+            self.0.dialer.forget(&life);
+            let detail = format_args!("upstream={life}");
             self.0.log.note(Event::UpstreamGone, detail);
         }
     }
