Tokens and words between instances are totals, so that a lost answer's come with the next one

Cause: an instance that gives tokens debits them first, and its answer told only of those. Ruled out: dead incarnations (none before second 34), reservations under way (the customer had none).

Now each message tells the total ever given, or spent and passed on, by one incarnation to another; the taker counts what is new of it. Messages may be lost, doubled or overtaken. Random fleets send each transfer up to twice. Test: escrow cases::tokens_of_a_lost_answer_come_with_the_next_one.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -2,6 +2,7 @@
 
 use crate::rate::Rate;
 use crate::record::{Line, Record};
+use crate::totals::Totals;
 
 /// Demand that a grant covers, in milliseconds: the store may be out of reach for nine seconds and
 /// more, and nothing can be taken meanwhile. What a crash strands grows with it.
@@ -69,14 +70,14 @@
     /// Handed back, cumulative: debited here before the store hears of it.
     returned: u64,
     /// Came from other instances.
-    received: u64,
+    received: Totals,
     /// Went to other instances.
-    given: u64,
+    given: Totals,
     spent: u64,
-    /// Of what is spent here, another instance was told, which has it in its line.
-    passed: u64,
+    /// Of what is spent here, other instances were told, which have it in their lines.
+    passed: Totals,
     /// Spent at other instances by their word, for the own line.
-    heard: u64,
+    heard: Totals,
     reserved: u64,
     demand: Rate,
     /// Tokens that waiting requests lack.
@@ -102,8 +103,8 @@
     ///
     /// Panics when more is spent and reserved than was ever granted: the budget would be exceeded.
     pub fn balance(&self) -> u64 {
-        let covered = self.carried + self.line.granted + self.received;
-        let used = self.returned + self.given + self.spent + self.reserved;
+        let covered = self.carried + self.line.granted + self.received.sum();
+        let used = self.returned + self.given.sum() + self.spent + self.reserved;
         covered
             .checked_sub(used)
             .expect("never more used than granted")
@@ -162,30 +163,29 @@
 
     /// Returns what is spent by the own line's word, were it written now.
     fn tellable(&self) -> u64 {
-        self.spent + self.heard - self.passed - self.told
+        self.spent + self.heard.sum() - self.passed.sum() - self.told
     }
 
-    /// Returns the tokens spent that no line tells of yet: the instance that this one draws from takes
-    /// them into its own. Told once: were the word lost, less would be on record than is spent.
-    pub fn pass_on(&mut self) -> u64 {
+    /// Passes the tokens spent that no line tells of yet on to the instance that this one draws from, which
+    /// takes them into its own; returns the total passed on to it.
+    pub fn pass_on(&mut self, peer: &str) -> u64 {
         let news = self.tellable().saturating_sub(self.planned);
-        self.passed += news;
-        news
+        self.passed.add(peer, news)
     }
 
-    /// Takes the word of an instance that draws from this one on what it has spent.
-    pub fn hear(&mut self, spent: u64) {
-        self.heard += spent;
+    /// Takes the word of an instance that draws from this one on the total that it has passed on.
+    pub fn hear(&mut self, peer: &str, total: u64) {
+        self.heard.raise(peer, total);
     }
 
-    /// Passes a reservation on to an instance that draws from this one.
+    /// Passes a reservation on to an instance that draws from this one; returns the total given to it.
     ///
     /// # Panics
     ///
     /// Panics when more was reserved than ever was.
-    pub fn hand_over(&mut self, reserved: u64) {
+    pub fn hand_over(&mut self, peer: &str, reserved: u64) -> u64 {
         self.settle(reserved, 0);
-        self.given += reserved;
+        self.given.add(peer, reserved)
     }
 
     /// Counts tokens that a waiting request lacks.
@@ -357,29 +357,27 @@
     }
 
     /// Debits tokens for another instance, which asks for `wanted` and has `balance` left at a
-    /// demand of `rate`: so many that both then last equally long.
-    pub fn give(&mut self, now: u64, wanted: u64, balance: u64, rate: u64) -> u64 {
+    /// demand of `rate`: so many that both then last equally long. Returns the total given to it.
+    pub fn give(&mut self, now: u64, peer: &str, wanted: u64, balance: u64, rate: u64) -> u64 {
         let own = self.usable().saturating_sub(self.lacking);
         let own_rate = self.demand.get(now).max(1);
         let all = u128::from(own) + u128::from(balance);
         let theirs = all * u128::from(rate) / u128::from(rate + own_rate);
         let theirs = u64::try_from(theirs).unwrap_or(u64::MAX);
         let give = theirs.saturating_sub(balance).max(wanted).min(own);
-        self.given += give;
-        give
+        self.given.add(peer, give)
     }
 
     /// Debits all tokens that are not reserved, for another instance: an instance that leaves while the
-    /// store is out of reach would strand them.
-    pub fn give_all(&mut self) -> u64 {
-        let all = self.balance();
-        self.given += all;
-        all
+    /// store is out of reach would strand them. Returns the total given to it.
+    pub fn give_all(&mut self, peer: &str) -> u64 {
+        self.given.add(peer, self.balance())
     }
 
-    /// Credits tokens from another instance.
-    pub fn receive(&mut self, tokens: u64) {
-        self.received += tokens;
+    /// Takes the word of another instance on the total that it has given to this one; returns how much of it
+    /// is new.
+    pub fn receive(&mut self, peer: &str, total: u64) -> u64 {
+        self.received.raise(peer, total)
     }
 }
 
--- a/crates/escrow/src/lib.rs
+++ b/crates/escrow/src/lib.rs
@@ -13,6 +13,7 @@
 mod home;
 mod rate;
 mod record;
+mod totals;
 
 pub use holding::{Holding, Known, Short};
 pub use home::homes;
--- /dev/null
+++ b/crates/escrow/src/totals.rs
@@ -0,0 +1,38 @@
+//! What one instance counts of each other one, as totals that only grow.
+//!
+//! A message between instances may be lost, come twice, or come after a later one, and the sender has debited
+//! the tokens in any case. So it tells the total of all that it ever sent to that instance: whichever message
+//! comes next brings what the lost ones did not, and none brings anything twice.
+
+use std::collections::BTreeMap;
+
+/// Totals by instance, which is known by its incarnation.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Totals {
+    by_peer: BTreeMap<String, u64>,
+    sum: u64,
+}
+
+impl Totals {
+    /// Returns the sum over all instances.
+    pub(crate) fn sum(&self) -> u64 {
+        self.sum
+    }
+
+    /// Adds to an instance's total, and returns that.
+    pub(crate) fn add(&mut self, peer: &str, tokens: u64) -> u64 {
+        let total = self.by_peer.entry(peer.to_string()).or_default();
+        *total += tokens;
+        self.sum += tokens;
+        *total
+    }
+
+    /// Takes the word of an instance on its total; returns what is new of it.
+    pub(crate) fn raise(&mut self, peer: &str, total: u64) -> u64 {
+        let known = self.by_peer.entry(peer.to_string()).or_default();
+        let news = total.saturating_sub(*known);
+        *known += news;
+        self.sum += news;
+        news
+    }
+}
--- a/crates/escrow/tests/fleet/cases.rs
+++ b/crates/escrow/tests/fleet/cases.rs
@@ -267,3 +267,34 @@
     assert!(served >= 88, "{served}");
     assert!(writes < 30, "{writes}");
 }
+
+/// Symptom: a part of a budget is charged and nobody can spend it, though all instances live. Sequence: one asks
+/// another for tokens, the answer is lost behind a cut, and the next one comes. Cause: an answer told only
+/// of its own tokens, so what was debited for the lost one reached nobody.
+#[test]
+fn tokens_of_a_lost_answer_come_with_the_next_one() {
+    let (mut store, mut giver) = alone(1_000_000);
+    giver.read(&store, 0);
+    giver.holding.lack(90_000);
+    let line = giver.holding.plan(0, ALONE).expect("wants tokens");
+    giver.commit(&mut store, line, 1);
+    giver.holding.lack_no_more(90_000);
+    let mut taker = Node::new("t", "t.1", 1_000_000);
+    let before = giver.holding.balance();
+    giver.holding.give(2, "t.1", 30_000, 0, 0);
+    let total = giver.holding.give(3, "t.1", 10_000, 0, 0);
+    assert_eq!(taker.holding.receive("n0.1", total), 40_000);
+    assert_eq!(taker.holding.receive("n0.1", total), 0, "it came twice");
+    assert_eq!(giver.holding.balance(), before - 40_000);
+    // The same for what is told of spending.
+    assert!(taker.holding.reserve(25_000));
+    taker.holding.settle(25_000, 20_000);
+    taker.holding.pass_on("n0.1");
+    assert!(taker.holding.reserve(5_000));
+    taker.holding.settle(5_000, 5_000);
+    let told = taker.holding.pass_on("n0.1");
+    giver.holding.hear("t.1", told);
+    giver.holding.hear("t.1", told);
+    let line = giver.holding.leave().expect("a last word");
+    assert_eq!(line.spent, 25_000);
+}
--- a/crates/escrow/tests/fleet/random.rs
+++ b/crates/escrow/tests/fleet/random.rs
@@ -123,10 +123,12 @@
         let wanted = self.rng.random_range(0..60_000);
         let asker = &self.nodes[to].holding;
         let (balance, rate) = (asker.balance(), asker.rate(self.now));
+        let (giver_id, taker_id) = (self.nodes[from].id.clone(), self.nodes[to].id.clone());
         let giver = &mut self.nodes[from].holding;
-        let tokens = giver.give(self.now, wanted, balance, rate);
-        if self.rng.random_range(0..4) > 0 {
-            self.nodes[to].holding.receive(tokens);
+        let total = giver.give(self.now, &taker_id, wanted, balance, rate);
+        // It may be lost, or come twice, or with the next one.
+        for _ in 0..self.rng.random_range(0..3) {
+            self.nodes[to].holding.receive(&giver_id, total);
         }
     }
 
@@ -138,21 +140,20 @@
         }
         let tokens = self.rng.random_range(1_000..40_000);
         let part = self.nodes[at].holding.reserve_part(tokens);
-        let spent = self.nodes[at].holding.pass_on();
+        let (id, home_id) = (self.nodes[at].id.clone(), self.nodes[home].id.clone());
+        let spent = self.nodes[at].holding.pass_on(&home_id);
         let called = self.rng.random_range(0..8) > 0;
         let answered = called && self.rng.random_range(0..8) > 0;
         let lacking = tokens - part;
         let holding = &mut self.nodes[home].holding;
         if called {
-            holding.hear(spent);
+            holding.hear(&id, spent);
         }
         let drawn = called && holding.reserve(lacking);
-        if drawn {
-            holding.hand_over(lacking);
-        }
+        let total = drawn.then(|| holding.hand_over(&id, lacking));
         let node = &mut self.nodes[at];
-        if drawn && answered {
-            node.holding.receive(lacking);
+        if let Some(total) = total.filter(|_| answered) {
+            node.holding.receive(&home_id, total);
             assert!(node.holding.reserve(lacking));
             node.open.push(tokens);
         } else {
--- a/crates/proxy/src/bank/charge.rs
+++ b/crates/proxy/src/bank/charge.rs
@@ -34,10 +34,12 @@
         self.answer += tokens;
     }
 
-    /// Passes the tokens on to an instance that draws from this one.
-    pub(super) fn hand_over(mut self) {
+    /// Passes the tokens on to an instance that draws from this one; returns the total given to it.
+    pub(super) fn hand_over(mut self, peer: &str) -> u64 {
         let reserved = std::mem::take(&mut self.reserved);
-        self.bank.with(&self.customer, |h| h.hand_over(reserved));
+        let mut accounts = self.bank.0.accounts.lock().expect("no panic inside");
+        let account = accounts.entry(self.customer.clone()).or_default();
+        account.holding.hand_over(peer, reserved)
     }
 
     /// Returns the tokens that were spent.
--- a/crates/proxy/src/bank/draw.rs
+++ b/crates/proxy/src/bank/draw.rs
@@ -10,7 +10,7 @@
 use super::{Bank, Charge};
 use crate::event::Event;
 use crate::fleet::Member;
-use crate::peers::CALL_TIMEOUT;
+use crate::peers::{Given, CALL_TIMEOUT};
 
 /// A home waits so long for the store and for other homes: less than the instance that draws waits for
 /// the home.
@@ -19,20 +19,22 @@
 /// A call for the tokens of one request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Draw {
+    /// The caller's incarnation.
+    from: String,
     customer: String,
     /// Tokens that the request needs beyond what the caller has.
     tokens: u64,
-    /// Tokens that the caller has spent and not told of yet.
+    /// Total that the caller has spent and passed on to this home.
     spent: u64,
     /// What is prepaid by the configuration of the caller.
     prepaid: u64,
 }
 
 /// A home's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Drawn {
     /// The tokens are debited there.
-    Tokens,
+    Tokens(Given),
     /// The budget does not cover them.
     Exhausted,
     /// There are none in reach; whether the budget had free ones.
@@ -60,12 +62,12 @@
         }
         for home in homes {
             match self.draw_from(home, customer, lacking).await {
-                Drawn::Tokens if self.try_reserve(customer, lacking) => {
+                Drawn::Tokens(_) if self.try_reserve(customer, lacking) => {
                     charge.reserved = tokens;
                     return Some(Ok(charge));
                 }
                 // Another request was quicker.
-                Drawn::Tokens => return None,
+                Drawn::Tokens(_) => return None,
                 Drawn::Exhausted => return Some(Err(Short::Exhausted)),
                 Drawn::OutOfReach { free } => return Some(Err(Short::OutOfReach { free })),
                 Drawn::NotHere => {}
@@ -76,12 +78,14 @@
 
     /// Calls a home.
     async fn draw_from(&self, home: &Member, customer: &str, tokens: u64) -> Drawn {
-        let draw = self.draw(customer, tokens);
+        let draw = self.draw(home, customer, tokens);
         let (bank, addr) = (self.clone(), home.addr);
         let call = async move {
             let drawn = bank.means().peers.draw(addr, &draw).await?;
-            if drawn == Drawn::Tokens {
-                bank.with(&draw.customer, |h| h.receive(draw.tokens));
+            if let Drawn::Tokens(given) = &drawn {
+                bank.with(&draw.customer, |h| {
+                    h.receive(&given.from, given.total);
+                });
             }
             Ok(drawn)
         };
@@ -108,28 +112,32 @@
         }
     }
 
-    fn draw(&self, customer: &str, tokens: u64) -> Draw {
+    fn draw(&self, home: &Member, customer: &str, tokens: u64) -> Draw {
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let account = accounts.entry(customer.to_string()).or_default();
         Draw {
+            from: self.me(),
             customer: customer.to_string(),
             tokens,
-            spent: account.holding.pass_on(),
+            spent: account.holding.pass_on(&home.id),
             prepaid: account.holding.prepaid(),
         }
     }
 
     /// Answers an instance that draws from this one.
     pub(crate) async fn drawn(&self, draw: &Draw) -> Drawn {
-        self.with(&draw.customer, |h| h.hear(draw.spent));
+        self.with(&draw.customer, |h| h.hear(&draw.from, draw.spent));
         if self.is_leaving() || self.prepaid(&draw.customer) < draw.prepaid {
             return Drawn::NotHere;
         }
         let until = Instant::now() + DRAW_WAIT;
         match self.reserve_here(&draw.customer, draw.tokens, until).await {
             Ok(charge) => {
-                charge.hand_over();
-                Drawn::Tokens
+                let total = charge.hand_over(&draw.from);
+                Drawn::Tokens(Given {
+                    from: self.me(),
+                    total,
+                })
             }
             // By an older configuration the caller may know better.
             Err(Short::Exhausted) if self.prepaid(&draw.customer) > draw.prepaid => Drawn::NotHere,
--- a/crates/proxy/src/bank/handover.rs
+++ b/crates/proxy/src/bank/handover.rs
@@ -8,10 +8,10 @@
 use tokio::time::timeout;
 
 use super::refill::{Scope, Wrote};
-use super::{Account, Bank, TRIES};
+use super::{Bank, TRIES};
 use crate::event::Event;
 use crate::fleet::Member;
-use crate::peers::{Gift, Want};
+use crate::peers::{Gift, Given, Want};
 
 /// A stopping instance tries the store for so long before it gives its tokens to others.
 const LEAVE_STORE: Duration = Duration::from_millis(250);
@@ -27,8 +27,8 @@
             };
             let (bank, from) = (self.clone(), peer.clone());
             let call = async move {
-                let tokens = bank.means().peers.take(from.addr, &want).await?;
-                bank.receive(&want.customer, tokens, &from.id);
+                let given = bank.means().peers.take(from.addr, &want).await?;
+                bank.receive(&want.customer, &given);
                 Ok(())
             };
             if let Err(why) = self.debiting(peer, call).await {
@@ -54,6 +54,7 @@
         let holding = &accounts.get(customer)?.holding;
         let tokens = holding.missing();
         (tokens > 0).then(|| Want {
+            from: self.me(),
             customer: customer.to_string(),
             tokens,
             balance: holding.balance(),
@@ -61,15 +62,15 @@
         })
     }
 
-    fn receive(&self, customer: &str, tokens: u64, from: &str) {
+    fn receive(&self, customer: &str, given: &Given) {
+        let from = &given.from;
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let account = accounts.get_mut(customer);
+        let tokens = account.map_or(0, |a| a.holding.receive(from, given.total));
+        drop(accounts);
         if tokens == 0 {
             return;
         }
-        let mut accounts = self.0.accounts.lock().expect("no panic inside");
-        if let Some(account) = accounts.get_mut(customer) {
-            account.holding.receive(tokens);
-        }
-        drop(accounts);
         let detail = format_args!("customer={customer} from={from} tokens={tokens}");
         self.0.log.note(Event::Transfer, detail);
     }
@@ -85,7 +86,7 @@
         let Some(account) = accounts.get_mut(&gift.customer) else {
             return false;
         };
-        account.holding.receive(gift.tokens);
+        account.holding.receive(&gift.from, gift.total);
         true
     }
 
@@ -123,13 +124,13 @@
     async fn give_away(&self) -> bool {
         let means = self.means();
         let others = self.staying().await;
-        let gifts = self.gifts();
         let mut all = true;
-        for (i, gift) in gifts.iter().enumerate() {
+        for (i, customer) in self.holders().iter().enumerate() {
             let Some(peer) = others.get(i % others.len().max(1)) else {
                 return false;
             };
-            let given = means.peers.give(peer.addr, gift).await;
+            let gift = self.gift(peer, customer);
+            let given = means.peers.give(peer.addr, &gift).await;
             all &= given == Ok(true);
             let detail = format_args!("to={} gift={gift:?} given={given:?}", peer.id);
             self.0.log.note(Event::Transfer, detail);
@@ -149,13 +150,21 @@
         answered.into_iter().flatten().collect()
     }
 
-    fn gifts(&self) -> Vec<Gift> {
+    /// Returns the customers of which tokens are left here.
+    fn holders(&self) -> Vec<String> {
+        let accounts = self.0.accounts.lock().expect("no panic inside");
+        let left = accounts.iter().filter(|(_, a)| a.holding.balance() > 0);
+        left.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Debits all that is left of a customer's tokens, for another instance.
+    fn gift(&self, peer: &Member, customer: &str) -> Gift {
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
-        let gift = |(name, account): (&String, &mut Account)| Gift {
-            customer: name.clone(),
-            tokens: account.holding.give_all(),
-        };
-        let gifts = accounts.iter_mut().map(gift);
-        gifts.filter(|g| g.tokens > 0).collect()
+        let account = accounts.entry(customer.to_string()).or_default();
+        Gift {
+            from: self.me(),
+            customer: customer.to_string(),
+            total: account.holding.give_all(&peer.id),
+        }
     }
 }
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -21,7 +21,7 @@
 use crate::fleet::Fleet;
 use crate::follow::Reach;
 use crate::log::Log;
-use crate::peers::{Peers, Want};
+use crate::peers::{Given, Peers, Want};
 
 pub(crate) use charge::Charge;
 use charge::Lack;
@@ -198,14 +198,18 @@
     }
 
     /// Debits tokens for another instance.
-    pub(crate) fn give(&self, want: &Want) -> u64 {
+    pub(crate) fn give(&self, want: &Want) -> Given {
         let now = self.0.clock.now();
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
-        let Some(account) = accounts.get_mut(&want.customer) else {
-            return 0;
-        };
-        let holding = &mut account.holding;
-        holding.give(now, want.tokens, want.balance, want.rate)
+        let account = accounts.get_mut(&want.customer);
+        let given = account.map(|a| {
+            let holding = &mut a.holding;
+            holding.give(now, &want.from, want.tokens, want.balance, want.rate)
+        });
+        Given {
+            from: self.me(),
+            total: given.unwrap_or_default(),
+        }
     }
 
     /// Returns each customer's balance, demand and what is charged and spent on record.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -36,6 +36,8 @@
 /// A call for tokens.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Want {
+    /// The asker's incarnation.
+    pub(crate) from: String,
     pub(crate) customer: String,
     /// Tokens that requests wait for.
     pub(crate) tokens: u64,
@@ -45,11 +47,23 @@
     pub(crate) rate: u64,
 }
 
+/// What an instance has given to the asker, as the answer to its call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Given {
+    /// The giver's incarnation.
+    pub(crate) from: String,
+    /// Total that it has ever given to the asker, of the customer in question.
+    pub(crate) total: u64,
+}
+
 /// Tokens of an instance that leaves and can't hand them back to the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Gift {
+    /// The giver's incarnation.
+    pub(crate) from: String,
     pub(crate) customer: String,
-    pub(crate) tokens: u64,
+    /// Total that it has ever given to the one that gets this.
+    pub(crate) total: u64,
 }
 
 /// What an instance that asks for news has.
@@ -103,7 +117,7 @@
 /// Answers other instances.
 pub(crate) fn serve(server: Server, desk: Desk) -> ServerHandle {
     let mut module = RpcModule::new(desk);
-    let take = module.register_method("take", |params, desk, _| -> RpcResult<u64> {
+    let take = module.register_method("take", |params, desk, _| -> RpcResult<Given> {
         let want: Want = params.one()?;
         Ok(desk.bank.give(&want))
     });
@@ -204,21 +218,21 @@
         })
     }
 
-    /// Asks an instance for tokens; it has debited them when it answers, so this is never repeated.
+    /// Asks an instance for tokens; it has debited them when it answers.
     ///
     /// # Errors
     ///
-    /// Returns why there is no answer: tokens that it debited are then lost to the budget.
-    pub(crate) async fn take(&self, addr: SocketAddr, want: &Want) -> Result<u64, String> {
+    /// Returns why there is no answer: tokens that it debited come with its next one.
+    pub(crate) async fn take(&self, addr: SocketAddr, want: &Want) -> Result<Given, String> {
         self.call(addr, "take", want).await
     }
 
     /// Draws the tokens of one request from its customer's home, which has debited them when it
-    /// answers; never repeated, like a call for tokens.
+    /// answers.
     ///
     /// # Errors
     ///
-    /// Returns why there is no answer: tokens that it debited are then lost to the budget.
+    /// Returns why there is no answer: tokens that it debited come with its next one.
     pub(crate) async fn draw(&self, addr: SocketAddr, draw: &Draw) -> Result<Drawn, String> {
         self.call(addr, "draw", draw).await
     }
@@ -229,11 +243,11 @@
         self.call_briefly(addr, "ping", &()).await.unwrap_or(false)
     }
 
-    /// Gives an instance tokens that were debited here; never repeated, like a call for tokens.
+    /// Gives an instance tokens that were debited here.
     ///
     /// # Errors
     ///
-    /// Returns why there is no answer: the tokens may be lost to the budget then.
+    /// Returns why there is no answer: the tokens are lost to the budget then, unless another gift follows.
     pub(crate) async fn give(&self, addr: SocketAddr, gift: &Gift) -> Result<bool, String> {
         self.call_briefly(addr, "gift", gift).await
     }
