Grants reckon with outages that all instances saw; a home that is cut off draws from the next ones

A home that is cut off draws from the two next ones. Those that stand in count demand only when they serve it.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -9,11 +9,16 @@
 const HORIZON_MS: u64 = 10_000;
 /// Percentage of what the fleet may still spend that grants may hold together: the rest outlives a
 /// crash of all instances at once.
-const POOL_PCT: u64 = 30;
+const POOL_PCT: u64 = 50;
 /// A budget that lasts this long at the present demand, in milliseconds, may be granted to
 /// `POOL_PCT`; one that ends sooner to so much less. Tokens that a crash strands are missed at the end
 /// of a budget only, and there the more the less is left.
 const LASTS_MS: u64 = 50_000;
+/// The same once the store was out for all instances: it may be out again, and what is not granted is then as far
+/// out of reach as what a crash strands.
+const OUTAGE_POOL_PCT: u64 = 60;
+/// Percentage of such an outage that a budget must outlast to be granted that far.
+const OUTAGE_LASTS_PCT: u64 = 150;
 /// Demand that a grant covers at least, in milliseconds, however soon the budget ends: without it each
 /// request needs a write of its own then, and loses against the others'.
 const LEAST_MS: u64 = 500;
@@ -85,6 +90,8 @@
     lacking: u64,
     known: Option<Known>,
     reported_at: u64,
+    /// The longest outage of the store that all instances saw of late, in milliseconds; 0 for none.
+    outage_ms: u64,
 }
 
 impl Holding {
@@ -93,6 +100,11 @@
         self.prepaid = prepaid;
     }
 
+    /// Sets the longest outage of the store that all instances saw of late, in milliseconds; 0 for none.
+    pub fn set_outage(&mut self, outage_ms: u64) {
+        self.outage_ms = outage_ms;
+    }
+
     /// Returns what is prepaid.
     pub fn prepaid(&self) -> u64 {
         self.prepaid
@@ -291,10 +303,10 @@
         let others = known.record.rate.saturating_sub(self.line.rate);
         let rates = others + rate;
         let left = self.prepaid.saturating_sub(self.spent_known());
-        let pool = left * pool_pct(left, rates) / 100;
+        let pool = left * self.pool_pct(left, rates) / 100;
         let share = u128::from(pool) * u128::from(rate) / u128::from(rates.max(1));
         let share = u64::try_from(share).unwrap_or(u64::MAX);
-        let wanted = rate * HORIZON_MS / 1000;
+        let wanted = rate * HORIZON_MS.max(self.outage_ms) / 1000;
         wanted.min(share.max(rate * LEAST_MS / 1000))
     }
 
@@ -401,10 +413,15 @@
     pub fn receive(&mut self, me: &str, told: &Told) -> u64 {
         self.received.raise(me, told)
     }
-}
 
-/// Returns the percentage of what is left that grants may hold together, at a demand of all.
-fn pool_pct(left: u64, rates: u64) -> u64 {
-    let lasts_ms = left.saturating_mul(1000) / rates.max(1);
-    POOL_PCT * lasts_ms.min(LASTS_MS) / LASTS_MS
+    /// Returns the percentage of what is left that grants may hold together, at a demand of all.
+    fn pool_pct(&self, left: u64, rates: u64) -> u64 {
+        let lasts_ms = left.saturating_mul(1000) / rates.max(1);
+        let (most, full_ms) = if self.outage_ms > 0 {
+            (OUTAGE_POOL_PCT, self.outage_ms * OUTAGE_LASTS_PCT / 100)
+        } else {
+            (POOL_PCT, LASTS_MS)
+        };
+        most * lasts_ms.min(full_ms) / full_ms.max(1)
+    }
 }
--- a/crates/escrow/src/home.rs
+++ b/crates/escrow/src/home.rs
@@ -12,8 +12,9 @@
 /// Fleets of up to so many instances have one home for a customer; larger ones have one in each zone, since the
 /// requests of a whole fleet that ask one small instance would be its main work.
 const SMALL_FLEET: usize = 18;
-/// Instances that are asked: the home, and the one that takes its place when it does not answer.
-const ASKED: usize = 2;
+/// Instances that are asked: the home, and those that take its place when it does not answer, or is cut off from
+/// the store. With half of a fleet cut off, three of them are in one case of eight.
+pub const ASKED: usize = 3;
 
 /// Returns the instances that hold a customer's tokens for those of a zone, the one to ask first at first.
 ///
--- a/crates/escrow/src/lib.rs
+++ b/crates/escrow/src/lib.rs
@@ -16,7 +16,7 @@
 mod totals;
 
 pub use holding::{Holding, Known, Short};
-pub use home::homes;
+pub use home::{homes, ASKED};
 pub use rate::Rate;
 pub use record::{Book, Line, Record};
 pub use totals::Told;
--- a/crates/escrow/tests/fleet/cases.rs
+++ b/crates/escrow/tests/fleet/cases.rs
@@ -241,7 +241,7 @@
     for c in 0..300 {
         let customer = format!("c{c}");
         let asked = homes(&customer, &zone);
-        assert_eq!(asked.len(), 2);
+        assert_eq!(asked.len(), escrow::ASKED);
         *firsts.entry(asked[0].clone()).or_insert(0) += 1;
         // One that leaves moves its own customers only, to the instance that was asked second.
         let left: Vec<String> = zone.iter().filter(|n| **n != asked[0]).cloned().collect();
--- a/crates/proxy/src/bank/draw.rs
+++ b/crates/proxy/src/bank/draw.rs
@@ -75,8 +75,10 @@
                 Drawn::NotHere => {}
             }
         }
-        // They have asked the others: there is nothing to wait for.
-        let nowhere = cut_off == homes.len() && self.means().reach.is_out();
+        // The home has asked all others, unless that is this one: there is nothing to wait for.
+        let means = self.means();
+        let asked = cut_off == homes.len() && !means.fleet.is_home(customer);
+        let nowhere = asked && means.reach.is_out();
         nowhere.then_some(Err(Short::OutOfReach { free: false }))
     }
 
@@ -135,6 +137,12 @@
             return Drawn::NotHere;
         }
         let until = Instant::now() + DRAW_WAIT;
+        // Those that take a home's place are asked all at once while nobody reaches the store: were each to count
+        // the demand, each would take tokens for all of it afterwards.
+        let home = self.means().fleet.is_home(&draw.customer);
+        if home || !self.is_cut_off() {
+            self.ask(&draw.customer, draw.tokens);
+        }
         match self.reserve_here(&draw.customer, draw.tokens, until).await {
             Ok(charge) => {
                 let total = charge.hand_over(&draw.spent.from);
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -14,13 +14,14 @@
 
 use clock::Clock;
 use conf::Routing;
-use escrow::{Holding, Short, Told};
+use escrow::{Holding, Short, Told, ASKED};
 use kv::Store;
+use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::sync::{watch, Notify};
 use tokio::time::{timeout_at, Instant};
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Member};
 use crate::follow::Reach;
 use crate::log::Log;
 use crate::peers::{Peers, Want};
@@ -116,16 +117,38 @@
         tokens: u64,
         deadline: Instant,
     ) -> Result<Charge, Short> {
-        let homes = self.means().fleet.homes(customer);
+        let homes = self.homes(customer);
         if !homes.is_empty() {
             let reserved = self.reserve_at_home(&homes, customer, tokens).await;
             if let Some(reserved) = reserved {
                 return reserved;
             }
         }
+        self.ask(customer, tokens);
         self.reserve_here(customer, tokens, deadline).await
     }
 
+    /// Counts demand that this instance is to cover.
+    fn ask(&self, customer: &str, tokens: u64) {
+        let now = self.0.clock.now();
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let account = accounts.entry(customer.to_string()).or_default();
+        account.holding.ask(now, tokens);
+    }
+
+    /// Returns the instances to draw a customer's tokens from; none where this one takes them itself.
+    ///
+    /// A home that is cut off from the store draws from those that take its place: all callers of a customer may
+    /// come to one instance, and nobody else would take tokens for them.
+    fn homes(&self, customer: &str) -> SmallVec<[Member; ASKED]> {
+        let means = self.means();
+        let homes = means.fleet.homes(customer);
+        if homes.is_empty() && means.reach.is_out() {
+            return means.fleet.homes_besides(customer);
+        }
+        homes
+    }
+
     fn charge(&self, customer: &str) -> Charge {
         Charge {
             bank: self.clone(),
@@ -172,7 +195,6 @@
     fn first_try(&self, customer: &str, tokens: u64) -> Tried {
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let account = accounts.entry(customer.to_string()).or_default();
-        account.holding.ask(self.0.clock.now(), tokens);
         if account.holding.reserve(tokens) {
             return Tried::Reserved;
         }
@@ -207,6 +229,11 @@
         }
     }
 
+    /// Returns whether the store is out of reach from here.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.means().reach.is_out()
+    }
+
     pub(crate) fn me(&self) -> String {
         self.means().fleet.me().to_string()
     }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use escrow::ASKED;
 use kv::{Commit, Expect, Failure, Found, Put, Store, Txn};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -69,7 +70,7 @@
     customer: &str,
     members: &'a BTreeMap<String, Member>,
     zone: &str,
-) -> SmallVec<[&'a Member; 2]> {
+) -> SmallVec<[&'a Member; ASKED]> {
     let all: Vec<Named<'a>> = members.iter().collect();
     let homes = escrow::homes(customer, &all, zone, |m| (m.0.as_str(), m.1.zone.as_str()));
     homes.into_iter().map(|m| m.1).collect()
@@ -146,13 +147,21 @@
     }
 
     /// Returns the instances to draw a customer's tokens from; none where this one holds them itself.
-    pub(crate) fn homes(&self, customer: &str) -> SmallVec<[Member; 2]> {
+    pub(crate) fn homes(&self, customer: &str) -> SmallVec<[Member; ASKED]> {
         let members = self.0.members.lock().expect("no panic inside");
         let homes = homes(customer, &members, &self.0.me.zone);
         let others = homes.iter().take_while(|m| m.id != self.0.me.id);
         others.map(|m| (*m).clone()).collect()
     }
 
+    /// Returns the other instances that hold a customer's tokens when this one can't take any.
+    pub(crate) fn homes_besides(&self, customer: &str) -> SmallVec<[Member; ASKED]> {
+        let members = self.0.members.lock().expect("no panic inside");
+        let homes = homes(customer, &members, &self.0.me.zone);
+        let others = homes.iter().filter(|m| m.id != self.0.me.id);
+        others.map(|m| (*m).clone()).collect()
+    }
+
     /// Returns whether this instance holds a customer's tokens for others, or the others are not known.
     pub(crate) fn is_home(&self, customer: &str) -> bool {
         self.homes(customer).is_empty()
