--- a/crates/oriolehitch/src/flags.rs
+++ b/crates/oriolehitch/src/flags.rs
@@ -89,6 +89,20 @@
             /// Files.
             repeated files: PathBuf
         }
+        /// Shows where customers' tokens were, second by second, by the logs of a fleet.
+        ///
+        /// living, dead: charged and not spent, at instances that run and at those that ended; covered,
+        /// uncovered: refused though the tokens that were not spent would have covered the request, or not.
+        cmd tokens {
+            /// Logs in JSON of one instance each, or of many with the instance's name before each line.
+            repeated logs: PathBuf
+            /// Length of a row, in seconds; 2 if it is not given.
+            optional --every secs: u64
+            /// Shows one customer only.
+            optional --customer name: String
+            /// Prints JSON.
+            optional --json
+        }
         /// Runs one stand-in as a process.
         cmd stub {
             /// The platform's key-value service.
--- a/crates/oriolehitch/src/lib.rs
+++ b/crates/oriolehitch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod serve;
 pub mod stubs;
 pub mod table;
+pub mod tokens;
 
 use flags::{Flags, OriolehitchCmd};
 use tokio::runtime::Builder;
@@ -73,6 +74,7 @@
         OriolehitchCmd::Serve(cmd) => serve::run(cmd).await,
         OriolehitchCmd::Dev(cmd) => dev::run(cmd).await,
         OriolehitchCmd::Check(cmd) => Ok(check::run(&cmd)),
+        OriolehitchCmd::Tokens(cmd) => tokens::run(&cmd),
         OriolehitchCmd::Stub(cmd) => stubs::run(cmd).await,
         OriolehitchCmd::Dump(cmd) => operate::dump(cmd).await,
     }
--- /dev/null
+++ b/crates/oriolehitch/src/tokens.rs
@@ -0,0 +1,228 @@
+//! Where a customer's tokens were, second by second, by the logs of a fleet: the report that tells a budget that is
+//! spent from one that nobody can reach.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use anyhow::{Context, Result};
+use proxy::event::Event;
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use crate::flags::Tokens;
+use crate::table::table;
+use crate::Outcome;
+
+/// Length of a row where none is named, in seconds.
+const EVERY_DEFAULT: u64 = 2;
+
+/// One line of a log, as far as it is read.
+#[derive(Debug, Deserialize)]
+struct Line {
+    timestamp: jiff::Timestamp,
+    event: u16,
+    detail: String,
+}
+
+/// One incarnation's part of a budget.
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    charged: u64,
+    spent: u64,
+}
+
+/// What is known of one customer.
+#[derive(Clone, Debug, Default)]
+struct Customer {
+    prepaid: u64,
+    spent: u64,
+    answered: u64,
+    /// By log and incarnation.
+    parts: BTreeMap<(String, u32), Part>,
+}
+
+/// Refusals of one customer within one row.
+#[derive(Clone, Copy, Debug, Default)]
+struct Refused {
+    covered: u64,
+    uncovered: u64,
+    exhausted: u64,
+}
+
+/// A fleet's tokens as its logs tell of them.
+#[derive(Debug, Default)]
+struct Ledger {
+    customers: BTreeMap<String, Customer>,
+    incarnations: BTreeMap<String, u32>,
+    refused: BTreeMap<String, Refused>,
+}
+
+/// Prints the report of some logs.
+///
+/// # Errors
+///
+/// Returns which file can't be read.
+pub fn run(cmd: &Tokens) -> Result<Outcome> {
+    let mut lines = Vec::new();
+    for file in &cmd.logs {
+        lines.extend(read(file)?);
+    }
+    if lines.is_empty() {
+        let message = "no line of an instance's log in these files\n";
+        return Ok(Outcome::Refused(message.to_string()));
+    }
+    lines.sort_by_key(|(_, line)| line.timestamp);
+    let rows = rows(&lines, cmd.every.unwrap_or(EVERY_DEFAULT).max(1));
+    let chosen = |row: &Value| cmd.customer.as_ref().is_none_or(|c| row["customer"] == **c);
+    let rows: Vec<Value> = rows.into_iter().filter(chosen).collect();
+    if cmd.json {
+        return Ok(Outcome::Done(format!("{}\n", Value::from(rows))));
+    }
+    let columns = [
+        "second",
+        "customer",
+        "prepaid",
+        "living",
+        "dead",
+        "spent",
+        "answered",
+        "covered",
+        "uncovered",
+        "exhausted",
+    ];
+    Ok(Outcome::Done(table(&rows, &columns)))
+}
+
+/// Reads a log; what stands before a line's JSON names the instance, else the file does.
+fn read(file: &Path) -> Result<Vec<(String, Line)>> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("{}", file.display()))?;
+    let parse = |line: &str| {
+        let (before, _) = line.split_once('{')?;
+        let parsed = serde_json::from_str(&line[before.len()..]).ok()?;
+        let named = before.split_whitespace().last();
+        let source = named.map_or_else(|| file.display().to_string(), str::to_string);
+        Some((source, parsed))
+    };
+    Ok(text.lines().filter_map(parse).collect())
+}
+
+fn rows(lines: &[(String, Line)], every: u64) -> Vec<Value> {
+    let first = lines[0].1.timestamp;
+    let (mut ledger, mut rows, mut row) = (Ledger::default(), Vec::new(), 0);
+    for (source, line) in lines {
+        let at = line.timestamp.duration_since(first).as_secs().max(0) as u64 / every;
+        if at != row {
+            rows.extend(ledger.end_row(row * every));
+            row = at;
+        }
+        ledger.take(source, line);
+    }
+    rows.extend(ledger.end_row(row * every));
+    rows
+}
+
+impl Ledger {
+    fn take(&mut self, source: &str, line: &Line) {
+        let detail = line.detail.as_str();
+        if line.event == Event::Started.row().id {
+            *self.incarnations.entry(source.to_string()).or_default() += 1;
+        } else if line.event == Event::Grant.row().id {
+            self.granted(source, detail);
+        } else if line.event == Event::Answered.row().id {
+            if let (Some(name), Some(tokens)) =
+                (field(detail, "customer"), number(detail, "tokens"))
+            {
+                self.customers.entry(name.to_string()).or_default().answered += tokens;
+            }
+        } else if line.event == Event::Refused.row().id {
+            self.refuse(detail);
+        }
+    }
+
+    fn granted(&mut self, source: &str, detail: &str) {
+        let Some(name) = field(detail, "customer") else {
+            return;
+        };
+        let get = |key| number(detail, key).unwrap_or_default();
+        let incarnation = self.incarnations.get(source).copied().unwrap_or_default();
+        let customer = self.customers.entry(name.to_string()).or_default();
+        customer.prepaid = get("prepaid");
+        customer.spent = customer.spent.max(get("all_spent"));
+        let part = Part {
+            charged: get("granted").saturating_sub(get("returned")),
+            spent: get("spent"),
+        };
+        customer
+            .parts
+            .insert((source.to_string(), incarnation), part);
+    }
+
+    fn refuse(&mut self, detail: &str) {
+        let words: Vec<&str> = detail.split(' ').collect();
+        let mut named = words
+            .windows(4)
+            .filter(|w| w[1] == "tokens" && w[2] == "of");
+        let Some(named) = named.next() else {
+            return;
+        };
+        let Ok(tokens) = named[0].parse::<u64>() else {
+            return;
+        };
+        let name = named[3].trim_end_matches(',');
+        let left = self.customers.get(name).map_or(0, Customer::left);
+        let refused = self.refused.entry(name.to_string()).or_default();
+        match field(detail, "code") {
+            Some("budget_exhausted") => refused.exhausted += 1,
+            _ if left >= tokens => refused.covered += 1,
+            _ => refused.uncovered += 1,
+        }
+    }
+
+    /// Returns a row for each customer, and forgets the refusals.
+    fn end_row(&mut self, second: u64) -> Vec<Value> {
+        let refused = std::mem::take(&mut self.refused);
+        let row = |(name, customer): (&String, &Customer)| {
+            let refused = refused.get(name).copied().unwrap_or_default();
+            let (living, dead) = customer.held(&self.incarnations);
+            json!({
+                "second": second, "customer": name, "prepaid": customer.prepaid,
+                "living": living, "dead": dead, "spent": customer.spent,
+                "answered": customer.answered, "covered": refused.covered,
+                "uncovered": refused.uncovered, "exhausted": refused.exhausted,
+            })
+        };
+        let budgeted = self.customers.iter().filter(|(_, c)| c.prepaid > 0);
+        budgeted.map(row).collect()
+    }
+}
+
+impl Customer {
+    /// Returns the tokens that are not spent, as far as the logs show.
+    fn left(&self) -> u64 {
+        self.prepaid.saturating_sub(self.spent.max(self.answered))
+    }
+
+    /// Returns the tokens charged and not spent, at incarnations that live and at those that ended.
+    fn held(&self, incarnations: &BTreeMap<String, u32>) -> (u64, u64) {
+        let (mut living, mut dead) = (0, 0);
+        for ((source, incarnation), part) in &self.parts {
+            let held = part.charged.saturating_sub(part.spent);
+            if incarnations.get(source) == Some(incarnation) {
+                living += held;
+            } else {
+                dead += held;
+            }
+        }
+        (living, dead)
+    }
+}
+
+/// Returns a field of a line's detail, which are KEY=VALUE separated by spaces.
+fn field<'a>(detail: &'a str, key: &str) -> Option<&'a str> {
+    let mut words = detail.split(' ');
+    words.find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
+}
+
+fn number(detail: &str, key: &str) -> Option<u64> {
+    field(detail, key)?.parse().ok()
+}
--- /dev/null
+++ b/crates/oriolehitch/tests/tokens/main.rs
@@ -0,0 +1,84 @@
+//! The report of tokens on a small log.
+
+use std::path::PathBuf;
+
+use oriolehitch_cli::flags::Flags;
+use oriolehitch_cli::Outcome;
+use serde_json::Value;
+
+fn line(second: u64, name: &str, event: u16, detail: &str) -> String {
+    format!(
+        "{second} {name} {{\"timestamp\":\"2026-01-01T00:00:{second:02}Z\",\"level\":\"INFO\",\
+         \"message\":\"m\",\"event\":{event},\"at\":1,\"id\":\"\",\"detail\":\"{detail}\"}}\n"
+    )
+}
+
+fn log() -> String {
+    let grant = "customer=c granted=900 returned=100 spent=500 rate=1 balance=300 charged=800 \
+                 all_spent=500 prepaid=1000";
+    let refused = |tokens| {
+        format!("code=budget_out_of_reach ran=No retry_ms=Some(4) why=no tokens in reach for {tokens} tokens of c, waited_ms=0")
+    };
+    [
+        line(1, "a", 2001, "id=a.1"),
+        line(1, "a", 2601, grant),
+        line(
+            2,
+            "a",
+            2501,
+            "route=r customer=c upstream=e attempts=1 code=ok tokens=400",
+        ),
+        // The process is gone; what it held stays charged.
+        line(5, "a", 2001, "id=a.2"),
+        line(6, "a", 2502, &refused(300)),
+        line(6, "a", 2502, &refused(700)),
+        "not a line of an instance\n".to_string(),
+    ]
+    .concat()
+}
+
+fn run(args: &[&str]) -> Outcome {
+    let args = args.iter().map(Into::into).collect();
+    let flags = Flags::parse(args).expect("sound arguments");
+    oriolehitch_cli::run(flags).expect("a report")
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = dir.join(name);
+    std::fs::write(&file, text).expect("a file");
+    file
+}
+
+#[test]
+fn tokens_of_the_dead_and_refusals_that_they_caused_are_told_apart() {
+    let file = file("fleet.log", &log());
+    let file = file.to_str().expect("a name in letters");
+    let Outcome::Done(text) = run(&["tokens", file, "--every", "4", "--json"]) else {
+        panic!("refused");
+    };
+    let rows: Vec<Value> = serde_json::from_str(&text).expect("JSON");
+    let of = |row: &Value, field: &str| row[field].as_u64().expect("a number");
+    let shown: Vec<[u64; 6]> = rows
+        .iter()
+        .map(|r| {
+            [
+                "second",
+                "living",
+                "dead",
+                "answered",
+                "covered",
+                "uncovered",
+            ]
+            .map(|f| of(r, f))
+        })
+        .collect();
+    assert_eq!(shown, [[0, 300, 0, 400, 0, 0], [4, 0, 300, 400, 1, 1]]);
+}
+
+#[test]
+fn a_file_without_a_log_is_refused() {
+    let file = file("no.log", "nothing\n");
+    let file = file.to_str().expect("a name in letters");
+    assert!(matches!(run(&["tokens", file]), Outcome::Refused(_)));
+}
