--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -1,5 +1,17 @@
-//! Budgets: reserves tokens for requests, and keeps the holdings filled from the store and from other
-//! instances. What is held is decided by `escrow`.
+//! Budgets: how a token gets from the store to a request, and back. What is held is decided by `escrow`.
+//!
+//! 1. A customer's home takes tokens out of the budget: one transaction changes the customer's record and the
+//!    home's own line in its book (`refill`).
+//! 2. A request comes to any instance, which reserves the most that it can cost: of what it has, and of the home for
+//!    the rest, in one call (`draw`). A home that has too little asks the store, and beside it the others
+//!    (`refill`, `handover`).
+//! 3. The request holds them (`charge`) until it ends. What it spent stays spent; the rest is free again.
+//! 4. The instance tells the home what was spent and left, and the home takes both over (`settled`).
+//! 5. The home writes what is spent into its line, and hands back what it no longer needs (`refill`).
+//! 6. An instance that stops hands all back, to the store or to others (`handover`).
+//!
+//! Whoever gives debits first, and every message tells a total: what is lost on the way is charged to the budget until
+//! the next message, and never spent twice.
 
 mod charge;
 mod draw;
