--- a/crates/escrow/tests/fleet/cases.rs
+++ b/crates/escrow/tests/fleet/cases.rs
@@ -377,3 +377,24 @@
     assert_eq!(home.balance(), 0);
     assert_eq!(home.receive("home.2", &tell("a.1", "home.2", 7_000)), 7_000);
 }
+
+/// Symptom: customers near their end are refused through an outage of the store, though a tenth of their budgets
+/// is left. Load: a customer whose budget lasts twelve seconds more; the store is out for eight, as it was half a
+/// minute before. Cause: grants were tapered by what a crash strands only.
+#[test]
+fn a_budget_near_its_end_outlasts_an_outage_like_the_last_one_better() {
+    let granted = |outage_ms| {
+        let (store, mut node) = alone(1_200_000);
+        node.read(&store, 0);
+        node.holding.set_outage(outage_ms);
+        // 100,000 tokens a second.
+        (0..40).for_each(|i| node.holding.ask(i * 100, 10_000));
+        let line = node.holding.plan(4_000, ALONE, true).expect("wants tokens");
+        line.granted
+    };
+    let (calm, after) = (granted(0), granted(8_000));
+    assert!(calm < 200_000, "two seconds at most: {calm}");
+    assert!(after > 500_000, "five seconds at least: {after}");
+    // What a crash strands is bounded all the same.
+    assert!(after < 800_000, "{after}");
+}
