--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -49,15 +49,15 @@
             return Listed::New;
         };
         let up = self.get_mut(key);
-        if spec.is_before(&up.spec) {
+        if up.spec.is_reborn_since(&spec) {
             return Listed::Known;
         }
         if spec.is_reborn_since(&up.spec) {
-            let (id, ended) = (spec.id.clone(), up.spec.life());
+            let ended = up.spec.life();
             up.gone = true;
             self.drop_idle(key);
-            self.add(spec);
-            self.get_mut(self.by_id[&id]).reborn = true;
+            let key = self.add(spec);
+            self.get_mut(key).reborn = true;
             return Listed::Reborn { ended };
         }
         let news = spec.leaving && !up.leaving;
@@ -69,7 +69,7 @@
         }
     }
 
-    fn add(&mut self, spec: Spec) {
+    fn add(&mut self, spec: Spec) -> Key {
         let id = spec.id.clone();
         let free = self.upstreams.iter().position(Option::is_none);
         let at = free.unwrap_or(self.upstreams.len());
@@ -79,7 +79,9 @@
         } else {
             self.upstreams[at] = up;
         }
-        self.by_id.insert(id, Key(at as u32));
+        let key = Key(at as u32);
+        self.by_id.insert(id, key);
+        key
     }
 
     /// Takes the end of an entry of the list; returns the life that it ended, if it was there.
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -63,11 +63,6 @@
     pub(crate) fn is_reborn_since(&self, earlier: &Spec) -> bool {
         matches!((self.born, earlier.born), (Some(now), Some(then)) if now > then)
     }
-
-    /// Returns whether this is an earlier life of the upstream that another entry of the same name shows.
-    pub(crate) fn is_before(&self, later: &Spec) -> bool {
-        later.is_reborn_since(self)
-    }
 }
 
 /// Its own word on its load.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -109,11 +109,14 @@
                 Refusal::new(Kind::NoUpstream, why).back_in(RETRY_NO_UPSTREAM_MS, left)
             }
             Failed::Late => Refusal::new(Kind::DeadlinePassed, "not sent in time").ran(Ran::No),
-            Failed::Unanswered(why) | Failed::Unknown(why) if left == 0 => {
-                Refusal::new(Kind::DeadlinePassed, why)
-            }
             Failed::Unanswered(why) | Failed::Unknown(why) => {
-                Refusal::new(Kind::UpstreamError, why)
+                let late = left == 0;
+                let kind = if late {
+                    Kind::DeadlinePassed
+                } else {
+                    Kind::UpstreamError
+                };
+                Refusal::new(kind, why)
             }
         }
     }
--- a/crates/proxy/src/bank/charge.rs
+++ b/crates/proxy/src/bank/charge.rs
@@ -39,9 +39,8 @@
     /// Passes the tokens on to an instance that draws from this one; returns the total given to it.
     pub(super) fn hand_over(mut self, peer: &str) -> u64 {
         let reserved = std::mem::take(&mut self.reserved);
-        let mut accounts = self.bank.0.accounts.lock().expect("no panic inside");
-        let account = accounts.entry(self.customer.clone()).or_default();
-        account.holding.hand_over(peer, reserved)
+        self.bank
+            .open_holding(&self.customer, |h| h.hand_over(peer, reserved))
     }
 
     /// Returns the tokens that were spent.
--- a/crates/proxy/src/bank/draw.rs
+++ b/crates/proxy/src/bank/draw.rs
@@ -76,9 +76,8 @@
             }
         }
         // The home has asked all others, unless that is this one: there is nothing to wait for.
-        let means = self.means();
-        let asked = cut_off == homes.len() && !means.fleet.is_home(customer);
-        let nowhere = asked && means.reach.is_out();
+        let asked = cut_off == homes.len() && !self.means().fleet.is_home(customer);
+        let nowhere = asked && self.is_cut_off();
         nowhere.then_some(Err(Short::OutOfReach { free: false }))
     }
 
@@ -119,14 +118,12 @@
     }
 
     fn draw(&self, home: &Member, customer: &str, tokens: u64) -> Draw {
-        let mut accounts = self.0.accounts.lock().expect("no panic inside");
-        let account = accounts.entry(customer.to_string()).or_default();
-        Draw {
+        self.open_holding(customer, |h| Draw {
             customer: customer.to_string(),
             tokens,
-            spent: self.tell(&home.id, account.holding.pass_on(&home.id)),
-            prepaid: account.holding.prepaid(),
-        }
+            spent: self.tell(&home.id, h.pass_on(&home.id)),
+            prepaid: h.prepaid(),
+        })
     }
 
     /// Answers an instance that draws from this one.
@@ -152,7 +149,7 @@
             Err(Short::Exhausted) if self.prepaid(&draw.customer) > draw.prepaid => Drawn::NotHere,
             Err(Short::Exhausted) => Drawn::Exhausted,
             // The next one may reach the store.
-            Err(Short::OutOfReach { .. }) if self.means().reach.is_out() => Drawn::CutOff,
+            Err(Short::OutOfReach { .. }) if self.is_cut_off() => Drawn::CutOff,
             Err(Short::OutOfReach { free }) => Drawn::OutOfReach { free },
         }
     }
@@ -163,8 +160,6 @@
     }
 
     fn reserve_part(&self, customer: &str, tokens: u64) -> u64 {
-        let mut accounts = self.0.accounts.lock().expect("no panic inside");
-        let account = accounts.entry(customer.to_string()).or_default();
-        account.holding.reserve_part(tokens)
+        self.open_holding(customer, |h| h.reserve_part(tokens))
     }
 }
--- a/crates/proxy/src/bank/handover.rs
+++ b/crates/proxy/src/bank/handover.rs
@@ -165,11 +165,9 @@
 
     /// Debits all that is left of a customer's tokens, for another instance.
     fn gift(&self, peer: &Member, customer: &str) -> Gift {
-        let mut accounts = self.0.accounts.lock().expect("no panic inside");
-        let account = accounts.entry(customer.to_string()).or_default();
-        Gift {
+        self.open_holding(customer, |h| Gift {
             customer: customer.to_string(),
-            given: self.tell(&peer.id, account.holding.give_all(&peer.id)),
-        }
+            given: self.tell(&peer.id, h.give_all(&peer.id)),
+        })
     }
 }
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -143,9 +143,14 @@
     /// Counts demand that this instance is to cover.
     fn ask(&self, customer: &str, tokens: u64) {
         let now = self.0.clock.now();
+        self.open_holding(customer, |h| h.ask(now, tokens));
+    }
+
+    /// Works on a customer's holding, a new one if there is none.
+    fn open_holding<T>(&self, customer: &str, f: impl FnOnce(&mut Holding) -> T) -> T {
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let account = accounts.entry(customer.to_string()).or_default();
-        account.holding.ask(now, tokens);
+        f(&mut account.holding)
     }
 
     /// Returns the instances to draw a customer's tokens from; none where this one takes them itself.
@@ -153,10 +158,10 @@
     /// A home that is cut off from the store draws from those that take its place: all callers of a customer may
     /// come to one instance, and nobody else would take tokens for them.
     fn homes(&self, customer: &str) -> SmallVec<[Member; ASKED]> {
-        let means = self.means();
-        let homes = means.fleet.homes(customer);
-        if homes.is_empty() && means.reach.is_out() {
-            return means.fleet.homes_besides(customer);
+        let fleet = &self.means().fleet;
+        let homes = fleet.homes(customer);
+        if homes.is_empty() && self.is_cut_off() {
+            return fleet.homes_besides(customer);
         }
         homes
     }
@@ -234,7 +239,7 @@
 
     /// Returns why a holding has no tokens for a request: free ones can't be taken while the store is out.
     fn why(&self, holding: &Holding, tokens: u64) -> Short {
-        let out = self.means().reach.is_out();
+        let out = self.is_cut_off();
         match holding.refusal(tokens) {
             Short::OutOfReach { free } => Short::OutOfReach { free: free && !out },
             exhausted => exhausted,
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -1,7 +1,6 @@
 //! The task that keeps the holdings filled: reads records, plans, writes.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 
 use escrow::{Book, Holding, Known, Line, Record};
@@ -64,9 +63,8 @@
 impl Bank {
     /// Keeps the holdings filled.
     pub(crate) fn spawn(&self, means: Means) {
-        let socket = Arc::clone(&means.socket);
         assert!(self.0.means.set(means).is_ok(), "spawned once");
-        tokio::spawn(self.clone().settle(socket));
+        tokio::spawn(self.clone().settle());
         let bank = self.clone();
         tokio::spawn(async move {
             let mut due = Instant::now();
@@ -102,7 +100,7 @@
         if self.is_leaving() {
             return;
         }
-        if self.means().reach.is_out() {
+        if self.is_cut_off() {
             self.ask_for_missing().await;
             return;
         }
--- a/crates/proxy/src/bank/settled.rs
+++ b/crates/proxy/src/bank/settled.rs
@@ -10,7 +10,6 @@
 
 use escrow::Told;
 use serde::{Deserialize, Serialize};
-use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use super::Bank;
@@ -43,7 +42,8 @@
     }
 
     /// Tells homes of requests that have ended.
-    pub(super) async fn settle(self, socket: std::sync::Arc<UdpSocket>) {
+    pub(super) async fn settle(self) {
+        let socket = &self.means().socket;
         loop {
             self.0.ended_wake.notified().await;
             sleep(TOGETHER).await;
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -71,8 +71,13 @@
     reach: Arc<Reach>,
     clock: Clock,
 ) {
-    let hearing = (Arc::clone(&pool), bank, Arc::clone(&reach));
-    tokio::spawn(listen(Arc::clone(&socket), hearing, clock));
+    tokio::spawn(listen(
+        Arc::clone(&socket),
+        Arc::clone(&pool),
+        bank,
+        Arc::clone(&reach),
+        clock,
+    ));
     tokio::spawn(tell(socket, pool, fleet, reach, clock));
 }
 
@@ -111,7 +116,9 @@
 
 async fn listen(
     socket: Arc<UdpSocket>,
-    (pool, bank, reach): (Arc<Mutex<Pool>>, Bank, Arc<Reach>),
+    pool: Arc<Mutex<Pool>>,
+    bank: Bank,
+    reach: Arc<Reach>,
     clock: Clock,
 ) {
     let mut buf = vec![0; DATAGRAM_MOST];
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -164,7 +164,9 @@
 
     /// Returns whether this instance holds a customer's tokens for others, or the others are not known.
     pub(crate) fn is_home(&self, customer: &str) -> bool {
-        self.homes(customer).is_empty()
+        let members = self.0.members.lock().expect("no panic inside");
+        let homes = homes(customer, &members, &self.0.me.zone);
+        homes.first().is_none_or(|m| m.id == self.0.me.id)
     }
 
     /// Returns the incarnations that hold a customer's tokens, but for the own one.
