--- a/crates/escrow/tests/fleet/main.rs
+++ b/crates/escrow/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Budgets of a fleet, without a network.
 
 mod cases;
+mod loss;
 mod random;
 mod store;
