Instances no longer remember outages of the store that all of them saw

Two locks of Reach, a field of two messages between instances and three functions go with it. The scenario of the loss of all no longer tells the holding of outages, which it does not ask for; its moments and its assertion are the same.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -87,8 +87,6 @@
     lacking: u64,
     known: Option<Known>,
     reported_at: u64,
-    /// The longest outage of the store that all instances saw of late, in milliseconds; 0 for none.
-    outage_ms: u64,
     /// Time in which service is to be back after a loss of all instances, in milliseconds.
     recovery_ms: Option<u64>,
 }
@@ -99,11 +97,6 @@
         self.prepaid = prepaid;
     }
 
-    /// Sets the longest outage of the store that all instances saw of late, in milliseconds; 0 for none.
-    pub fn set_outage(&mut self, outage_ms: u64) {
-        self.outage_ms = outage_ms;
-    }
-
     /// Sets the time in which service is to be back after a loss of all instances, in milliseconds.
     pub fn set_recovery(&mut self, recovery_ms: u64) {
         self.recovery_ms = Some(recovery_ms);
@@ -307,7 +300,7 @@
         let others = known.record.rate.saturating_sub(self.line.rate);
         let rates = others + rate;
         let share = part(self.pool(&known.record, rate, rates), rate, rates);
-        let wanted = rate * HORIZON_MS.max(self.outage_ms) / 1000;
+        let wanted = rate * HORIZON_MS / 1000;
         wanted.min(share.max(rate * LEAST_MS / 1000))
     }
 
--- a/crates/escrow/tests/fleet/loss.rs
+++ b/crates/escrow/tests/fleet/loss.rs
@@ -118,10 +118,8 @@
         let mut day = Day::open(RATE * lasts_s);
         day.play(0, 5_300, true);
         day.play(5_300, 13_500, false);
-        day.node.holding.set_outage(8_200);
         day.play(13_500, 24_000, true);
         day.play(24_000, 32_600, false);
-        day.node.holding.set_outage(8_600);
         day.play(32_600, 34_000, true);
         day.lose();
         let back = 34_000 + DOWN_MS;
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -260,11 +260,9 @@
             owner: self.me(),
             ..Book::default()
         };
-        let outage_ms = self.means().reach.outage().map_or(0, |(ms, _)| ms);
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         for (name, account) in accounts.iter_mut() {
             let holding = &mut account.holding;
-            holding.set_outage(outage_ms);
             holding.set_recovery(self.means().recovery_ms);
             let old = holding.line();
             book.lines.insert(name.clone(), old);
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -17,7 +17,6 @@
 
 use crate::bank::{Bank, Settled};
 use crate::fleet::Fleet;
-use crate::follow::Reach;
 
 /// Pause between two rounds of a small fleet: a long prompt is read in some hundred milliseconds.
 const ROUND: Duration = Duration::from_millis(80);
@@ -48,9 +47,6 @@
     from: u64,
     /// Upstreams by the hash of their names, with milliseconds of reading and requests there.
     held: Vec<(u64, u32, u32)>,
-    /// The longest outage of the store that all instances saw of late: its length and how long ago it ended, in
-    /// milliseconds.
-    outage: Option<(u64, u64)>,
 }
 
 /// Binds the socket.
@@ -68,26 +64,13 @@
     pool: Arc<Mutex<Pool>>,
     bank: Bank,
     fleet: Fleet,
-    reach: Arc<Reach>,
     clock: Clock,
 ) {
-    tokio::spawn(listen(
-        Arc::clone(&socket),
-        Arc::clone(&pool),
-        bank,
-        Arc::clone(&reach),
-        clock,
-    ));
-    tokio::spawn(tell(socket, pool, fleet, reach, clock));
+    tokio::spawn(listen(Arc::clone(&socket), Arc::clone(&pool), bank, clock));
+    tokio::spawn(tell(socket, pool, fleet, clock));
 }
 
-async fn tell(
-    socket: Arc<UdpSocket>,
-    pool: Arc<Mutex<Pool>>,
-    fleet: Fleet,
-    reach: Arc<Reach>,
-    clock: Clock,
-) {
+async fn tell(socket: Arc<UdpSocket>, pool: Arc<Mutex<Pool>>, fleet: Fleet, clock: Clock) {
     let from = rand::random();
     let mut silent = false;
     loop {
@@ -104,7 +87,6 @@
         let word = Word {
             from,
             held: held.into_iter().map(row).collect(),
-            outage: reach.outage(),
         };
         let bytes = Datagram::Loads(word).to_bytes();
         for other in others {
@@ -114,13 +96,7 @@
     }
 }
 
-async fn listen(
-    socket: Arc<UdpSocket>,
-    pool: Arc<Mutex<Pool>>,
-    bank: Bank,
-    reach: Arc<Reach>,
-    clock: Clock,
-) {
+async fn listen(socket: Arc<UdpSocket>, pool: Arc<Mutex<Pool>>, bank: Bank, clock: Clock) {
     let mut buf = vec![0; DATAGRAM_MOST];
     loop {
         // An error here is another instance's closed port, told by its host.
@@ -129,12 +105,7 @@
             continue;
         };
         match serde_json::from_slice(&buf[..n]) {
-            Ok(Datagram::Loads(word)) => {
-                hear(&pool, &word, clock.now());
-                if let Some((ms, ago_ms)) = word.outage {
-                    reach.saw_outage(ms, ago_ms);
-                }
-            }
+            Ok(Datagram::Loads(word)) => hear(&pool, &word, clock.now()),
             Ok(Datagram::Settled(told)) => bank.take_settled(&told),
             // Not one of ours, or of another version.
             Err(_) => {}
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -32,18 +32,6 @@
 /// failed.
 const OUT_AFTER_MS: u64 = 1_500;
 
-/// An outage is reckoned with for so long after its end, in milliseconds: what put the store out of reach is
-/// seldom mended within minutes of it.
-const REMEMBER_MS: u64 = 3_600_000;
-
-/// An outage that all instances saw.
-#[derive(Clone, Copy, Debug)]
-struct Outage {
-    ms: u64,
-    /// By the own clock, which began later than an outage that others saw.
-    ended_at: i64,
-}
-
 /// Whether the store answers, as all tasks see it.
 #[derive(Debug)]
 pub(crate) struct Reach {
@@ -54,10 +42,6 @@
     out: AtomicBool,
     back: Notify,
     probe_at: Mutex<Instant>,
-    /// Whether others reached it during the present outage, or the last one; none when none was heard.
-    others_reach: Mutex<Option<bool>>,
-    /// The longest outage of late that nobody reached it in.
-    outage: Mutex<Option<Outage>>,
 }
 
 impl Reach {
@@ -70,36 +54,9 @@
             out: AtomicBool::new(false),
             back: Notify::new(),
             probe_at: Mutex::new(Instant::now()),
-            others_reach: Mutex::default(),
-            outage: Mutex::default(),
         }
     }
 
-    /// Takes another instance's word, during an outage, on whether it reaches the store.
-    pub(crate) fn heard(&self, reaches: bool) {
-        let mut others = self.others_reach.lock().expect("no panic inside");
-        *others = Some(reaches || *others == Some(true));
-    }
-
-    /// Takes an outage that all instances saw, by their word or the own: its length and how long ago it ended,
-    /// in milliseconds.
-    pub(crate) fn saw_outage(&self, ms: u64, ago_ms: u64) {
-        let ended_at = self.clock.now() as i64 - ago_ms as i64;
-        let known = self.outage();
-        if ago_ms < REMEMBER_MS && known.is_none_or(|(known_ms, _)| ms > known_ms) {
-            let mut outage = self.outage.lock().expect("no panic inside");
-            *outage = Some(Outage { ms, ended_at });
-        }
-    }
-
-    /// Returns the longest outage of late that all instances saw: its length and how long ago it ended, in
-    /// milliseconds.
-    pub(crate) fn outage(&self) -> Option<(u64, u64)> {
-        let outage = (*self.outage.lock().expect("no panic inside"))?;
-        let ago_ms = (self.clock.now() as i64 - outage.ended_at) as u64;
-        (ago_ms < REMEMBER_MS).then_some((outage.ms, ago_ms))
-    }
-
     /// Waits until the store is back, or until it is the caller's turn to ask.
     async fn turn(&self) {
         loop {
@@ -124,12 +81,8 @@
     /// Notes an answer of the store.
     pub(crate) fn answered(&self) {
         let now = self.clock.now();
-        let before = self.answered_at.swap(now, Ordering::Relaxed);
+        self.answered_at.store(now, Ordering::Relaxed);
         if self.out.swap(false, Ordering::Relaxed) {
-            let others = *self.others_reach.lock().expect("no panic inside");
-            if others == Some(false) {
-                self.saw_outage(now - before, 0);
-            }
             self.back_at.store(now, Ordering::Relaxed);
             self.log.note(Event::StoreBack, "");
             self.back.notify_waiters();
@@ -140,7 +93,6 @@
     pub(crate) fn failed(&self, failure: &Failure) {
         let silent = self.clock.now() - self.answered_at.load(Ordering::Relaxed);
         if silent >= OUT_AFTER_MS && !self.out.swap(true, Ordering::Relaxed) {
-            *self.others_reach.lock().expect("no panic inside") = None;
             let detail = format_args!("silent_ms={silent} last={failure:?}");
             self.log.note(Event::StoreLost, detail);
         }
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -151,7 +151,6 @@
             Arc::clone(&router.pool),
             bank.clone(),
             fleet.clone(),
-            Arc::clone(&reach),
             clock,
         );
         let peer = peers::serve(server, desk.clone());
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -67,8 +67,6 @@
 /// What the asker lacks.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct News {
-    /// Whether the teller reaches the store.
-    reaches: bool,
     config: Option<String>,
     listing: Relayed,
 }
@@ -89,7 +87,6 @@
         let active = self.config.get();
         let newer = active.filter(|a| a.routing.version > have.version);
         News {
-            reaches: !self.bank.is_cut_off(),
             config: newer.map(|a| String::from_utf8_lossy(&a.raw).into_owned()),
             listing: self.listing.tell(have.revision),
         }
@@ -265,12 +262,12 @@
                 }
                 turn += 1;
                 let peer = &others[turn % others.len()];
-                peers.fetch(peer.addr, &desk, &reach, &log).await;
+                peers.fetch(peer.addr, &desk, &log).await;
             }
         });
     }
 
-    async fn fetch(&self, addr: SocketAddr, desk: &Desk, reach: &Reach, log: &Log) {
+    async fn fetch(&self, addr: SocketAddr, desk: &Desk, log: &Log) {
         let have = Have {
             version: desk.config.version(),
             revision: desk.listing.revision(),
@@ -286,7 +283,6 @@
                 return;
             }
         };
-        reach.heard(news.reaches);
         if let Some(config) = news.config {
             log.note(Event::NewsFromPeer, format_args!("from={addr} what=config"));
             desk.config.offer(config.as_bytes(), "peer");
