What was spent is passed on only to an instance that answered its last call

A dead home stays listed until its lease ends, up to 30 s. Each call to draw tokens passed on what had been spent since the last one, before it was known whether anybody was there; and when an instance had tokens of its own and did not call, it told the dead home in datagrams, once the 1.5 s were over in which one that did not answer is left alone. What is passed on is out of the own line, so that it never came on record.

A call to draw repeats the total passed on before and passes on nothing new; datagrams go to a home whose last call was answered. Otherwise the own line tells of it, as for an instance without homes.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -189,6 +189,11 @@
         self.passed.add(peer, news)
     }
 
+    /// Returns the total of what is spent that was passed on to an instance so far.
+    pub fn passed_on(&self, peer: &str) -> u64 {
+        self.passed.of(peer)
+    }
+
     /// Takes the word of an instance that draws from this one on the total that it has passed on.
     pub fn hear(&mut self, me: &str, told: &Told) {
         self.heard.raise(me, told);
--- a/crates/escrow/src/totals.rs
+++ b/crates/escrow/src/totals.rs
@@ -35,6 +35,11 @@
         self.sum
     }
 
+    /// Returns an instance's total.
+    pub(crate) fn of(&self, peer: &str) -> u64 {
+        self.by_peer.get(peer).copied().unwrap_or_default()
+    }
+
     /// Adds to an instance's total, and returns that.
     pub(crate) fn add(&mut self, peer: &str, tokens: u64) -> u64 {
         let total = self.by_peer.entry(peer.to_string()).or_default();
--- a/crates/proxy/src/bank/draw.rs
+++ b/crates/proxy/src/bank/draw.rs
@@ -22,7 +22,7 @@
     customer: String,
     /// Tokens that the request needs beyond what the caller has.
     tokens: u64,
-    /// What the caller has spent and passed on to this home.
+    /// What the caller has passed on to this home of what it has spent, in words before: they may be lost.
     spent: Told,
     /// What is prepaid by the configuration of the caller.
     prepaid: u64,
@@ -121,7 +121,7 @@
         self.open_holding(customer, |h| Draw {
             customer: customer.to_string(),
             tokens,
-            spent: self.tell(&home.id, h.pass_on(&home.id)),
+            spent: self.tell(&home.id, h.passed_on(&home.id)),
             prepaid: h.prepaid(),
         })
     }
--- a/crates/proxy/src/bank/settled.rs
+++ b/crates/proxy/src/bank/settled.rs
@@ -72,8 +72,9 @@
         let mut told: BTreeMap<SocketAddr, Vec<Settled>> = BTreeMap::new();
         for customer in customers {
             let homes = self.means().fleet.homes(&customer);
-            // What is sent to one that does not answer is out of reach there.
-            let home = homes.first().filter(|h| !self.means().peers.rests(h.addr));
+            // What is passed on to one that is gone is out of reach, and never on record: the own line tells of it.
+            let peers = &self.means().peers;
+            let home = homes.first().filter(|h| !peers.is_silent(h.addr));
             if let Some(home) = home {
                 let rows = told.entry(home.addr).or_default();
                 rows.extend(self.settled_row(home, customer));
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -141,6 +141,8 @@
     client: HttpClient,
     /// Not called again before this: a call that hangs keeps requests waiting.
     rest_until: Option<Instant>,
+    /// Its last call had no answer: it may be gone though it is listed.
+    silent: bool,
 }
 
 /// Calls other instances.
@@ -150,7 +152,9 @@
 impl Peers {
     fn client(&self, addr: SocketAddr) -> Result<HttpClient, String> {
         let mut clients = self.0.lock().expect("no panic inside");
+        let mut silent = false;
         if let Some(line) = clients.get(&addr) {
+            silent = line.silent;
             let rests = line.rest_until.is_some_and(|t| Instant::now() < t);
             if rests {
                 return Err("did not answer a moment ago".to_string());
@@ -166,16 +170,16 @@
         let line = Line {
             client: client.clone(),
             rest_until: None,
+            silent,
         };
         clients.insert(addr, line);
         Ok(client)
     }
 
-    /// Returns whether an instance is left alone, since it did not answer.
-    pub(crate) fn rests(&self, addr: SocketAddr) -> bool {
+    /// Returns whether an instance did not answer when it was called last.
+    pub(crate) fn is_silent(&self, addr: SocketAddr) -> bool {
         let lines = self.0.lock().expect("no panic inside");
-        let until = lines.get(&addr).and_then(|l| l.rest_until);
-        until.is_some_and(|t| Instant::now() < t)
+        lines.get(&addr).is_some_and(|l| l.silent)
     }
 
     /// Leaves an instance alone for a while; its next call gets a new connection, since the old one
@@ -184,6 +188,7 @@
         let mut lines = self.0.lock().expect("no panic inside");
         if let Some(line) = lines.get_mut(&addr) {
             line.rest_until = Some(Instant::now() + REST);
+            line.silent = true;
         }
     }
 
@@ -197,12 +202,22 @@
         let mut params = ArrayParams::new();
         params.insert(param).map_err(|e| e.to_string())?;
         let answer = client.request(method, params).await;
+        if answer.is_ok() {
+            self.answered(addr);
+        }
         answer.map_err(|e| {
             self.rest(addr);
             e.to_string()
         })
     }
 
+    fn answered(&self, addr: SocketAddr) {
+        let mut lines = self.0.lock().expect("no panic inside");
+        if let Some(line) = lines.get_mut(&addr) {
+            line.silent = false;
+        }
+    }
+
     /// Calls where an answer that comes late brings nothing.
     async fn call_briefly<T: DeserializeOwned>(
         &self,
