The filters of a request have a file of their own: no import circle is left in proxy

`router.rs` held both what every filter works with and the filters' order, so that job, attempt, plain and stream imported it and it imported them.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 mod metric;
 mod ops;
 mod peers;
+mod pipe;
 mod plain;
 mod refusal;
 mod router;
--- /dev/null
+++ b/crates/proxy/src/pipe.rs
@@ -0,0 +1,257 @@
+//! The filters that a request passes: read, route, customer, tokens, upstream, answer.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use conf::Route;
+use err::Kind;
+use escrow::Short;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::request;
+use hyper::{Request, Response};
+use smallvec::SmallVec;
+use tokio::time::timeout_at;
+
+use crate::ask::Ask;
+use crate::bank::Charge;
+use crate::body::Out;
+use crate::config::Active;
+use crate::event::Event;
+use crate::job::{Busy, Expected, Job};
+use crate::refusal::Refusal;
+use crate::router::Router;
+use crate::{plain, stream};
+
+/// When to come back to an instance that knows no configuration yet, in milliseconds: it is read
+/// within a few calls of the store.
+const RETRY_UNKNOWN_MS: u64 = 500;
+/// When to come back after an instance that stops, or whose link is full, in milliseconds: another one
+/// answers.
+const RETRY_ELSEWHERE_MS: u64 = 50;
+/// When to come back for tokens that are out of reach, in milliseconds, while the budget has free ones:
+/// they are taken within a second.
+const RETRY_FREE_MS: u64 = 700;
+/// The same while it has none, or the store is out of reach: outages last several seconds, and so does
+/// what others hand back. Coming back sooner is refused again.
+const RETRY_TOKENS_MS: u64 = 4_000;
+/// Longest wait of a caller that names none, in milliseconds.
+const WAIT_DEFAULT_MS: u64 = 60_000;
+
+impl Router {
+    /// Answers a request.
+    pub(crate) async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<Out> {
+        // A body in chunks ends where its sender says. Were a length named besides, the two could
+        // differ, and what follows be taken for another request: nothing follows.
+        let chunked = req.headers().contains_key(TRANSFER_ENCODING);
+        let (head, body) = req.into_parts();
+        let mut ask = None;
+        let mut res = match self.run(head, body, &mut ask).await {
+            Ok(res) => res,
+            Err(refusal) => {
+                self.log_refusal(ask.as_ref(), &refusal);
+                self.dialect.refuse(ask.as_ref(), &refusal).map(Out::Whole)
+            }
+        };
+        if chunked || self.is_stopping() || self.is_crowded() {
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert(CONNECTION, close);
+        }
+        res
+    }
+
+    fn log_refusal(&self, ask: Option<&Ask>, refusal: &Refusal) {
+        let code = refusal.error.kind.answer().code;
+        self.metrics.ended("", code);
+        let detail = format_args!(
+            "code={code} ran={:?} retry_ms={:?} why={}",
+            refusal.error.ran, refusal.retry_ms, refusal.error.message
+        );
+        let id = ask.map_or("", |a| a.id.as_str());
+        self.log.request(Event::Refused, id, detail);
+    }
+
+    async fn run(
+        self: &Arc<Self>,
+        head: request::Parts,
+        body: Incoming,
+        known: &mut Option<Ask>,
+    ) -> Result<Response<Out>, Refusal> {
+        let arrived = self.clock.now();
+        let mut busy = Busy::open(self);
+        let ask = self.dialect.ask(&head)?;
+        *known = Some(ask.clone());
+        let wait_ms = ask.wait_ms.unwrap_or(WAIT_DEFAULT_MS);
+        if self.refusing.load(Ordering::Relaxed) {
+            let refusal = Refusal::new(Kind::Draining, "this instance is about to end");
+            return Err(refusal.back_in(RETRY_ELSEWHERE_MS, wait_ms));
+        }
+        let Some(active) = self.config.get() else {
+            let refusal = Refusal::new(Kind::NotConfigured, "no configuration yet");
+            return Err(refusal.back_in(RETRY_UNKNOWN_MS, wait_ms));
+        };
+        let route = self.route(&active, &ask, &head)?.clone();
+        let customer = self.customer(&active, &ask, &route)?;
+        let deadline = arrived + wait_ms.min(route.timeout_ms);
+        let body = self.body(&active, &head, body, deadline).await?;
+        self.room_for(&mut busy, body.len())
+            .map_err(|full| full.back_in(RETRY_ELSEWHERE_MS, wait_ms))?;
+        let service = route.service(rand::random());
+        let service = service.map(str::to_string).ok_or_else(|| {
+            let message = format!("route {} has no service", route.name);
+            Refusal::new(Kind::NoUpstream, message)
+        })?;
+        let traits = active.routing.services.get(&service).cloned();
+        {
+            let mut retries = self.retries.lock().expect("no panic inside");
+            retries.request(arrived, &service);
+        }
+        let mut job = Job {
+            router: Arc::clone(self),
+            ask,
+            head,
+            body,
+            route,
+            service,
+            traits: traits.unwrap_or_default(),
+            customer,
+            arrived,
+            deadline,
+            tried: SmallVec::new(),
+            attempts: 0,
+            charge: None,
+            may_be_answered: false,
+            expected: Expected::default(),
+            _busy: busy,
+        };
+        job.charge = self.charge(&active, &job).await?;
+        if job.route.streamed {
+            stream::answer(job).await
+        } else {
+            plain::answer(job).await
+        }
+    }
+
+    /// Takes what a request needs here; the error says that another instance has more of it.
+    fn room_for(&self, busy: &mut Busy, body: usize) -> Result<(), Refusal> {
+        let full = self.link(|l, now| {
+            l.came(now, body);
+            l.is_full_for(now, body)
+        });
+        let why = if full {
+            "this instance's link is full"
+        } else if !busy.take_room(body) {
+            "this instance's memory is full"
+        } else {
+            return Ok(());
+        };
+        Err(Refusal::new(Kind::Overloaded, why))
+    }
+
+    fn route<'a>(
+        &self,
+        active: &'a Active,
+        ask: &Ask,
+        head: &request::Parts,
+    ) -> Result<&'a Route, Refusal> {
+        let path = head.uri.path();
+        active.routing.route(&ask.host, path).ok_or_else(|| {
+            let version = active.routing.version;
+            let message = format!("no route for {}{path} in version {version}", ask.host);
+            Refusal::new(Kind::NotFound, message)
+        })
+    }
+
+    /// Returns the customer that holds the request's key; none where no key is wanted.
+    fn customer(
+        &self,
+        active: &Active,
+        ask: &Ask,
+        route: &Route,
+    ) -> Result<Option<String>, Refusal> {
+        if route.public || active.routing.accounts.is_empty() {
+            return Ok(None);
+        }
+        let key = ask.key.as_deref().unwrap_or_default();
+        match active.routing.account(key) {
+            Some(account) => Ok(Some(account.name.clone())),
+            None => {
+                let version = active.routing.version;
+                let message = format!("the key belongs to no customer in version {version}");
+                Err(Refusal::new(Kind::UnknownKey, message))
+            }
+        }
+    }
+
+    /// Reads the whole body: it may have to be sent twice.
+    async fn body(
+        &self,
+        active: &Active,
+        head: &request::Parts,
+        body: Incoming,
+        deadline: u64,
+    ) -> Result<Bytes, Refusal> {
+        let most = active.routing.limits.body_bytes;
+        let too_large = || {
+            let message = format!("a body has at most {most} bytes");
+            Refusal::new(Kind::TooLarge, message)
+        };
+        let named = head.headers.get(CONTENT_LENGTH);
+        let named = named.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+        if named.is_some_and(|n| n > most) {
+            return Err(too_large());
+        }
+        let limited = Limited::new(body, most);
+        match timeout_at(self.clock.at(deadline), limited.collect()).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
+            Ok(Err(e)) => {
+                let message = format!("the body broke off: {e}");
+                Err(Refusal::new(Kind::BadRequest, message))
+            }
+            Err(_) => {
+                let message = "the body did not come in time";
+                Err(Refusal::new(Kind::BadRequest, message))
+            }
+        }
+    }
+
+    /// Reserves the most that a request can cost.
+    async fn charge(&self, active: &Active, job: &Job) -> Result<Option<Charge>, Refusal> {
+        let tokens = job.ask.tokens();
+        let Some(customer) = &job.customer else {
+            return Ok(None);
+        };
+        if tokens == 0 || active.routing.prepaid(customer).is_none() {
+            return Ok(None);
+        }
+        let began = self.clock.now();
+        let until = self.clock.at(job.deadline);
+        let reserved = self.bank.reserve(customer, tokens, until).await;
+        let waited = self.clock.now() - began;
+        self.metrics.token_wait.observe(waited as f64 / 1000.0);
+        let short = match reserved {
+            Ok(charge) => return Ok(Some(charge)),
+            Err(short) => short,
+        };
+        let (kind, why, back_ms) = match short {
+            Short::Exhausted => (Kind::BudgetExhausted, "the budget does not cover", None),
+            Short::OutOfReach { free } => {
+                let back_ms = if free { RETRY_FREE_MS } else { RETRY_TOKENS_MS };
+                (
+                    Kind::BudgetOutOfReach,
+                    "no tokens in reach for",
+                    Some(back_ms),
+                )
+            }
+        };
+        let message = format!("{why} {tokens} tokens of {customer}, waited_ms={waited}");
+        let refusal = Refusal::new(kind, message);
+        Err(match back_ms {
+            Some(back_ms) => refusal.back_in(back_ms, job.left_ms()),
+            None => refusal,
+        })
+    }
+}
