--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -13,8 +13,8 @@
 ///
 /// What homes hold when all processes end stays charged, for it may have been spent. A budget that is granted down to
 /// less leaves its customer refused to the end of the budget, with none of what is left in reach; one that is granted
-/// less is out of reach in an outage of the store, for as long as the outage lasts. Of days that end with a loss of all,
-/// less than two fifths of what was owed 12 s after it was served in 17 plays of 84; in 26 with grants by a share of what is left.
+/// less is out of reach in an outage of the store, for as long as the outage lasts. Of 84 days that ended with a loss
+/// of all, 17 served less than two fifths of what was owed 12 s after it; with grants by a share of what is left, 26.
 const KEEP_PCT: u64 = 125;
 /// Demand that a grant covers at least, in milliseconds, however soon the budget ends: without it each
 /// request needs a write of its own then, and loses against the others'. A loss strands it.
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -316,12 +316,7 @@
 
     /// Logs what the incarnation before this one left charged.
     fn log_left_behind(&self, customer: &str, line: Line) {
-        let Line {
-            granted,
-            returned,
-            spent,
-            ..
-        } = line;
+        let (granted, returned, spent) = (line.granted, line.returned, line.spent);
         let detail =
             format_args!("customer={customer} granted={granted} returned={returned} spent={spent}");
         self.0.log.note(Event::LeftBehind, detail);
