The default time of recovery, an incarnation's line in the report, and the end of a call between instances stand once

Cause: the reading of the change. The default of 12 s was applied at the instance and in the holding, so it was exported for that; only the holding applies it now. The report of tokens took a line of the store in two functions that looked the customer and the incarnation up alike; one does. A call between instances looked at its answer twice; one match. A function of the stage was another's name.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -8,7 +8,7 @@
 /// more, and nothing can be taken meanwhile. What a crash strands grows with it.
 const HORIZON_MS: u64 = 10_000;
 /// Time in which service is to be back after a loss of all instances, in milliseconds, where nothing names another.
-pub const RECOVERY_MS: u64 = 12_000;
+const RECOVERY_MS: u64 = 12_000;
 /// Percentage of that time for which a customer is to have tokens after a loss: it is served again for a while.
 ///
 /// What homes hold when all processes end stays charged, for it may have been spent. A budget that is granted down to
--- a/crates/escrow/src/lib.rs
+++ b/crates/escrow/src/lib.rs
@@ -15,7 +15,7 @@
 mod record;
 mod totals;
 
-pub use holding::{Holding, Known, Short, RECOVERY_MS};
+pub use holding::{Holding, Known, Short};
 pub use home::{homes, ASKED};
 pub use rate::Rate;
 pub use record::{Book, Line, Record};
--- a/crates/escrow/tests/fleet/cases.rs
+++ b/crates/escrow/tests/fleet/cases.rs
@@ -378,9 +378,9 @@
     assert_eq!(home.receive("home.2", &tell("a.1", "home.2", 7_000)), 7_000);
 }
 
-/// Symptom: a customer is refused through an outage of the store though a half of its budget is left, or after a loss of
-/// all instances to the end of its budget. Load: a customer at a steady demand, its budget lasting longer and shorter;
-/// then either of them comes. Cause: grants were a share of what is left, whatever the customer could go on with.
+/// Symptom: a customer is refused through an outage of the store though a half of its budget is left, or after a
+/// loss of all instances to the end of its budget. Load: a customer at a steady demand, its budget lasting longer and
+/// shorter; then either of them comes. Cause: grants were a share of what is left, whatever the customer could go on with.
 #[test]
 fn a_budget_is_granted_from_what_it_has_beyond_a_restart() {
     let granted = |lasts_s: u64, recovery_ms| {
--- a/crates/oriolehitch/src/tokens.rs
+++ b/crates/oriolehitch/src/tokens.rs
@@ -133,7 +133,8 @@
         } else if line.event == Event::Grant.row().id {
             self.granted(source, detail);
         } else if line.event == Event::LeftBehind.row().id {
-            self.left_behind(source, detail);
+            // What an instance found in the store of its predecessor, whose own last lines may be lost.
+            self.take_part(source, 1, detail);
         } else if line.event == Event::Answered.row().id {
             if let (Some(name), Some(tokens)) =
                 (field(detail, "customer"), number(detail, "tokens"))
@@ -146,26 +147,29 @@
     }
 
     fn granted(&mut self, source: &str, detail: &str) {
-        let Some(name) = field(detail, "customer") else {
+        let Some(customer) = self.take_part(source, 0, detail) else {
             return;
         };
-        let incarnation = self.incarnations.get(source).copied().unwrap_or_default();
-        let customer = self.customers.entry(name.to_string()).or_default();
         customer.prepaid = number(detail, "prepaid").unwrap_or(customer.prepaid);
         customer.charged = number(detail, "charged").unwrap_or(customer.charged);
         let spent = number(detail, "all_spent").unwrap_or_default();
         customer.spent = customer.spent.max(spent);
-        customer.set_part(source, incarnation, detail);
     }
 
-    /// Takes what an instance found in the store of its predecessor, whose own last lines may be lost.
-    fn left_behind(&mut self, source: &str, detail: &str) {
-        let Some(name) = field(detail, "customer") else {
-            return;
+    /// Takes the line of the incarnation that runs at an instance, or of one so many before it; returns the customer
+    /// whose it is.
+    fn take_part(&mut self, source: &str, before: u32, detail: &str) -> Option<&mut Customer> {
+        let name = field(detail, "customer")?;
+        let get = |key| number(detail, key).unwrap_or_default();
+        let part = Part {
+            charged: get("granted").saturating_sub(get("returned")),
+            spent: get("spent"),
         };
         let incarnation = self.incarnations.get(source).copied().unwrap_or_default();
+        let key = (source.to_string(), incarnation.saturating_sub(before));
         let customer = self.customers.entry(name.to_string()).or_default();
-        customer.set_part(source, incarnation.saturating_sub(1), detail);
+        customer.parts.insert(key, part);
+        Some(customer)
     }
 
     fn refuse(&mut self, detail: &str) {
@@ -213,15 +217,6 @@
         self.prepaid.saturating_sub(self.spent.max(self.answered))
     }
 
-    fn set_part(&mut self, source: &str, incarnation: u32, detail: &str) {
-        let get = |key| number(detail, key).unwrap_or_default();
-        let part = Part {
-            charged: get("granted").saturating_sub(get("returned")),
-            spent: get("spent"),
-        };
-        self.parts.insert((source.to_string(), incarnation), part);
-    }
-
     /// Returns the tokens charged and not spent by the record: at incarnations that live, and at those that
     /// ended, which may have spent some more than they said.
     fn held(&self, incarnations: &BTreeMap<String, u32>) -> (u64, u64) {
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -58,8 +58,8 @@
     pub(crate) peers: Peers,
     /// For datagrams to other instances.
     pub(crate) socket: Arc<UdpSocket>,
-    /// Time in which service is to be back after a loss of all instances, in milliseconds.
-    pub(crate) recovery_ms: u64,
+    /// Time in which service is to be back after a loss of all instances, in milliseconds, where the settings name one.
+    pub(crate) recovery_ms: Option<u64>,
 }
 
 /// A handle on the holdings.
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -263,7 +263,9 @@
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         for (name, account) in accounts.iter_mut() {
             let holding = &mut account.holding;
-            holding.set_recovery(self.means().recovery_ms);
+            if let Some(recovery_ms) = self.means().recovery_ms {
+                holding.set_recovery(recovery_ms);
+            }
             let old = holding.line();
             book.lines.insert(name.clone(), old);
             let chosen = scope != Scope::Missing || holding.missing() > 0;
@@ -295,11 +297,7 @@
     /// Logs a line of the own book as the store has it: a planned one may lose against another instance's.
     fn log_grant(&self, customer: &str, line: Line, holding: &Holding) {
         let known = holding.known().map(|k| k.record);
-        let sum = |f: fn(&Record) -> u64| {
-            known
-                .as_ref()
-                .map_or("unknown".to_string(), |r| f(r).to_string())
-        };
+        let shown = |sum: Option<u64>| sum.map_or("unknown".to_string(), |s| s.to_string());
         let detail = format_args!(
             "customer={customer} granted={} returned={} spent={} rate={} balance={} charged={} all_spent={} prepaid={}",
             line.granted,
@@ -307,8 +305,8 @@
             line.spent,
             line.rate,
             holding.balance(),
-            sum(|r| r.charged),
-            sum(|r| r.spent),
+            shown(known.map(|r| r.charged)),
+            shown(known.map(|r| r.spent)),
             holding.prepaid(),
         );
         self.0.log.note(Event::Grant, detail);
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -161,9 +161,7 @@
             fleet,
             peers,
             socket,
-            recovery_ms: fleet_settings
-                .recovery_secs
-                .map_or(escrow::RECOVERY_MS, |s| (s * 1000.0) as u64),
+            recovery_ms: fleet_settings.recovery_secs.map(|s| (s * 1000.0) as u64),
         });
         spawn_sweep(dialer);
 
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -201,14 +201,16 @@
         let client = self.client(addr)?;
         let mut params = ArrayParams::new();
         params.insert(param).map_err(|e| e.to_string())?;
-        let answer = client.request(method, params).await;
-        if answer.is_ok() {
-            self.answered(addr);
+        match client.request(method, params).await {
+            Ok(answer) => {
+                self.answered(addr);
+                Ok(answer)
+            }
+            Err(e) => {
+                self.rest(addr);
+                Err(e.to_string())
+            }
         }
-        answer.map_err(|e| {
-            self.rest(addr);
-            e.to_string()
-        })
     }
 
     fn answered(&self, addr: SocketAddr) {
