Calls of the store are counted by task, call, end and state of the store; `calls` adds them up over a fleet

Cause: on large fleets calls of the store cost more than everything else together, and neither metrics nor logs tell which call, by whom, in which state of the store, and whether it was for nothing. A store that counts stands between each task and the client now; its totals are a metric, a line every 5 s and at a stop, and a report. The three gauges that told less, and the counters in the platform's client and in the store's trait, are gone.

Logic untouched.

--- a/crates/kv/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{json, Value};
 
-use crate::client::{found, Client, Counts, Failure, Found};
+use crate::client::{found, Client, Failure, Found};
 use crate::store::{Answer, Change, Commit, Listing, News, Reading, Store, Txn};
 use crate::wire;
 
@@ -44,10 +44,6 @@
             self.call("/v3/lease/revoke", &body).await.map(|_| ())
         })
     }
-
-    fn counts(&self) -> &Counts {
-        Client::counts(self)
-    }
 }
 
 /// Waits for the sign of a change, then lists: the protocol's watch is used as a bell only.
--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use crate::client::{Counts, Failure, Found};
+use crate::client::{Failure, Found};
 
 /// Conditions, writes and deletions that one transaction holds together at most: the platform's store
 /// refuses a larger one whole.
@@ -128,7 +128,4 @@
 
     /// Ends a lease, and its keys with it.
     fn end_lease(&self, lease: i64) -> Answer<'_, ()>;
-
-    /// Returns how many calls were made.
-    fn counts(&self) -> &Counts;
 }
--- a/crates/oriolehitch/src/flags.rs
+++ b/crates/oriolehitch/src/flags.rs
@@ -103,6 +103,18 @@
             /// Prints JSON.
             optional --json
         }
+        /// Adds up the calls of the store by the logs of a fleet.
+        ///
+        /// end: how they ended, nothing for a watch without news, lost for a write that met another instance's;
+        /// store: whether it was in reach when they began.
+        cmd calls {
+            /// Logs in JSON of one instance each, or of many with the instance's name before each line.
+            repeated logs: PathBuf
+            /// Prints rows for each stretch of so many seconds, rounded to when instances log them.
+            optional --every secs: u64
+            /// Prints JSON.
+            optional --json
+        }
         /// Runs one stand-in as a process.
         cmd stub {
             /// The platform's key-value service.
--- a/crates/oriolehitch/src/lib.rs
+++ b/crates/oriolehitch/src/lib.rs
@@ -1,10 +1,12 @@
 //! The commands of the program; `main` only prints what they return.
 
+pub mod calls;
 pub mod check;
 pub mod dev;
 pub mod flags;
 pub mod fleet;
 pub mod log;
+mod logs;
 pub mod operate;
 pub mod serve;
 pub mod stubs;
@@ -75,6 +77,7 @@
         OriolehitchCmd::Dev(cmd) => dev::run(cmd).await,
         OriolehitchCmd::Check(cmd) => Ok(check::run(&cmd)),
         OriolehitchCmd::Tokens(cmd) => tokens::run(&cmd),
+        OriolehitchCmd::Calls(cmd) => calls::run(&cmd),
         OriolehitchCmd::Stub(cmd) => stubs::run(cmd).await,
         OriolehitchCmd::Dump(cmd) => operate::dump(cmd).await,
     }
--- a/crates/oriolehitch/src/tokens.rs
+++ b/crates/oriolehitch/src/tokens.rs
@@ -2,28 +2,19 @@
 //! spent from one that nobody can reach.
 
 use std::collections::BTreeMap;
-use std::path::Path;
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use proxy::event::Event;
-use serde::Deserialize;
 use serde_json::{json, Value};
 
 use crate::flags::Tokens;
+use crate::logs::{self, field, number, Line};
 use crate::table::table;
 use crate::Outcome;
 
 /// Length of a row where none is named, in seconds.
 const EVERY_DEFAULT: u64 = 2;
 
-/// One line of a log, as far as it is read.
-#[derive(Debug, Deserialize)]
-struct Line {
-    timestamp: jiff::Timestamp,
-    event: u16,
-    detail: String,
-}
-
 /// One incarnation's line: what is charged for it, and spent by its word. Tokens move between instances, and so do
 /// the words on what they spent: either may be the larger one.
 #[derive(Clone, Copy, Debug, Default)]
@@ -67,15 +58,10 @@
 ///
 /// Returns which file can't be read.
 pub fn run(cmd: &Tokens) -> Result<Outcome> {
-    let mut lines = Vec::new();
-    for file in &cmd.logs {
-        lines.extend(read(file)?);
-    }
+    let lines = logs::read_all(&cmd.logs)?;
     if lines.is_empty() {
-        let message = "no line of an instance's log in these files\n";
-        return Ok(Outcome::Refused(message.to_string()));
+        return Ok(Outcome::Refused(logs::NONE.to_string()));
     }
-    lines.sort_by_key(|(_, line)| line.timestamp);
     let rows = rows(&lines, cmd.every.unwrap_or(EVERY_DEFAULT).max(1));
     let chosen = |row: &Value| cmd.customer.as_ref().is_none_or(|c| row["customer"] == **c);
     let rows: Vec<Value> = rows.into_iter().filter(chosen).collect();
@@ -97,19 +83,6 @@
     Ok(Outcome::Done(table(&rows, &columns)))
 }
 
-/// Reads a log; what stands before a line's JSON names the instance, else the file does.
-fn read(file: &Path) -> Result<Vec<(String, Line)>> {
-    let text = std::fs::read_to_string(file).with_context(|| format!("{}", file.display()))?;
-    let parse = |line: &str| {
-        let (before, _) = line.split_once('{')?;
-        let parsed = serde_json::from_str(&line[before.len()..]).ok()?;
-        let named = before.split_whitespace().last();
-        let source = named.map_or_else(|| file.display().to_string(), str::to_string);
-        Some((source, parsed))
-    };
-    Ok(text.lines().filter_map(parse).collect())
-}
-
 fn rows(lines: &[(String, Line)], every: u64) -> Vec<Value> {
     let first = lines[0].1.timestamp;
     let (mut ledger, mut rows, mut row) = (Ledger::default(), Vec::new(), 0);
@@ -231,13 +204,3 @@
         (held - dead, dead)
     }
 }
-
-/// Returns a field of a line's detail, which are KEY=VALUE separated by spaces.
-fn field<'a>(detail: &'a str, key: &str) -> Option<&'a str> {
-    let mut words = detail.split(' ');
-    words.find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
-}
-
-fn number(detail: &str, key: &str) -> Option<u64> {
-    field(detail, key)?.parse().ok()
-}
--- a/crates/oriolehitch/tests/tokens/main.rs
+++ b/crates/oriolehitch/tests/reports/main.rs
@@ -1,4 +1,4 @@
-//! The report of tokens on a small log.
+//! Reports on small logs.
 
 use std::path::PathBuf;
 
@@ -136,3 +136,48 @@
     let file = file.to_str().expect("a name in letters");
     assert!(matches!(run(&["tokens", file]), Outcome::Refused(_)));
 }
+
+/// Totals of a process go on; those of the next one at the same name begin anew.
+#[test]
+fn calls_of_the_store_are_added_up_over_instances_and_restarts() {
+    let log = [
+        line(1, "a", 2001, "id=a.1"),
+        line(5, "a", 2204, "config.watch.nothing.in_reach=2"),
+        line(
+            10,
+            "a",
+            2204,
+            "budgets.write.lost.in_reach=1 config.watch.nothing.in_reach=4",
+        ),
+        line(11, "a", 2001, "id=a.2"),
+        line(16, "a", 2204, "config.watch.nothing.in_reach=3"),
+        line(16, "b", 2204, "config.watch.nothing.out=7"),
+    ];
+    let file = file("calls.log", &log.concat());
+    let file = file.to_str().expect("a name in letters");
+    let shown = |args: &[&str]| -> Vec<(u64, String, u64)> {
+        let Outcome::Done(text) = run(args) else {
+            panic!("refused");
+        };
+        let rows: Vec<Value> = serde_json::from_str(&text).expect("JSON");
+        let row = |r: &Value| {
+            let sort = ["task", "call", "end", "store"].map(|f| r[f].as_str().expect("a word"));
+            let number = |f: &str| r[f].as_u64().expect("a number");
+            (number("second"), sort.join("."), number("calls"))
+        };
+        rows.iter().map(row).collect()
+    };
+    let row = |second, sort: &str, calls| (second, sort.to_string(), calls);
+    let all = [
+        row(0, "budgets.write.lost.in_reach", 1),
+        row(0, "config.watch.nothing.in_reach", 7),
+        row(0, "config.watch.nothing.out", 7),
+    ];
+    assert_eq!(shown(&["calls", file, "--json"]), all);
+    let late = [
+        row(10, "config.watch.nothing.in_reach", 3),
+        row(10, "config.watch.nothing.out", 7),
+    ];
+    let by_time = shown(&["calls", file, "--every", "10", "--json"]);
+    assert_eq!(by_time[by_time.len() - 2..], late);
+}
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -32,6 +32,8 @@
     StoreBack,
     /// A write to the store was not carried out, or it is not known whether.
     WriteFailed,
+    /// How many calls of the store were made, by task, call, end and state of the store.
+    StoreCalls,
     /// News came from another instance.
     NewsFromPeer,
     /// The list of instances changed.
@@ -100,6 +102,7 @@
     row(Event::StoreLost, 2201, Level::WARN, "store does not answer"),
     row(Event::StoreBack, 2202, Level::INFO, "store answers again"),
     row(Event::WriteFailed, 2203, Level::WARN, "write failed"),
+    row(Event::StoreCalls, 2204, Level::INFO, "calls of the store"),
     row(
         Event::NewsFromPeer,
         2301,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -40,14 +39,6 @@
     pub(crate) zone: String,
 }
 
-/// Calls of the store so far.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Calls {
-    pub(crate) reads: i64,
-    pub(crate) writes: i64,
-    pub(crate) failures: i64,
-}
-
 /// A handle on the list of instances.
 #[derive(Clone)]
 pub(crate) struct Fleet(Arc<Inner>);
@@ -125,17 +116,6 @@
         &self.0.me.zone
     }
 
-    /// Returns the calls of the store so far.
-    pub(crate) fn counts(&self) -> Calls {
-        let counts = self.0.store.counts();
-        let load = |n: &AtomicU64| n.load(Ordering::Relaxed) as i64;
-        Calls {
-            reads: load(&counts.reads) + load(&counts.watches),
-            writes: load(&counts.writes),
-            failures: load(&counts.failures),
-        }
-    }
-
     /// Returns the other instances, those of the own zone first; those that the settings name while the
     /// list is not known.
     pub(crate) fn others(&self) -> Vec<Member> {
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::bank::{Bank, Means};
+use crate::calls::Calls;
 use crate::config::Config;
 use crate::datagram;
 use crate::dialect::Dialect;
@@ -59,6 +60,7 @@
 /// A running instance.
 pub struct Instance {
     router: Arc<Router>,
+    calls: Calls,
     phase: watch::Sender<Phase>,
     stop_by: Duration,
     ready: web::Handle,
@@ -89,6 +91,7 @@
         let (listener, addr) = bound.map_err(|e| anyhow!("callers' listener: {e}"))?;
 
         let reach = Arc::new(Reach::open(clock, Arc::clone(&log)));
+        let calls = Calls::open(Arc::clone(&reach));
         let bank = Bank::open(clock, Arc::clone(&log));
         let pool = Arc::new(Mutex::new(Pool::default()));
         let dialer = Dialer::default();
@@ -111,7 +114,7 @@
             me,
             &settings.peers.clone().unwrap_or_default(),
             fleet_settings.lease_least_ms.unwrap_or_default(),
-            Arc::clone(&store),
+            calls.store("instances", &store),
             Arc::clone(&reach),
             Arc::clone(&log),
         );
@@ -120,7 +123,7 @@
             dialect,
             clock,
             log: Arc::clone(&log),
-            metrics: Metrics::open(),
+            metrics: Metrics::open(&calls),
             config: config.clone(),
             bank: bank.clone(),
             pool,
@@ -137,8 +140,8 @@
             busy: watch::channel(0).0,
         });
 
-        config.spawn(Arc::clone(&store), Arc::clone(&reach));
-        listing.spawn(Arc::clone(&store));
+        config.spawn(calls.store("config", &store), Arc::clone(&reach));
+        listing.spawn(calls.store("upstreams", &store));
         fleet.spawn();
         let desk = Desk {
             bank: bank.clone(),
@@ -156,7 +159,7 @@
         let peer = peers::serve(server, desk.clone());
         peers.spawn_news(fleet.clone(), desk, Arc::clone(&reach), Arc::clone(&log));
         bank.spawn(Means {
-            store,
+            store: calls.store("budgets", &store),
             reach,
             fleet,
             peers,
@@ -164,6 +167,7 @@
             recovery_ms: fleet_settings.recovery_secs.map(|s| (s * 1000.0) as u64),
         });
         spawn_sweep(dialer);
+        calls.spawn(Arc::clone(&log));
 
         let (phase, phase_rx) = watch::channel(Phase::Serving);
         listen::serve(listener, Arc::clone(&router), phase_rx);
@@ -189,6 +193,7 @@
         let stop_by = fleet_settings.stop_secs.map(Duration::from_secs_f64);
         Ok(Instance {
             router,
+            calls,
             phase,
             stop_by: stop_by.unwrap_or(STOP_DEFAULT),
             ready,
@@ -244,6 +249,7 @@
         let said = timeout(LAST_WORDS / 2, router.bank.leave()).await == Ok(true);
         // What is not ended by then ends by itself.
         let _ = timeout(LAST_WORDS / 4, router.fleet.leave()).await;
+        self.calls.log(&router.log);
         let detail = format_args!("cut={} handed_back={said}", self.inflight());
         router.log.note(Event::Stopped, detail);
         self.ready.stop(CLOSE_GRACE);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod bank;
 mod body;
+mod calls;
 mod config;
 mod datagram;
 mod dialect;
--- a/crates/proxy/src/metric.rs
+++ b/crates/proxy/src/metric.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::calls::Calls;
+
 /// Upper bounds of the buckets of times, in seconds: from a relay's own time to the longest request.
 const SECONDS: [f64; 14] = [
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 5.0, 10.0,
@@ -51,12 +53,6 @@
     pub(crate) unread: Counter,
     /// Prompt tokens sent.
     pub(crate) prompt: Counter,
-    /// Calls of the store.
-    pub(crate) store_reads: Gauge,
-    /// Writes to the store.
-    pub(crate) store_writes: Gauge,
-    /// Calls of the store without an answer.
-    pub(crate) store_failures: Gauge,
 }
 
 fn seconds() -> Histogram {
@@ -64,7 +60,7 @@
 }
 
 impl Metrics {
-    pub(crate) fn open() -> Metrics {
+    pub(crate) fn open(calls: &Calls) -> Metrics {
         let metrics = Metrics {
             registry: Mutex::new(Registry::with_prefix("oriolehitch")),
             requests: Family::default(),
@@ -77,15 +73,12 @@
             tokens: Counter::default(),
             unread: Counter::default(),
             prompt: Counter::default(),
-            store_reads: Gauge::default(),
-            store_writes: Gauge::default(),
-            store_failures: Gauge::default(),
         };
-        metrics.register();
+        metrics.register(calls);
         metrics
     }
 
-    fn register(&self) {
+    fn register(&self, calls: &Calls) {
         let mut registry = self.registry.lock().expect("no panic inside");
         let r = &mut *registry;
         r.register(
@@ -110,21 +103,7 @@
         r.register("tokens", "Tokens spent", self.tokens.clone());
         r.register("unread", "Prompt tokens not kept", self.unread.clone());
         r.register("prompt", "Prompt tokens sent", self.prompt.clone());
-        r.register(
-            "store_reads",
-            "Calls of the store",
-            self.store_reads.clone(),
-        );
-        r.register(
-            "store_writes",
-            "Writes to the store",
-            self.store_writes.clone(),
-        );
-        r.register(
-            "store_failures",
-            "Calls of the store without an answer",
-            self.store_failures.clone(),
-        );
+        r.register("store_calls", "Calls of the store", calls.metric());
     }
 
     /// Counts the end of a request.
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -25,13 +25,8 @@
 
 impl Ops {
     fn metrics(&self) -> Res {
-        let metrics = &self.0.metrics;
-        let counts = self.0.fleet.counts();
-        metrics.store_reads.set(counts.reads);
-        metrics.store_writes.set(counts.writes);
-        metrics.store_failures.set(counts.failures);
         let media = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-        Res::new(200, media, metrics.text())
+        Res::new(200, media, self.0.metrics.text())
     }
 
     fn dump(&self) -> Res {
