One home for a customer in fleets of up to 200 instances

Every transaction holds all customers that changed, so one that loses does so for all of them.

Ruled out: looks that are too often (they are spread by the fleet's size already); the tries after a loss are what multiplies them.

--- a/crates/escrow/src/home.rs
+++ b/crates/escrow/src/home.rs
@@ -11,7 +11,11 @@
 
 /// Fleets of up to so many instances have one home for a customer; larger ones have one in each zone, since the
 /// requests of a whole fleet that ask one small instance would be its main work.
-const SMALL_FLEET: usize = 18;
+///
+/// Homes of several zones write to the same record, and of two writes that meet one is for nothing: with five zones that
+/// were 3,033 of 6,929 writes in a minute, with one home 301 of 2,562, and the tokens that a customer has left lie
+/// in one place. The limit is the largest fleet in which what a home does was measured.
+const ONE_HOME_MOST: usize = 200;
 /// Instances that are asked: the home, and those that take its place when it does not answer, or is cut off from
 /// the store. With half of a fleet cut off, three of them are in one case of eight.
 pub const ASKED: usize = 3;
@@ -26,7 +30,7 @@
     of: impl Fn(&T) -> (&str, &str),
 ) -> SmallVec<[&'a T; ASKED]> {
     let seed = xxh3_64_with_seed(customer.as_bytes(), 0);
-    let small = fleet.len() <= SMALL_FLEET;
+    let small = fleet.len() <= ONE_HOME_MOST;
     let near = fleet.iter().filter(|t| small || of(t).1 == zone);
     let mut ranked: Vec<&T> = near.collect();
     ranked.sort_by_cached_key(|t| xxh3_64_with_seed(of(t).0.as_bytes(), seed));
--- a/crates/escrow/tests/fleet/cases.rs
+++ b/crates/escrow/tests/fleet/cases.rs
@@ -318,9 +318,10 @@
 }
 
 /// Symptom: near the end of a budget its last tenth lies in eight parts, each smaller than a prompt. Sequence:
-/// eight instances in three zones serve one customer. Cause: each held tokens itself.
+/// eight instances in three zones serve one customer. Cause: each held tokens itself. The same with a home in
+/// each of several zones; besides, every second of their writes met another home's.
 #[test]
-fn a_small_fleet_has_one_home_for_a_customer_and_a_large_one_has_one_in_each_zone() {
+fn a_fleet_has_one_home_for_a_customer_and_one_of_hundreds_has_one_in_each_zone() {
     let fleet = |n: usize| {
         let member = |i| (format!("n{i}"), format!("z{}", i % 3));
         (0..n).map(member).collect::<Vec<(String, String)>>()
@@ -329,10 +330,11 @@
         let homes = escrow::homes("c", fleet, zone, |m| (m.0.as_str(), m.1.as_str()));
         homes[0].clone()
     };
-    let small = fleet(8);
-    let home = first(&small, "z0");
-    assert!(["z1", "z2"].iter().all(|z| first(&small, z) == home));
-    let large = fleet(60);
+    for small in [fleet(8), fleet(78), fleet(195)] {
+        let home = first(&small, "z0");
+        assert!(["z1", "z2"].iter().all(|z| first(&small, z) == home));
+    }
+    let large = fleet(300);
     assert!(["z0", "z1", "z2"].iter().all(|z| first(&large, z).1 == *z));
 }
 
