Two instances of a zone read the store for the others

Cause, by the report of calls: each instance holds three watches of its own, so that each change costs as many calls as there are instances, and so do 2.5 s in which nothing changes; while the store is out each asks by itself, with three lists.

Crate `relay` (no I/O) decides: in a zone of more than six the first two by rank of names read, and say by datagram every 300 ms and at each change how far they have read; the others fetch what is newer, as changes since a revision. Who hears of no earlier reader in reach of the store for 0.9 s reads by itself, staggered by rank, and yields only to an earlier one. A fetch without an answer for 0.4 s goes to the store. Small zones: as before. Whether the store answers is noted by the store that counts, for all tasks; the renewal of the lease, at a tenth of a call, asks whether it is back: each 0.4 s, each 2 s where the readers say that it is out, at once when they say it is back.

--- a/crates/kv/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -62,6 +62,7 @@
     let newer = items.into_iter().filter(|f| f.revision > after);
     let changes = newer.map(|f| Change {
         key: f.key.clone(),
+        revision: f.revision,
         now: Some(f),
     });
     Ok(News::Changes {
--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -50,6 +50,8 @@
 pub struct Change {
     /// The key.
     pub key: String,
+    /// The store's revision of the write or deletion.
+    pub revision: i64,
     /// The value written; none when the key was deleted.
     pub now: Option<Found>,
 }
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -34,9 +34,9 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::fleet::{Fleet, Member};
-use crate::follow::Reach;
 use crate::log::Log;
 use crate::peers::{Peers, Want};
+use crate::reach::Reach;
 
 pub(crate) use charge::Charge;
 use charge::Lack;
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -190,22 +190,15 @@
         if self.book().is_none() {
             match means.store.get(&self.book_key()).await {
                 Ok(found) => self.learn_book(found.as_ref()),
-                Err(failure) => {
-                    means.reach.failed(&failure);
-                    return false;
-                }
+                Err(_) => return false,
             }
         }
         match means.store.list(PREFIX, Reading::Linearizable).await {
             Ok(listing) => {
-                means.reach.answered();
                 self.learn_all(&listing.items);
                 true
             }
-            Err(failure) => {
-                means.reach.failed(&failure);
-                false
-            }
+            Err(_) => false,
         }
     }
 
@@ -214,7 +207,6 @@
         let written = txn.put.clone();
         match means.store.commit(txn).await {
             Ok(Commit::Done(revision)) => {
-                means.reach.answered();
                 let found = written.into_iter().map(|p| Found {
                     key: p.key,
                     value: p.value,
@@ -226,14 +218,12 @@
                 Wrote::Done
             }
             Ok(Commit::Lost(items)) => {
-                means.reach.answered();
                 self.learn(&items);
                 self.learn_book(items.iter().find(|f| f.key == self.book_key()));
                 Wrote::Lost
             }
             Ok(Commit::LeaseEnded) => Wrote::Failed,
             Err(failure) => {
-                means.reach.failed(&failure);
                 let detail = format_args!("what=budgets why={failure:?}");
                 self.0.log.note(Event::WriteFailed, detail);
                 Wrote::Failed
--- a/crates/proxy/src/calls.rs
+++ b/crates/proxy/src/calls.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use clock::Clock;
 use kv::{Answer, Commit, Failure, Found, Listing, News, Reading, Store, Txn};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -13,8 +14,8 @@
 use tokio::time::sleep;
 
 use crate::event::Event;
-use crate::follow::Reach;
 use crate::log::Log;
+use crate::reach::Reach;
 
 /// How often the totals are logged: one line against the hundreds that requests write meanwhile.
 const LOG_EVERY: Duration = Duration::from_secs(5);
@@ -48,14 +49,16 @@
 pub(crate) struct Calls(Arc<Inner>);
 
 struct Inner {
+    clock: Clock,
     reach: Arc<Reach>,
     counts: Mutex<BTreeMap<Call, u64>>,
     metric: Family<Call, Counter>,
 }
 
 impl Calls {
-    pub(crate) fn open(reach: Arc<Reach>) -> Calls {
+    pub(crate) fn open(clock: Clock, reach: Arc<Reach>) -> Calls {
         Calls(Arc::new(Inner {
+            clock,
             reach,
             counts: Mutex::default(),
             metric: Family::default(),
@@ -105,11 +108,25 @@
 struct Pending {
     calls: Calls,
     call: Call,
+    began: u64,
 }
 
 impl Pending {
-    fn ended(&mut self, end: &'static str) {
-        self.call.end = end;
+    fn ended<T>(&mut self, answer: &Result<T, Failure>, end: fn(&T) -> &'static str) {
+        let reach = &self.calls.0.reach;
+        match answer {
+            Ok(answer) => {
+                reach.answered();
+                self.call.end = end(answer);
+            }
+            Err(failure) => {
+                reach.failed(self.began, failure);
+                self.call.end = match failure {
+                    Failure::Refused(_) => "refused",
+                    Failure::Unknown(_) => "unknown",
+                };
+            }
+        }
     }
 }
 
@@ -139,6 +156,7 @@
     {
         let out = self.calls.0.reach.is_out();
         let mut pending = Pending {
+            began: self.calls.0.clock.now(),
             calls: self.calls.clone(),
             call: Call {
                 task: self.task,
@@ -149,11 +167,7 @@
         };
         async move {
             let answer = answer.await;
-            pending.ended(match &answer {
-                Ok(answer) => end(answer),
-                Err(Failure::Refused(_)) => "refused",
-                Err(Failure::Unknown(_)) => "unknown",
-            });
+            pending.ended(&answer, end);
             answer
         }
     }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -9,8 +9,9 @@
 use crate::bank::Bank;
 use crate::dialect::Dialect;
 use crate::event::Event;
-use crate::follow::{Follow, Reach, Update, WATCH_MS};
+use crate::follow::{Feed, Follow, Update, WATCH_MS};
 use crate::log::Log;
+use crate::relay::Topic;
 
 /// A configuration in force.
 #[derive(Debug)]
@@ -87,11 +88,11 @@
     }
 
     /// Follows the store.
-    pub(crate) fn spawn(&self, store: Arc<dyn Store>, reach: Arc<Reach>) {
+    pub(crate) fn spawn(&self, store: Arc<dyn Store>, feed: Feed) {
         let config = self.clone();
         tokio::spawn(async move {
             let key = config.0.dialect.config_key().to_string();
-            let mut follow = Follow::open(store, reach, &key, WATCH_MS);
+            let mut follow = Follow::open(store, feed, Topic::Config, &key, WATCH_MS);
             loop {
                 let found = match follow.next().await {
                     Update::Listed(items, _) => items.into_iter().find(|f| f.key == key),
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -11,12 +11,14 @@
 
 use clock::Clock;
 use place::{Held, Pool};
+use relay::Head;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::bank::{Bank, Settled};
 use crate::fleet::Fleet;
+use crate::relay::Relay;
 
 /// Pause between two rounds of a small fleet: a long prompt is read in some hundred milliseconds.
 const ROUND: Duration = Duration::from_millis(80);
@@ -33,6 +35,8 @@
     Loads(Word),
     /// What requests have spent and left of budgets.
     Settled(Vec<Settled>),
+    /// How far it has read the store for its zone.
+    Head(Head),
 }
 
 impl Datagram {
@@ -64,12 +68,34 @@
     pool: Arc<Mutex<Pool>>,
     bank: Bank,
     fleet: Fleet,
+    relay: Relay,
     clock: Clock,
 ) {
-    tokio::spawn(listen(Arc::clone(&socket), Arc::clone(&pool), bank, clock));
+    let ears = Ears {
+        pool: Arc::clone(&pool),
+        bank,
+        relay: relay.clone(),
+        clock,
+    };
+    tokio::spawn(ears.listen(Arc::clone(&socket)));
+    tokio::spawn(tell_zone(Arc::clone(&socket), relay, fleet.clone()));
     tokio::spawn(tell(socket, pool, fleet, clock));
 }
 
+/// Tells the instances of the own zone how far this one has read the store, while it reads for them.
+async fn tell_zone(socket: Arc<UdpSocket>, relay: Relay, fleet: Fleet) {
+    loop {
+        let Some(head) = relay.next_word().await else {
+            continue;
+        };
+        let bytes = Datagram::Head(head).to_bytes();
+        for other in fleet.neighbours() {
+            // A datagram that can't be sent is as good as a lost one.
+            let _ = socket.try_send_to(&bytes, other.addr);
+        }
+    }
+}
+
 async fn tell(socket: Arc<UdpSocket>, pool: Arc<Mutex<Pool>>, fleet: Fleet, clock: Clock) {
     let from = rand::random();
     let mut silent = false;
@@ -96,19 +122,30 @@
     }
 }
 
-async fn listen(socket: Arc<UdpSocket>, pool: Arc<Mutex<Pool>>, bank: Bank, clock: Clock) {
-    let mut buf = vec![0; DATAGRAM_MOST];
-    loop {
-        // An error here is another instance's closed port, told by its host.
-        let Ok((n, _)) = socket.recv_from(&mut buf).await else {
-            sleep(ROUND).await;
-            continue;
-        };
-        match serde_json::from_slice(&buf[..n]) {
-            Ok(Datagram::Loads(word)) => hear(&pool, &word, clock.now()),
-            Ok(Datagram::Settled(told)) => bank.take_settled(&told),
-            // Not one of ours, or of another version.
-            Err(_) => {}
+/// Whom datagrams are for.
+struct Ears {
+    pool: Arc<Mutex<Pool>>,
+    bank: Bank,
+    relay: Relay,
+    clock: Clock,
+}
+
+impl Ears {
+    async fn listen(self, socket: Arc<UdpSocket>) {
+        let mut buf = vec![0; DATAGRAM_MOST];
+        loop {
+            // An error here is another instance's closed port, told by its host.
+            let Ok((n, from)) = socket.recv_from(&mut buf).await else {
+                sleep(ROUND).await;
+                continue;
+            };
+            match serde_json::from_slice(&buf[..n]) {
+                Ok(Datagram::Loads(word)) => hear(&self.pool, &word, self.clock.now()),
+                Ok(Datagram::Settled(told)) => self.bank.take_settled(&told),
+                Ok(Datagram::Head(head)) => self.relay.hear(from, head),
+                // Not one of ours, or of another version.
+                Err(_) => {}
+            }
         }
     }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -12,8 +12,9 @@
 use tokio::time::sleep;
 
 use crate::event::Event;
-use crate::follow::{Follow, Reach, Update};
+use crate::follow::{Feed, Follow, Update};
 use crate::log::Log;
+use crate::relay::Topic;
 
 /// Keys of instances.
 const PREFIX: &str = "oriolehitch/instances/";
@@ -50,7 +51,7 @@
     lease_ms: u64,
     seeds: Vec<Member>,
     store: Arc<dyn Store>,
-    reach: Arc<Reach>,
+    feed: Feed,
     log: Arc<Log>,
     members: Mutex<BTreeMap<String, Member>>,
     lease: Mutex<i64>,
@@ -77,7 +78,7 @@
         seeds: &[SocketAddr],
         lease_least_ms: u64,
         store: Arc<dyn Store>,
-        reach: Arc<Reach>,
+        feed: Feed,
         log: Arc<Log>,
     ) -> Fleet {
         let own = me.addr;
@@ -94,7 +95,7 @@
             key: format!("{PREFIX}{name}"),
             lease_ms: LEASE_MS.max(lease_least_ms),
             store,
-            reach,
+            feed,
             log,
             members: Mutex::default(),
             lease: Mutex::new(0),
@@ -163,6 +164,13 @@
         homes
     }
 
+    /// Returns the other instances of the own zone.
+    pub(crate) fn neighbours(&self) -> Vec<Member> {
+        let mut listed = self.listed();
+        listed.retain(|m| m.zone == self.0.me.zone);
+        listed
+    }
+
     fn listed(&self) -> Vec<Member> {
         let members = self.0.members.lock().expect("no panic inside");
         let mut others: Vec<Member> = members.values().cloned().collect();
@@ -194,8 +202,7 @@
             loop {
                 match fleet.register().await {
                     Ok(lease) => fleet.renew(lease).await,
-                    Err(failure) => {
-                        fleet.0.reach.failed(&failure);
+                    Err(_) => {
                         sleep(AGAIN_AFTER).await;
                     }
                 }
@@ -204,7 +211,8 @@
         let fleet = self.clone();
         tokio::spawn(async move {
             let store = Arc::clone(&fleet.0.store);
-            let mut follow = Follow::open(store, Arc::clone(&fleet.0.reach), PREFIX, WATCH_MS);
+            let feed = fleet.0.feed.clone();
+            let mut follow = Follow::open(store, feed, Topic::Instances, PREFIX, WATCH_MS);
             loop {
                 fleet.update(follow.next().await);
             }
@@ -237,19 +245,18 @@
                 Commit::LeaseEnded => return Err(Failure::Refused("lease ended".to_string())),
             }
         }
-        self.0.reach.answered();
         *self.0.lease.lock().expect("no panic inside") = lease;
         Ok(lease)
     }
 
-    /// Renews the lease until it has ended.
+    /// Renews the lease until it has ended; each renewal also tells whether the store answers.
     async fn renew(&self, lease: i64) {
+        let Feed { reach, relay, .. } = &self.0.feed;
         loop {
-            sleep(RENEW_EVERY).await;
-            match self.0.store.renew_lease(lease).await {
-                Ok(true) => self.0.reach.answered(),
-                Ok(false) => return,
-                Err(failure) => self.0.reach.failed(&failure),
+            reach.ask_turn(RENEW_EVERY, relay.others_ask()).await;
+            // Without an answer the lease goes on, or has ended: the next call tells.
+            if let Ok(false) = self.0.store.renew_lease(lease).await {
+                return;
             }
         }
     }
@@ -276,7 +283,12 @@
             Update::Lost => {}
         }
         let after = members.len();
+        let name = |key: &'_ String| key.strip_prefix(PREFIX).unwrap_or_default().to_string();
+        let zone = members.iter().filter(|(_, m)| m.zone == self.0.me.zone);
+        let zone: Vec<String> = zone.map(|(key, _)| name(key)).collect();
         drop(members);
+        let zone: Vec<&str> = zone.iter().map(String::as_str).collect();
+        self.0.feed.relay.place(&self.0.name, &zone);
         if before != after {
             let detail = format_args!("before={before} now={after}");
             self.0.log.note(Event::Members, detail);
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -21,13 +21,15 @@
 use crate::dialect::Dialect;
 use crate::event::Event;
 use crate::fleet::{Fleet, Member};
-use crate::follow::Reach;
+use crate::follow::Feed;
 use crate::listen::{self, Phase};
 use crate::listing::Listing;
 use crate::log::Log;
 use crate::metric::Metrics;
 use crate::ops::{Ops, Ready};
 use crate::peers::{self, Desk, Peers};
+use crate::reach::Reach;
+use crate::relay::Relay;
 use crate::router::Router;
 
 /// Largest body that the readiness and operators' listeners take, in bytes.
@@ -91,7 +93,14 @@
         let (listener, addr) = bound.map_err(|e| anyhow!("callers' listener: {e}"))?;
 
         let reach = Arc::new(Reach::open(clock, Arc::clone(&log)));
-        let calls = Calls::open(Arc::clone(&reach));
+        let calls = Calls::open(clock, Arc::clone(&reach));
+        let relay = Relay::open(clock, Arc::clone(&reach));
+        let peers = Peers::default();
+        let feed = Feed {
+            reach: Arc::clone(&reach),
+            relay: relay.clone(),
+            peers: peers.clone(),
+        };
         let bank = Bank::open(clock, Arc::clone(&log));
         let pool = Arc::new(Mutex::new(Pool::default()));
         let dialer = Dialer::default();
@@ -115,10 +124,9 @@
             &settings.peers.clone().unwrap_or_default(),
             fleet_settings.lease_least_ms.unwrap_or_default(),
             calls.store("instances", &store),
-            Arc::clone(&reach),
+            feed.clone(),
             Arc::clone(&log),
         );
-        let peers = Peers::default();
         let router = Arc::new(Router {
             dialect,
             clock,
@@ -140,13 +148,14 @@
             busy: watch::channel(0).0,
         });
 
-        config.spawn(calls.store("config", &store), Arc::clone(&reach));
-        listing.spawn(calls.store("upstreams", &store));
+        config.spawn(calls.store("config", &store), feed.clone());
+        listing.spawn(calls.store("upstreams", &store), feed);
         fleet.spawn();
         let desk = Desk {
             bank: bank.clone(),
             config,
             listing,
+            relay: relay.clone(),
         };
         let socket = Arc::new(socket);
         datagram::spawn(
@@ -154,6 +163,7 @@
             Arc::clone(&router.pool),
             bank.clone(),
             fleet.clone(),
+            relay,
             clock,
         );
         let peer = peers::serve(server, desk.clone());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,7 +26,9 @@
 mod peers;
 mod pipe;
 mod plain;
+mod reach;
 mod refusal;
+mod relay;
 mod router;
 mod stream;
 
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -12,8 +12,10 @@
 
 use crate::dialect::Dialect;
 use crate::event::Event;
-use crate::follow::{Follow, Reach, Update, WATCH_MS};
+use crate::follow::{Feed, Follow, Update, WATCH_MS};
 use crate::log::Log;
+use crate::reach::Reach;
+use crate::relay::Topic;
 
 /// The list as one instance tells another.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -131,11 +133,11 @@
     }
 
     /// Follows the store.
-    pub(crate) fn spawn(&self, store: Arc<dyn Store>) {
+    pub(crate) fn spawn(&self, store: Arc<dyn Store>, feed: Feed) {
         let listing = self.clone();
         tokio::spawn(async move {
             let prefix = listing.0.dialect.upstream_prefix().to_string();
-            let mut follow = Follow::open(store, Arc::clone(&listing.0.reach), &prefix, WATCH_MS);
+            let mut follow = Follow::open(store, feed, Topic::Upstreams, &prefix, WATCH_MS);
             loop {
                 match follow.next().await {
                     Update::Listed(items, revision) => {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -19,15 +19,19 @@
 use crate::config::Config;
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::follow::Reach;
 use crate::listing::{Listing, Relayed};
 use crate::log::Log;
+use crate::reach::Reach;
+use crate::relay::{Lack, Passed, Relay};
 
 /// An instance answers within a few milliseconds, or is not there: a request waits for it.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 /// An answer that comes later than that is still taken up to this time: it may bring tokens that were
 /// debited, and would be lost to the budget.
 const ANSWER_MOST: Duration = Duration::from_secs(3);
+/// What a reader passes on may be a whole configuration, over a link that is full, to a dozen instances at once.
+/// The store is asked after this time, which leaves the most of the two seconds in which a change is in force.
+const PASS_MOST: Duration = Duration::from_millis(400);
 /// An instance that did not answer is not called for this time.
 const REST: Duration = Duration::from_millis(1_500);
 /// How often an instance that can't read the store asks another one for news: well within the two
@@ -79,6 +83,7 @@
     pub(crate) bank: Bank,
     pub(crate) config: Config,
     pub(crate) listing: Listing,
+    pub(crate) relay: Relay,
 }
 
 impl Desk {
@@ -133,6 +138,11 @@
         Ok(desk.news(&have))
     });
     news.expect("a new name");
+    let lacking = module.register_method("lacking", |params, desk, _| -> RpcResult<Passed> {
+        let lack: Lack = params.one()?;
+        Ok(desk.relay.tell(&lack))
+    });
+    lacking.expect("a new name");
     server.start(module)
 }
 
@@ -268,7 +278,22 @@
         self.call_briefly(addr, "gift", gift).await
     }
 
-    /// Asks other instances for news whenever the store is out of reach.
+    /// Asks an instance that reads the store for what is newer than what is known here.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub(crate) async fn lacking(&self, addr: SocketAddr, lack: &Lack) -> Result<Passed, String> {
+        let client = self.client(addr)?;
+        let mut params = ArrayParams::new();
+        params.insert(lack).map_err(|e| e.to_string())?;
+        // One that is slow with this may be quick with tokens: nothing is held against it.
+        let answer = timeout(PASS_MOST, client.request("lacking", params)).await;
+        let answer = answer.map_err(|_| "no answer in time".to_string())?;
+        answer.map_err(|e| e.to_string())
+    }
+
+    /// Asks other instances for news whenever the store is out of reach, and nobody passes it on.
     pub(crate) fn spawn_news(&self, fleet: Fleet, desk: Desk, reach: Arc<Reach>, log: Arc<Log>) {
         let peers = self.clone();
         tokio::spawn(async move {
@@ -276,7 +301,7 @@
             loop {
                 sleep(NEWS_EVERY).await;
                 let others = fleet.others();
-                if !reach.is_out() || others.is_empty() {
+                if !reach.is_out() || desk.relay.is_fed() || others.is_empty() {
                     continue;
                 }
                 turn += 1;
--- /dev/null
+++ b/crates/proxy/src/relay.rs
@@ -0,0 +1,257 @@
+//! What is read of the store, passed on between the instances of a zone. Who reads is decided by `relay`.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use clock::Clock;
+use kv::{Change, Found};
+use relay::{Board, Entry, Head, Readers, Since, Standing, BEAT_MS};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::follow::Update;
+use crate::reach::Reach;
+
+/// How often a reader says how far it has read, and the others look whether they still hear one.
+const BEAT: Duration = Duration::from_millis(BEAT_MS);
+
+/// What is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Topic {
+    /// The operators' configuration.
+    Config,
+    /// The list of upstreams.
+    Upstreams,
+    /// The list of instances.
+    Instances,
+}
+
+const TOPICS: usize = 3;
+
+/// What one instance asks another one that reads the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Lack {
+    pub(crate) topic: Topic,
+    /// What the asker knows.
+    pub(crate) revision: i64,
+}
+
+/// The answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Passed {
+    since: Since,
+    /// Up to where it tells everything.
+    revision: i64,
+}
+
+/// Where a topic is read next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The store.
+    Store,
+    /// An instance that knows more than is known here.
+    Peer(SocketAddr),
+    /// Nowhere: nothing new is known of.
+    Nowhere,
+}
+
+/// A handle on what is passed on.
+#[derive(Clone)]
+pub(crate) struct Relay(Arc<Inner>);
+
+struct Inner {
+    clock: Clock,
+    reach: Arc<Reach>,
+    readers: Mutex<Readers>,
+    boards: Mutex<[Board; TOPICS]>,
+    /// Wakes those that wait for a reader's word.
+    heard: Notify,
+    /// Wakes the one that says how far this instance has read.
+    learnt: Notify,
+}
+
+impl Relay {
+    pub(crate) fn open(clock: Clock, reach: Arc<Reach>) -> Relay {
+        Relay(Arc::new(Inner {
+            clock,
+            reach,
+            readers: Mutex::new(Readers::open(clock.now())),
+            boards: Mutex::default(),
+            heard: Notify::new(),
+            learnt: Notify::new(),
+        }))
+    }
+
+    /// Takes the names of the instances of the own zone.
+    pub(crate) fn place(&self, me: &str, zone: &[&str]) {
+        let mut readers = self.0.readers.lock().expect("no panic inside");
+        readers.place(me, zone);
+    }
+
+    /// Returns the revision up to which a topic is known; 0 for none.
+    pub(crate) fn revision(&self, topic: Topic) -> i64 {
+        let boards = self.0.boards.lock().expect("no panic inside");
+        boards[topic as usize].revision()
+    }
+
+    /// Returns where a topic is read next.
+    pub(crate) fn source(&self, topic: Topic) -> Source {
+        let known = self.revision(topic);
+        let now = self.0.clock.now();
+        let readers = self.0.readers.lock().expect("no panic inside");
+        if known == 0 || readers.standing(now) == Standing::Reads {
+            return Source::Store;
+        }
+        let ahead = readers.ahead(now, topic as usize, known);
+        ahead.map_or(Source::Nowhere, Source::Peer)
+    }
+
+    /// Waits for a reader's word, or until it is missed.
+    pub(crate) async fn wait(&self) {
+        // Either way it is looked again.
+        let _ = timeout(BEAT, self.0.heard.notified()).await;
+    }
+
+    /// Returns whether an earlier reader in reach of the store was heard lately.
+    pub(crate) fn is_fed(&self) -> bool {
+        let now = self.0.clock.now();
+        self.0.readers.lock().expect("no panic inside").is_fed(now)
+    }
+
+    /// Returns whether others ask if the store is back, and say so when it is.
+    pub(crate) fn others_ask(&self) -> bool {
+        let now = self.0.clock.now();
+        let readers = self.0.readers.lock().expect("no panic inside");
+        !readers.is_named() && readers.says_out(now)
+    }
+
+    /// Leaves a reader alone that did not answer.
+    pub(crate) fn forget(&self, reader: SocketAddr) {
+        let mut readers = self.0.readers.lock().expect("no panic inside");
+        readers.forget(reader);
+    }
+
+    /// Takes what was read of the store.
+    pub(crate) fn learn(&self, topic: Topic, update: &Update) {
+        let mut boards = self.0.boards.lock().expect("no panic inside");
+        let board = &mut boards[topic as usize];
+        let before = board.revision();
+        match update {
+            Update::Listed(items, revision) => {
+                board.list(items.iter().map(written).collect(), *revision);
+            }
+            Update::Changed(changes, _) => board.change(changes.iter().map(changed)),
+            Update::Lost => {}
+        }
+        let news = board.revision() > before;
+        drop(boards);
+        if news {
+            self.0.learnt.notify_one();
+        }
+    }
+
+    /// Answers an instance that lacks something.
+    pub(crate) fn tell(&self, lack: &Lack) -> Passed {
+        let boards = self.0.boards.lock().expect("no panic inside");
+        let board = &boards[lack.topic as usize];
+        Passed {
+            since: board.since(lack.revision),
+            revision: board.revision(),
+        }
+    }
+
+    /// Takes the answer of an instance that was asked.
+    pub(crate) fn take(&self, topic: Topic, told: Passed) -> Update {
+        let update = match told.since {
+            Since::Changed(entries) => {
+                let changes = entries.into_iter().map(change).collect();
+                Update::Changed(changes, told.revision)
+            }
+            Since::All(entries) => {
+                let found = entries.into_iter().filter_map(|e| change(e).now);
+                Update::Listed(found.collect(), told.revision)
+            }
+        };
+        self.learn(topic, &update);
+        // Else it would be asked for again and again where nothing differs.
+        let mut boards = self.0.boards.lock().expect("no panic inside");
+        boards[topic as usize].caught_up(told.revision);
+        drop(boards);
+        update
+    }
+
+    /// Takes a reader's word.
+    pub(crate) fn hear(&self, from: SocketAddr, head: Head) {
+        let now = self.0.clock.now();
+        if let Some(ago) = head.back_ms {
+            self.0.reach.told_back(now.saturating_sub(ago));
+        }
+        let out = head.out;
+        let mut readers = self.0.readers.lock().expect("no panic inside");
+        readers.hear(now, from, head);
+        let all_out = readers.says_out(now);
+        drop(readers);
+        self.0.heard.notify_waiters();
+        if all_out {
+            self.0.reach.told_out();
+        } else if !out && self.0.reach.is_out() {
+            // It is back, by a word that may be wrong here: it is worth a look.
+            self.0.reach.doubt();
+        }
+    }
+
+    /// Waits until there is something to say, and returns it; none while nobody follows this instance.
+    pub(crate) async fn next_word(&self) -> Option<Head> {
+        // Either way it is said how far this instance has read.
+        let _ = timeout(BEAT, self.0.learnt.notified()).await;
+        let now = self.0.clock.now();
+        let out = self.0.reach.is_out();
+        let readers = self.0.readers.lock().expect("no panic inside");
+        let speaks = readers.is_named() || !out;
+        if !readers.has_followers() || readers.standing(now) != Standing::Reads || !speaks {
+            return None;
+        }
+        let rank = readers.rank();
+        drop(readers);
+        let boards = self.0.boards.lock().expect("no panic inside");
+        let back_at = self.0.reach.back_at();
+        Some(Head {
+            rank,
+            revisions: boards.iter().map(Board::revision).collect(),
+            out,
+            back_ms: (back_at > 0).then(|| now.saturating_sub(back_at)),
+        })
+    }
+}
+
+fn written(found: &Found) -> Entry {
+    Entry {
+        key: found.key.clone(),
+        value: Some(String::from_utf8_lossy(&found.value).into_owned()),
+        revision: found.revision,
+    }
+}
+
+fn changed(change: &Change) -> Entry {
+    let entry = change.now.as_ref().map(written);
+    entry.unwrap_or_else(|| Entry {
+        key: change.key.clone(),
+        value: None,
+        revision: change.revision,
+    })
+}
+
+fn change(entry: Entry) -> Change {
+    let found = entry.value.map(|value| Found {
+        key: entry.key.clone(),
+        value: value.into_bytes(),
+        revision: entry.revision,
+    });
+    Change {
+        key: entry.key,
+        revision: entry.revision,
+        now: found,
+    }
+}
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -13,10 +13,10 @@
 use crate::dialect::Dialect;
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::follow::Reach;
 use crate::listing::Listing;
 use crate::log::Log;
 use crate::metric::Metrics;
+use crate::reach::Reach;
 
 /// What the filters work with.
 pub(crate) struct Router {
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,15 @@
+//! Who reads the store, and what the others get from those that do.
+//!
+//! Were each instance to watch the store by itself, each change would cost as many calls as there are instances,
+//! and so would each stretch of time in which nothing changes. In a zone of many instances two of them read
+//! for all: they tell the others how far they have read, and the others fetch what is newer from them. An
+//! instance that hears of no reader for a while reads by itself, so nothing depends on agreement: a third
+//! reader costs calls, and a missing one some hundred milliseconds.
+//!
+//! No I/O, clock or randomness: the time comes in with each event, in milliseconds.
+
+mod board;
+mod readers;
+
+pub use board::{Board, Entry, Since};
+pub use readers::{Head, Readers, Standing, BEAT_MS};
--- /dev/null
+++ b/crates/relay/src/readers.rs
@@ -0,0 +1,154 @@
+//! Which instances of a zone read the store, and from whom the others fetch.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Instances of a zone that read for all: one may crash, freeze or be cut off, and nobody is late.
+const READERS: usize = 2;
+/// Zones of up to so many instances have no readers: each reads by itself. Two of six reading for the others would
+/// save little, and a small fleet pays little for its calls.
+const SMALL_ZONE: usize = 6;
+/// How often a reader says how far it has read, in milliseconds.
+pub const BEAT_MS: u64 = 300;
+/// An instance that heard of no reader in reach of the store for so long, in milliseconds, reads by itself: three
+/// words were lost. With what it takes to read then it is half of the shortest time in which a change is to
+/// be in force everywhere.
+const FED_MS: u64 = 900;
+/// Those that miss their readers at the same time begin one after the other, so many milliseconds apart by rank: the
+/// first ones are heard by the others.
+const STAGGER_MS: u64 = 25;
+/// The last one begins so much later, in milliseconds.
+const STAGGER_MOST_MS: u64 = 400;
+
+/// What a reader says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// How many instances of its zone come before it.
+    #[serde(rename = "n")]
+    pub rank: usize,
+    /// The revision up to which it knows each board.
+    #[serde(rename = "r")]
+    pub revisions: Vec<i64>,
+    /// Whether the store is out of its reach.
+    #[serde(rename = "o")]
+    pub out: bool,
+    /// How long ago the store came back into its reach, in milliseconds; none where it never left.
+    #[serde(rename = "b")]
+    pub back_ms: Option<u64>,
+}
+
+/// What an instance does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It reads the store.
+    Reads,
+    /// It fetches from those that do.
+    Follows,
+}
+
+/// A reader that was heard.
+#[derive(Clone, Debug)]
+struct Heard {
+    head: Head,
+    at: u64,
+}
+
+/// Readers as one instance knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Readers {
+    /// Instances of the own zone, this one among them.
+    zone: usize,
+    /// How many of them come before this one.
+    rank: usize,
+    heard: BTreeMap<SocketAddr, Heard>,
+    /// When an earlier reader in reach of the store was heard last.
+    fed_at: u64,
+}
+
+impl Readers {
+    /// Returns an instance that was started at a time, and knows of no other one.
+    pub fn open(now: u64) -> Readers {
+        Readers {
+            fed_at: now,
+            ..Readers::default()
+        }
+    }
+
+    /// Takes the names of the instances of the own zone, this one among them or not.
+    pub fn place(&mut self, me: &str, zone: &[&str]) {
+        let order = |name: &str| (xxh3_64(name.as_bytes()), name.to_string());
+        let own = order(me);
+        let others = zone.iter().filter(|n| **n != me);
+        self.zone = 1 + others.clone().count();
+        self.rank = others.filter(|n| order(n) < own).count();
+    }
+
+    /// Takes a reader's word.
+    pub fn hear(&mut self, now: u64, from: SocketAddr, head: Head) {
+        // One that reads in the place of others goes on until an earlier one does: were it to yield to a later one,
+        // both would yield to each other, and nobody would read for a while.
+        if !head.out && head.rank < self.rank {
+            self.fed_at = now;
+        }
+        self.heard.retain(|_, h| now < h.at + FED_MS);
+        self.heard.insert(from, Heard { head, at: now });
+    }
+
+    /// Returns whether an earlier reader in reach of the store was heard lately.
+    pub fn is_fed(&self, now: u64) -> bool {
+        now < self.fed_at + FED_MS
+    }
+
+    /// Returns whether this instance is to read for its zone, as long as it lives.
+    pub fn is_named(&self) -> bool {
+        self.rank < READERS
+    }
+
+    /// Returns how many instances of the zone come before this one.
+    pub fn rank(&self) -> usize {
+        self.rank
+    }
+
+    /// Returns whether readers were heard lately, and the store is out of reach for all of them.
+    pub fn says_out(&self, now: u64) -> bool {
+        let mut fresh = self.fresh(now).peekable();
+        fresh.peek().is_some() && fresh.all(|(_, h)| h.head.out)
+    }
+
+    /// Returns what this instance does.
+    pub fn standing(&self, now: u64) -> Standing {
+        let named = self.zone <= SMALL_ZONE || self.is_named();
+        let patience = FED_MS + (self.rank as u64 * STAGGER_MS).min(STAGGER_MOST_MS);
+        if named || now >= self.fed_at + patience {
+            Standing::Reads
+        } else {
+            Standing::Follows
+        }
+    }
+
+    /// Returns whether somebody may follow this instance.
+    pub fn has_followers(&self) -> bool {
+        self.zone > SMALL_ZONE
+    }
+
+    /// Returns a reader that knows more of a board than up to a revision; the readers share those that ask.
+    pub fn ahead(&self, now: u64, board: usize, revision: i64) -> Option<SocketAddr> {
+        let knows = |h: &Heard| h.head.revisions.get(board).is_some_and(|r| *r > revision);
+        let ahead = self.fresh(now).filter(|(_, h)| knows(h));
+        let ahead: Vec<SocketAddr> = ahead.map(|(addr, _)| *addr).collect();
+        let turn = self.rank % ahead.len().max(1);
+        ahead.get(turn).copied()
+    }
+
+    /// Forgets a reader that did not answer, until it is heard again.
+    pub fn forget(&mut self, reader: SocketAddr) {
+        self.heard.remove(&reader);
+    }
+
+    fn fresh(&self, now: u64) -> impl Iterator<Item = (&SocketAddr, &Heard)> {
+        self.heard.iter().filter(move |(_, h)| now < h.at + FED_MS)
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/readers.rs
@@ -0,0 +1,152 @@
+//! Who reads the store: a zone of 39 instances, two of which are to read for all.
+
+use std::net::SocketAddr;
+
+use relay::{Head, Readers, Standing, BEAT_MS};
+
+/// The shortest time in which a change of the configuration is to be in force everywhere, in milliseconds.
+const IN_FORCE_MS: u64 = 2_000;
+
+fn addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n as u8], 1))
+}
+
+fn head(rank: usize, revision: i64, out: bool) -> Head {
+    Head {
+        rank,
+        revisions: vec![revision],
+        out,
+        back_ms: None,
+    }
+}
+
+/// A zone whose instances hear each other's words at once.
+struct Zone {
+    all: Vec<Readers>,
+    /// Those that say nothing: they froze, ended, or are cut off from the others.
+    silent: Vec<usize>,
+    /// Those that the store does not answer.
+    out: Vec<usize>,
+}
+
+impl Zone {
+    fn open(count: usize) -> Zone {
+        let names: Vec<String> = (0..count).map(|i| format!("n{i}")).collect();
+        let zone: Vec<&str> = names.iter().map(String::as_str).collect();
+        let open = |me: &String| {
+            let mut readers = Readers::open(0);
+            readers.place(me, &zone);
+            readers
+        };
+        Zone {
+            all: names.iter().map(open).collect(),
+            silent: Vec::new(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Lets those that read say so, and returns who they are.
+    fn beat(&mut self, now: u64, revision: i64) -> Vec<usize> {
+        let reads = |i: &usize| self.all[*i].standing(now) == Standing::Reads;
+        let reading: Vec<usize> = (0..self.all.len()).filter(reads).collect();
+        for i in reading.iter().filter(|i| !self.silent.contains(i)) {
+            let head = head(self.all[*i].rank(), revision, self.out.contains(i));
+            for (j, other) in self.all.iter_mut().enumerate() {
+                if j != *i {
+                    other.hear(now, addr(*i), head.clone());
+                }
+            }
+        }
+        reading
+    }
+
+    fn run(&mut self, from: u64, to: u64) -> Vec<usize> {
+        let mut reading = Vec::new();
+        for now in (from..=to).step_by(25) {
+            if now % BEAT_MS == 0 {
+                reading = self.beat(now, 1);
+            }
+        }
+        reading
+    }
+}
+
+#[test]
+fn two_of_a_large_zone_read_and_all_of_a_small_one() {
+    assert_eq!(Zone::open(39).run(0, 10_000).len(), 2);
+    assert_eq!(Zone::open(7).run(0, 10_000).len(), 2);
+    assert_eq!(Zone::open(6).run(0, 10_000).len(), 6);
+    assert_eq!(Zone::open(1).run(0, 10_000).len(), 1);
+}
+
+/// Both readers fall silent at once: others read in time for a change that comes just then.
+#[test]
+fn others_read_when_both_readers_fall_silent() {
+    let mut zone = Zone::open(39);
+    let readers = zone.run(0, 3_000);
+    zone.silent = readers.clone();
+    let late = IN_FORCE_MS / 2 + 400;
+    for now in (3_000..3_000 + late).step_by(BEAT_MS as usize) {
+        zone.beat(now, 1);
+    }
+    let now = 3_000 + late;
+    let unfed = (0..39).filter(|i| !readers.contains(i));
+    let blind = |i: &usize| {
+        let other = &zone.all[*i];
+        other.standing(now) == Standing::Follows && !other.is_fed(now)
+    };
+    assert_eq!(
+        unfed.filter(blind).count(),
+        0,
+        "nobody is left without news"
+    );
+    let reading = zone.beat(now, 1);
+    assert!(reading.len() < 20, "{} read", reading.len());
+}
+
+/// One reader is cut off from the store, or turned away by it: the other one is enough.
+#[test]
+fn one_reader_out_of_reach_of_the_store_changes_nothing() {
+    let mut zone = Zone::open(39);
+    let readers = zone.run(0, 3_000);
+    zone.out = vec![readers[0]];
+    assert_eq!(zone.run(3_000, 9_000), readers);
+    let other = (0..39).find(|i| !readers.contains(i)).expect("37 more");
+    assert!(zone.all[other].is_fed(9_000));
+    assert!(!zone.all[other].says_out(9_000));
+}
+
+/// Readers that say that the store is out of their reach feed nobody: the others look for themselves.
+#[test]
+fn others_read_when_the_store_turns_both_readers_away() {
+    let mut zone = Zone::open(39);
+    zone.out = zone.run(0, 3_000);
+    zone.run(3_000, 6_000);
+    for now in (6_000..9_000).step_by(BEAT_MS as usize) {
+        let reading = zone.beat(now, 1);
+        assert!((3..6).contains(&reading.len()), "{reading:?} at {now}");
+    }
+    let reading = zone.run(9_000, 12_000);
+    let follower = (0..39).find(|i| !reading.contains(i));
+    assert!(zone.all[follower.expect("a follower")].is_fed(12_000));
+}
+
+#[test]
+fn a_follower_fetches_from_one_that_knows_more() {
+    let mut readers = Readers::open(0);
+    let names: Vec<String> = (0..39).map(|i| format!("n{i}")).collect();
+    let zone: Vec<&str> = names.iter().map(String::as_str).collect();
+    readers.place("n0", &zone);
+    readers.hear(10, addr(1), head(0, 5, false));
+    readers.hear(10, addr(2), head(1, 7, false));
+    assert_eq!(readers.ahead(20, 0, 7), None);
+    assert_eq!(readers.ahead(20, 0, 5), Some(addr(2)));
+    readers.forget(addr(2));
+    assert_eq!(readers.ahead(20, 0, 5), None);
+    assert_eq!(readers.ahead(20, 0, 4), Some(addr(1)));
+    assert_eq!(
+        readers.ahead(5_000, 0, 4),
+        None,
+        "a word that is old says nothing"
+    );
+}
