An instance reads only the budgets that it has to do with, and no key of its own before it registers

Ruled out: fewer lists where requests are refused: those are worth their call, a record a second old decides them.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -290,6 +290,11 @@
         charged.map_or(0, |c| self.prepaid.saturating_sub(c))
     }
 
+    /// Returns whether there is anything here to keep: requests, tokens, or a word on them.
+    pub fn has_work(&self, now: u64) -> bool {
+        !self.is_idle(now) || self.lacking > 0 || self.balance() > 0 || self.has_untold()
+    }
+
     /// Returns whether it was not asked for tokens lately.
     fn is_idle(&self, now: u64) -> bool {
         self.asked_at.is_none_or(|at| now > at + IDLE_MS)
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-use super::{Bank, Means, TRIES};
+use super::{Account, Bank, Means, TRIES};
 use crate::event::Event;
 
 /// Keys of budgets' records.
@@ -173,15 +173,25 @@
         }
     }
 
-    /// Returns whether a record was never read, or requests lack tokens that by an old one nobody has.
+    /// Returns whether a record was never read that this instance has to do with, or requests lack tokens that by an
+    /// old one nobody has.
+    ///
+    /// Of most customers an instance of a large fleet is not the home: it draws from others, and what stands in
+    /// their records says nothing to it.
     fn must_read(&self) -> bool {
         let now = self.0.clock.now();
+        let fleet = &self.means().fleet;
         let accounts = self.0.accounts.lock().expect("no panic inside");
-        let old = |h: &Holding| match h.known() {
-            None => true,
-            Some(known) => h.missing() > h.free() && now > known.at + RECORDS_OLD_MS,
+        let old = |(name, account): (&String, &Account)| {
+            let holding = &account.holding;
+            match holding.known() {
+                None => holding.has_work(now) || fleet.is_home(name),
+                Some(known) => {
+                    holding.missing() > holding.free() && now > known.at + RECORDS_OLD_MS
+                }
+            }
         };
-        self.book().is_none() || accounts.values().any(|a| old(&a.holding))
+        accounts.iter().any(old)
     }
 
     /// Reads all records, and the own book for the first time; returns whether the store answered.
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -224,12 +224,13 @@
         let store = &self.0.store;
         let lease = store.grant_lease(self.0.lease_ms).await?;
         let value = serde_json::to_vec(&self.0.me).expect("a member that JSON can hold");
+        // A write that loses tells what is there: most starts find no key of their own.
+        let mut revision = 0;
         loop {
-            let found = store.get(&self.0.key).await?;
             let txn = Txn {
                 expect: vec![Expect {
                     key: self.0.key.clone(),
-                    revision: found.map_or(0, |f| f.revision),
+                    revision,
                 }],
                 put: vec![Put {
                     key: self.0.key.clone(),
@@ -240,8 +241,15 @@
             };
             match store.commit(txn).await? {
                 Commit::Done(_) => break,
-                // An earlier incarnation's write came late.
-                Commit::Lost(_) => sleep(AGAIN_AFTER).await,
+                Commit::Lost(items) => {
+                    let there = items.iter().find(|f| f.key == self.0.key);
+                    let there = there.map_or(0, |f| f.revision);
+                    // An earlier incarnation's write came late, or its key has ended, if not the first time.
+                    if revision > 0 {
+                        sleep(AGAIN_AFTER).await;
+                    }
+                    revision = there;
+                }
                 Commit::LeaseEnded => return Err(Failure::Refused("lease ended".to_string())),
             }
         }
