A list that is older than what is known takes nothing back

Cause, found by reading the change: after an outage an instance lists again, and that list may be seconds old. The list of instances took the older state as it was, for as long as nobody joined or left, thirty seconds at most. Upstreams and the configuration guard their revisions by themselves.

Ruled out: starting the watch at the list's revision: what is passed on by others would be read a second time by all.

--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -127,19 +127,21 @@
         let due = Instant::now() >= self.list_at;
         match after.filter(|_| !due) {
             Some(after) => self.watch(after).await,
-            None => Some(self.list().await),
+            None => self.list(known).await,
         }
     }
 
-    async fn list(&mut self) -> Update {
+    async fn list(&mut self, known: i64) -> Option<Update> {
         match self.store.list(&self.prefix, self.reading()).await {
             Ok(listing) => {
                 self.after = Some(listing.revision);
                 self.compacted = false;
                 self.list_at = Instant::now() + LIST_EVERY;
-                Update::Listed(listing.items, listing.revision)
+                // The watch goes on from what is known: one that is older would take back what that brought.
+                let newer = listing.revision >= known;
+                newer.then_some(Update::Listed(listing.items, listing.revision))
             }
-            Err(_) => self.lost().await,
+            Err(_) => Some(self.lost().await),
         }
     }
 
