An instance that is cut off asks for news whether or not it hears a reader

Cause, found by reading the change once more: whoever hears an earlier reader in reach of the store asked no other instance for news. One of the two readers hears the other, but does not fetch from it, since it reads by itself; cut off alone it waited for the store, and ran the old configuration for as long as that lasted. So did a follower whose fetch had failed once and that then waited for the store.

The few that are cut off alone pay a call between instances for it, none of the store.

Ruled out: having readers fetch from each other: it would mend this case and not the second one.

--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -293,7 +293,7 @@
         answer.map_err(|e| e.to_string())
     }
 
-    /// Asks other instances for news whenever the store is out of reach, and nobody passes it on.
+    /// Asks other instances for news whenever the store is out of reach.
     pub(crate) fn spawn_news(&self, fleet: Fleet, desk: Desk, reach: Arc<Reach>, log: Arc<Log>) {
         let peers = self.clone();
         tokio::spawn(async move {
@@ -301,7 +301,7 @@
             loop {
                 sleep(NEWS_EVERY).await;
                 let others = fleet.others();
-                if !reach.is_out() || desk.relay.is_fed() || others.is_empty() {
+                if !reach.is_out() || others.is_empty() {
                     continue;
                 }
                 turn += 1;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -114,12 +114,6 @@
         let _ = timeout(BEAT, self.0.heard.notified()).await;
     }
 
-    /// Returns whether an earlier reader in reach of the store was heard lately.
-    pub(crate) fn is_fed(&self) -> bool {
-        let now = self.0.clock.now();
-        self.0.readers.lock().expect("no panic inside").is_fed(now)
-    }
-
     /// Returns whether others ask if the store is back, and say so when it is.
     pub(crate) fn others_ask(&self) -> bool {
         let now = self.0.clock.now();
