What the relay, the counts and the reports did twice stands once

Found by reading the change; nothing behaves otherwise.

- A follower turned what it was passed into changes, and these back into entries for its board: `Board::follow` takes them as they come, and the test of boards calls it instead of doing the same by itself.
A board kept a revision for each value that nobody read.
- Who speaks, who asks whether the store is back: decided in `relay` beside the rest, no longer in the shell.
- Calls were counted in a metric and in a map: the map holds the metric's counters now.
- The loss of the store was noted in two places with one condition: `Reach::lose`.
- `Peers::lacking` and `Peers::call` made the same request; three loops sent a datagram, each with its comment: `request`, `Datagram::send`.
- Both reports read, refused and printed alike: `logs::report`.
- A look ranked homes for customers whose record it does not know, whose line can't change then: `plan` skips them.

--- a/crates/oriolehitch/src/calls.rs
+++ b/crates/oriolehitch/src/calls.rs
@@ -8,7 +8,6 @@
 
 use crate::flags::Calls;
 use crate::logs::{self, Line};
-use crate::table::table;
 use crate::Outcome;
 
 /// Calls by sort, as a line of a log names it: TASK.CALL.END.STORE.
@@ -20,19 +19,12 @@
 ///
 /// Returns which file can't be read.
 pub fn run(cmd: &Calls) -> Result<Outcome> {
-    let lines = logs::read_all(&cmd.logs)?;
-    if lines.is_empty() {
-        return Ok(Outcome::Refused(logs::NONE.to_string()));
-    }
-    let rows = rows(&lines, cmd.every.map(|e| e.max(1)));
-    if cmd.json {
-        return Ok(Outcome::Done(format!("{}\n", Value::from(rows))));
-    }
     let mut columns = vec!["task", "call", "end", "store", "calls"];
     if cmd.every.is_some() {
         columns.insert(0, "second");
     }
-    Ok(Outcome::Done(table(&rows, &columns)))
+    let every = cmd.every.map(|e| e.max(1));
+    logs::report(&cmd.logs, cmd.json, &columns, |lines| rows(lines, every))
 }
 
 /// Returns the rows: one for each sort of calls, or one for each in each stretch of `every` seconds.
--- a/crates/oriolehitch/src/logs.rs
+++ b/crates/oriolehitch/src/logs.rs
@@ -4,9 +4,10 @@
 
 use anyhow::{Context, Result};
 use serde::Deserialize;
+use serde_json::Value;
 
-/// What a report says of files that hold no line of a log.
-pub(crate) const NONE: &str = "no line of an instance's log in these files\n";
+use crate::table::table;
+use crate::Outcome;
 
 /// One line of a log, as far as it is read.
 #[derive(Debug, Deserialize)]
@@ -16,12 +17,33 @@
     pub(crate) detail: String,
 }
 
-/// Reads logs; returns their lines in the order of their times, each with the name of its instance.
+/// Prints the rows that a report makes of some logs, as a table or as JSON for programs.
 ///
 /// # Errors
 ///
 /// Returns which file can't be read.
-pub(crate) fn read_all(files: &[PathBuf]) -> Result<Vec<(String, Line)>> {
+pub(crate) fn report(
+    files: &[PathBuf],
+    json: bool,
+    columns: &[&str],
+    rows: impl FnOnce(&[(String, Line)]) -> Vec<Value>,
+) -> Result<Outcome> {
+    let lines = read_all(files)?;
+    if lines.is_empty() {
+        let message = "no line of an instance's log in these files\n";
+        return Ok(Outcome::Refused(message.to_string()));
+    }
+    let rows = rows(&lines);
+    let text = if json {
+        format!("{}\n", Value::from(rows))
+    } else {
+        table(&rows, columns)
+    };
+    Ok(Outcome::Done(text))
+}
+
+/// Reads logs; returns their lines in the order of their times, each with the name of its instance.
+fn read_all(files: &[PathBuf]) -> Result<Vec<(String, Line)>> {
     let mut lines = Vec::new();
     for file in files {
         lines.extend(read(file)?);
--- a/crates/oriolehitch/src/tokens.rs
+++ b/crates/oriolehitch/src/tokens.rs
@@ -9,7 +9,6 @@
 
 use crate::flags::Tokens;
 use crate::logs::{self, field, number, Line};
-use crate::table::table;
 use crate::Outcome;
 
 /// Length of a row where none is named, in seconds.
@@ -58,16 +57,6 @@
 ///
 /// Returns which file can't be read.
 pub fn run(cmd: &Tokens) -> Result<Outcome> {
-    let lines = logs::read_all(&cmd.logs)?;
-    if lines.is_empty() {
-        return Ok(Outcome::Refused(logs::NONE.to_string()));
-    }
-    let rows = rows(&lines, cmd.every.unwrap_or(EVERY_DEFAULT).max(1));
-    let chosen = |row: &Value| cmd.customer.as_ref().is_none_or(|c| row["customer"] == **c);
-    let rows: Vec<Value> = rows.into_iter().filter(chosen).collect();
-    if cmd.json {
-        return Ok(Outcome::Done(format!("{}\n", Value::from(rows))));
-    }
     let columns = [
         "second",
         "customer",
@@ -80,7 +69,12 @@
         "uncovered",
         "exhausted",
     ];
-    Ok(Outcome::Done(table(&rows, &columns)))
+    let every = cmd.every.unwrap_or(EVERY_DEFAULT).max(1);
+    let chosen = |row: &Value| cmd.customer.as_ref().is_none_or(|c| row["customer"] == **c);
+    logs::report(&cmd.logs, cmd.json, &columns, |lines| {
+        let rows = rows(lines, every).into_iter();
+        rows.filter(chosen).collect()
+    })
 }
 
 fn rows(lines: &[(String, Line)], every: u64) -> Vec<Value> {
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -269,7 +269,12 @@
             let old = holding.line();
             book.lines.insert(name.clone(), old);
             let chosen = scope != Scope::Missing || holding.missing() > 0;
-            if !chosen || txn.put.len() == RECORDS_MOST {
+            // Without its record no line changes: most of a large fleet's customers have their homes elsewhere.
+            let known = holding.known().map(|k| (k.record, k.revision));
+            let Some((record, revision)) = known.filter(|_| chosen) else {
+                continue;
+            };
+            if txn.put.len() == RECORDS_MOST {
                 continue;
             }
             let line = match scope {
@@ -279,13 +284,12 @@
                     holding.plan(now, sharers, home)
                 }
             };
-            let (Some(line), Some(known)) = (line, holding.known()) else {
+            let Some(line) = line else {
                 continue;
             };
             book.lines.insert(name.clone(), line);
-            let record = known.record.with(old, line);
             let key = format!("{PREFIX}{name}");
-            write(&mut txn, key, known.revision, record.to_bytes());
+            write(&mut txn, key, revision, record.with(old, line).to_bytes());
         }
         if !txn.put.is_empty() {
             book.lines.retain(|_, line| *line != Line::default());
--- a/crates/proxy/src/bank/settled.rs
+++ b/crates/proxy/src/bank/settled.rs
@@ -49,9 +49,7 @@
             sleep(TOGETHER).await;
             for (addr, told) in self.untold() {
                 for told in told.chunks(TOLD_MOST) {
-                    let bytes = Datagram::Settled(told.to_vec()).to_bytes();
-                    // One that can't be sent is as good as a lost one.
-                    let _ = socket.try_send_to(&bytes, addr);
+                    Datagram::Settled(told.to_vec()).send(socket, [addr]);
                 }
             }
         }
--- a/crates/proxy/src/calls.rs
+++ b/crates/proxy/src/calls.rs
@@ -51,8 +51,9 @@
 struct Inner {
     clock: Clock,
     reach: Arc<Reach>,
-    counts: Mutex<BTreeMap<Call, u64>>,
     metric: Family<Call, Counter>,
+    /// The metric's counters: it lists none itself.
+    counts: Mutex<BTreeMap<Call, Counter>>,
 }
 
 impl Calls {
@@ -60,8 +61,8 @@
         Calls(Arc::new(Inner {
             clock,
             reach,
-            counts: Mutex::default(),
             metric: Family::default(),
+            counts: Mutex::default(),
         }))
     }
 
@@ -92,15 +93,17 @@
 
     /// Logs the totals.
     pub(crate) fn log(&self, log: &Log) {
-        let counts = self.0.counts.lock().expect("no panic inside").clone();
-        let text: Vec<String> = counts.iter().map(|(c, n)| format!("{c}={n}")).collect();
+        let counts = self.0.counts.lock().expect("no panic inside");
+        let word = |(call, count): (&Call, &Counter)| format!("{call}={}", count.get());
+        let text: Vec<String> = counts.iter().map(word).collect();
+        drop(counts);
         log.note(Event::StoreCalls, text.join(" "));
     }
 
     fn count(&self, call: Call) {
-        self.0.metric.get_or_create(&call).inc();
         let mut counts = self.0.counts.lock().expect("no panic inside");
-        *counts.entry(call).or_default() += 1;
+        let counter = || self.0.metric.get_or_create(&call).clone();
+        counts.entry(call).or_insert_with(counter).inc();
     }
 }
 
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -40,8 +40,13 @@
 }
 
 impl Datagram {
-    pub(crate) fn to_bytes(&self) -> Vec<u8> {
-        serde_json::to_vec(self).expect("numbers and texts that JSON can hold")
+    /// Sends it to some instances.
+    pub(crate) fn send(&self, socket: &UdpSocket, to: impl IntoIterator<Item = SocketAddr>) {
+        let bytes = serde_json::to_vec(self).expect("numbers and texts that JSON can hold");
+        for addr in to {
+            // One that can't be sent is as good as a lost one.
+            let _ = socket.try_send_to(&bytes, addr);
+        }
     }
 }
 
@@ -88,11 +93,8 @@
         let Some(head) = relay.next_word().await else {
             continue;
         };
-        let bytes = Datagram::Head(head).to_bytes();
-        for other in fleet.neighbours() {
-            // A datagram that can't be sent is as good as a lost one.
-            let _ = socket.try_send_to(&bytes, other.addr);
-        }
+        let to = fleet.neighbours().into_iter().map(|m| m.addr);
+        Datagram::Head(head).send(&socket, to);
     }
 }
 
@@ -114,11 +116,8 @@
             from,
             held: held.into_iter().map(row).collect(),
         };
-        let bytes = Datagram::Loads(word).to_bytes();
-        for other in others {
-            // A datagram that can't be sent is as good as a lost one.
-            let _ = socket.try_send_to(&bytes, other.addr);
-        }
+        let to = others.into_iter().map(|m| m.addr);
+        Datagram::Loads(word).send(&socket, to);
     }
 }
 
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -203,9 +203,7 @@
             loop {
                 match fleet.register().await {
                     Ok(lease) => fleet.renew(lease).await,
-                    Err(_) => {
-                        sleep(AGAIN_AFTER).await;
-                    }
+                    Err(_) => sleep(AGAIN_AFTER).await,
                 }
             }
         });
@@ -304,12 +302,10 @@
             Update::Lost => {}
         }
         let after = members.len();
-        let name = |key: &'_ String| key.strip_prefix(PREFIX).unwrap_or_default().to_string();
         let zone = members.iter().filter(|(_, m)| m.zone == self.0.me.zone);
-        let zone: Vec<String> = zone.map(|(key, _)| name(key)).collect();
-        drop(members);
-        let zone: Vec<&str> = zone.iter().map(String::as_str).collect();
+        let zone: Vec<&str> = zone.filter_map(|(k, _)| k.strip_prefix(PREFIX)).collect();
         self.0.feed.relay.place(&self.0.name, &zone);
+        drop(members);
         if before != after {
             let detail = format_args!("before={before} now={after}");
             self.0.log.note(Event::Members, detail);
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -209,18 +209,12 @@
         param: &impl Serialize,
     ) -> Result<T, String> {
         let client = self.client(addr)?;
-        let mut params = ArrayParams::new();
-        params.insert(param).map_err(|e| e.to_string())?;
-        match client.request(method, params).await {
-            Ok(answer) => {
-                self.answered(addr);
-                Ok(answer)
-            }
-            Err(e) => {
-                self.rest(addr);
-                Err(e.to_string())
-            }
+        let answer = request(&client, method, param).await;
+        match answer {
+            Ok(_) => self.answered(addr),
+            Err(_) => self.rest(addr),
         }
+        answer
     }
 
     fn answered(&self, addr: SocketAddr) {
@@ -285,12 +279,9 @@
     /// Returns why there is no answer.
     pub(crate) async fn lacking(&self, addr: SocketAddr, lack: &Lack) -> Result<Passed, String> {
         let client = self.client(addr)?;
-        let mut params = ArrayParams::new();
-        params.insert(lack).map_err(|e| e.to_string())?;
         // One that is slow with this may be quick with tokens: nothing is held against it.
-        let answer = timeout(PASS_MOST, client.request("lacking", params)).await;
-        let answer = answer.map_err(|_| "no answer in time".to_string())?;
-        answer.map_err(|e| e.to_string())
+        let answer = timeout(PASS_MOST, request(&client, "lacking", lack)).await;
+        answer.unwrap_or_else(|_| Err("no answer in time".to_string()))
     }
 
     /// Asks other instances for news whenever the store is out of reach.
@@ -334,3 +325,14 @@
         desk.listing.told(news.listing);
     }
 }
+
+async fn request<T: DeserializeOwned>(
+    client: &HttpClient,
+    method: &str,
+    param: &impl Serialize,
+) -> Result<T, String> {
+    let mut params = ArrayParams::new();
+    params.insert(param).map_err(|e| e.to_string())?;
+    let answer = client.request(method, params).await;
+    answer.map_err(|e| e.to_string())
+}
--- a/crates/proxy/src/reach.rs
+++ b/crates/proxy/src/reach.rs
@@ -1,10 +1,12 @@
 //! Whether the store answers, as all tasks see it.
 
+use std::fmt::Arguments;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use clock::Clock;
+use kv::Failure;
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -66,7 +68,7 @@
     }
 
     /// Notes a call without an answer, and when it began.
-    pub(crate) fn failed(&self, began: u64, why: &dyn std::fmt::Debug) {
+    pub(crate) fn failed(&self, began: u64, why: &Failure) {
         let now = self.clock.now();
         let answered_at = self.answered_at.load(Ordering::Relaxed);
         if self.silent_since.load(Ordering::Relaxed) == 0 {
@@ -76,10 +78,7 @@
         }
         let silent = now.saturating_sub(self.silent_since.load(Ordering::Relaxed));
         let was_out = self.is_out();
-        if silent >= OUT_AFTER_MS && !self.out.swap(true, Ordering::Relaxed) {
-            let detail = format_args!("silent_ms={silent} last={why:?}");
-            self.log.note(Event::StoreLost, detail);
-        }
+        self.lose(silent, format_args!("{why:?}"));
         // Once it is out it is asked for often enough.
         if !was_out {
             self.doubt();
@@ -91,13 +90,21 @@
     pub(crate) fn told_out(&self) {
         let now = self.clock.now();
         let silent = now.saturating_sub(self.answered_at.load(Ordering::Relaxed));
-        if silent >= OUT_AFTER_MS && !self.out.swap(true, Ordering::Relaxed) {
-            let detail = format_args!("silent_ms={silent} last=told");
-            self.log.note(Event::StoreLost, detail);
+        if self.lose(silent, format_args!("told")) {
             self.doubt();
         }
     }
 
+    /// Takes the store for out of reach, if it was silent for long enough; returns whether it was in reach until now.
+    fn lose(&self, silent: u64, why: Arguments<'_>) -> bool {
+        let lost = silent >= OUT_AFTER_MS && !self.out.swap(true, Ordering::Relaxed);
+        if lost {
+            let detail = format_args!("silent_ms={silent} last={why}");
+            self.log.note(Event::StoreLost, detail);
+        }
+        lost
+    }
+
     /// Has somebody ask whether the store answers.
     pub(crate) fn doubt(&self) {
         self.doubted.notify_one();
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -118,7 +118,7 @@
     pub(crate) fn others_ask(&self) -> bool {
         let now = self.0.clock.now();
         let readers = self.0.readers.lock().expect("no panic inside");
-        !readers.is_named() && readers.says_out(now)
+        readers.others_ask(now)
     }
 
     /// Leaves a reader alone that did not answer.
@@ -129,16 +129,20 @@
 
     /// Takes what was read of the store.
     pub(crate) fn learn(&self, topic: Topic, update: &Update) {
-        let mut boards = self.0.boards.lock().expect("no panic inside");
-        let board = &mut boards[topic as usize];
-        let before = board.revision();
-        match update {
+        self.update(topic, |board| match update {
             Update::Listed(items, revision) => {
                 board.list(items.iter().map(written).collect(), *revision);
             }
             Update::Changed(changes, _) => board.change(changes.iter().map(changed)),
             Update::Lost => {}
-        }
+        });
+    }
+
+    fn update(&self, topic: Topic, update: impl FnOnce(&mut Board)) {
+        let mut boards = self.0.boards.lock().expect("no panic inside");
+        let board = &mut boards[topic as usize];
+        let before = board.revision();
+        update(board);
         let news = board.revision() > before;
         drop(boards);
         if news {
@@ -158,7 +162,8 @@
 
     /// Takes the answer of an instance that was asked.
     pub(crate) fn take(&self, topic: Topic, told: Passed) -> Update {
-        let update = match told.since {
+        self.update(topic, |board| board.follow(&told.since, told.revision));
+        match told.since {
             Since::Changed(entries) => {
                 let changes = entries.into_iter().map(change).collect();
                 Update::Changed(changes, told.revision)
@@ -167,13 +172,7 @@
                 let found = entries.into_iter().filter_map(|e| change(e).now);
                 Update::Listed(found.collect(), told.revision)
             }
-        };
-        self.learn(topic, &update);
-        // Else it would be asked for again and again where nothing differs.
-        let mut boards = self.0.boards.lock().expect("no panic inside");
-        boards[topic as usize].caught_up(told.revision);
-        drop(boards);
-        update
+        }
     }
 
     /// Takes a reader's word.
@@ -203,8 +202,7 @@
         let now = self.0.clock.now();
         let out = self.0.reach.is_out();
         let readers = self.0.readers.lock().expect("no panic inside");
-        let speaks = readers.is_named() || !out;
-        if !readers.has_followers() || readers.standing(now) != Standing::Reads || !speaks {
+        if !readers.speaks(now, out) {
             return None;
         }
         let rank = readers.rank();
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -34,7 +34,7 @@
 /// The keys under one prefix.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    values: BTreeMap<String, (String, i64)>,
+    values: BTreeMap<String, String>,
     /// Changes up to this revision are known.
     revision: i64,
     changes: VecDeque<Entry>,
@@ -76,12 +76,13 @@
             value: None,
             revision,
         });
-        let gone: Vec<Entry> = gone.collect();
-        let differs = |e: &Entry| self.values.get(&e.key).map(|(v, _)| v) != e.value.as_ref();
-        let news: Vec<Entry> = listed.into_values().filter(differs).collect();
-        // Those that follow on this list are after its revision, whenever they were written.
-        let news = news.into_iter().map(|e| Entry { revision, ..e });
-        let news: Vec<Entry> = gone.into_iter().chain(news).collect();
+        let differs = |e: &&Entry| self.values.get(&e.key) != e.value.as_ref();
+        // Whoever has read up to this list has them, whenever they were written.
+        let news = listed.values().filter(differs).map(|e| Entry {
+            revision,
+            ..e.clone()
+        });
+        let news: Vec<Entry> = gone.chain(news).collect();
         for entry in news {
             self.take(entry);
         }
@@ -92,8 +93,18 @@
         }
     }
 
+    /// Takes what another board that is known up to a revision had since this one's.
+    pub fn follow(&mut self, since: &Since, revision: i64) {
+        match since {
+            Since::Changed(changes) => self.change(changes.iter().cloned()),
+            Since::All(entries) => self.list(entries.clone(), revision),
+        }
+        // Else it would be asked for again and again where nothing differs.
+        self.caught_up(revision);
+    }
+
     /// Takes the word that there is no other change up to a revision.
-    pub fn caught_up(&mut self, revision: i64) {
+    fn caught_up(&mut self, revision: i64) {
         self.revision = self.revision.max(revision);
     }
 
@@ -103,24 +114,19 @@
             let newer = self.changes.iter().filter(|e| e.revision > revision);
             return Since::Changed(newer.cloned().collect());
         }
-        let entry = |(key, (value, revision)): (&String, &(String, i64))| Entry {
+        let entry = |(key, value): (&String, &String)| Entry {
             key: key.clone(),
             value: Some(value.clone()),
-            revision: *revision,
+            revision: self.revision,
         };
         Since::All(self.values.iter().map(entry).collect())
     }
 
     fn take(&mut self, entry: Entry) {
         match &entry.value {
-            Some(value) => {
-                let now = (value.clone(), entry.revision);
-                self.values.insert(entry.key.clone(), now);
-            }
-            None => {
-                self.values.remove(&entry.key);
-            }
-        }
+            Some(value) => self.values.insert(entry.key.clone(), value.clone()),
+            None => self.values.remove(&entry.key),
+        };
         self.revision = self.revision.max(entry.revision);
         self.changes.push_back(entry);
         while self.changes.len() > KEPT {
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -79,7 +79,6 @@
 
     /// Takes the names of the instances of the own zone, this one among them or not.
     pub fn place(&mut self, me: &str, zone: &[&str]) {
-        let order = |name: &str| (xxh3_64(name.as_bytes()), name.to_string());
         let own = order(me);
         let others = zone.iter().filter(|n| **n != me);
         self.zone = 1 + others.clone().count();
@@ -103,7 +102,7 @@
     }
 
     /// Returns whether this instance is to read for its zone, as long as it lives.
-    pub fn is_named(&self) -> bool {
+    fn is_named(&self) -> bool {
         self.rank < READERS
     }
 
@@ -120,7 +119,7 @@
 
     /// Returns what this instance does.
     pub fn standing(&self, now: u64) -> Standing {
-        let named = self.zone <= SMALL_ZONE || self.is_named();
+        let named = !self.has_followers() || self.is_named();
         let patience = FED_MS + (self.rank as u64 * STAGGER_MS).min(STAGGER_MOST_MS);
         if named || now >= self.fed_at + patience {
             Standing::Reads
@@ -129,8 +128,20 @@
         }
     }
 
-    /// Returns whether somebody may follow this instance.
-    pub fn has_followers(&self) -> bool {
+    /// Returns whether this instance says how far it has read; `out` is whether the store is out of its reach.
+    pub fn speaks(&self, now: u64, out: bool) -> bool {
+        let reads = self.standing(now) == Standing::Reads;
+        // Were all to say in an outage that they can't read, a zone would be full of it.
+        reads && self.has_followers() && (self.is_named() || !out)
+    }
+
+    /// Returns whether others ask if the store is back, and say so when it is.
+    pub fn others_ask(&self, now: u64) -> bool {
+        !self.is_named() && self.says_out(now)
+    }
+
+    /// Returns whether some instances of the zone follow others.
+    fn has_followers(&self) -> bool {
         self.zone > SMALL_ZONE
     }
 
@@ -152,3 +163,8 @@
         self.heard.iter().filter(move |(_, h)| now < h.at + FED_MS)
     }
 }
+
+/// Returns what the instances of a zone are ranked by.
+fn order(name: &str) -> (u64, &str) {
+    (xxh3_64(name.as_bytes()), name)
+}
--- a/crates/relay/tests/board.rs
+++ b/crates/relay/tests/board.rs
@@ -20,10 +20,8 @@
 
 /// Returns what a follower knows that was at a revision, and took all since then.
 fn follow(mut follower: Board, reader: &Board) -> Board {
-    match reader.since(follower.revision()) {
-        Since::Changed(changes) => follower.change(changes),
-        Since::All(entries) => follower.list(entries, reader.revision()),
-    }
+    let since = reader.since(follower.revision());
+    follower.follow(&since, reader.revision());
     follower
 }
 
