--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -172,7 +172,10 @@
     let nothing_came = matches!(sent, Err(Failed::NotRun(_) | Failed::Unanswered(_)));
     job.may_be_answered |= !nothing_came;
     if let Err(failed) = &sent {
-        let detail = format_args!("attempt={} why={failed:?}", job.attempts);
+        let detail = format_args!(
+            "attempt={} request={} why={failed:?}",
+            job.attempts, job.digest
+        );
         let log = &job.router.log;
         log.request(Event::AttemptFailed, &job.ask.id, detail);
         if let Some(charge) = job.charge.as_mut().filter(|_| !job.may_be_answered) {
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -7,6 +7,7 @@
 use hyper::http::request;
 use place::Key;
 use smallvec::SmallVec;
+use suspect::Digest;
 
 use crate::ask::Ask;
 use crate::bank::Charge;
@@ -67,6 +68,8 @@
 pub(crate) struct Job {
     pub(crate) router: Arc<Router>,
     pub(crate) ask: Ask,
+    /// What the request is, whatever its id: its caller may send it again.
+    pub(crate) digest: Digest,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
     pub(crate) route: Route,
@@ -130,7 +133,7 @@
         self.router.metrics.ended(&self.route.name, code);
         let detail = format_args!(
             "route={} customer={} upstream={upstream} attempts={} code={code} ms={} sent_ms={} \
-             first_ms={} expected_ms={:.0} unread={} of={} tokens={}",
+             first_ms={} expected_ms={:.0} unread={} of={} tokens={} request={}",
             self.route.name,
             self.customer.as_deref().unwrap_or("-"),
             self.attempts,
@@ -141,6 +144,7 @@
             self.expected.unread,
             self.ask.prompt,
             self.charge.as_ref().map_or(0, Charge::spent),
+            self.digest,
         );
         self.router
             .log
--- a/crates/proxy/src/pipe.rs
+++ b/crates/proxy/src/pipe.rs
@@ -13,6 +13,7 @@
 use hyper::http::request;
 use hyper::{Request, Response};
 use smallvec::SmallVec;
+use suspect::Digest;
 use tokio::time::timeout_at;
 
 use crate::ask::Ask;
@@ -110,6 +111,7 @@
         }
         let mut job = Job {
             router: Arc::clone(self),
+            digest: digest(&ask, customer.as_deref(), &head, &body),
             ask,
             head,
             body,
@@ -255,3 +257,15 @@
         })
     }
 }
+
+/// Returns what a request is, by what its caller sent.
+fn digest(ask: &Ask, customer: Option<&str>, head: &request::Parts, body: &Bytes) -> Digest {
+    let target = head.uri.path_and_query().map_or("", |t| t.as_str());
+    Digest::of([
+        customer.unwrap_or_default().as_bytes(),
+        head.method.as_str().as_bytes(),
+        ask.host.as_bytes(),
+        target.as_bytes(),
+        body,
+    ])
+}
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -272,8 +272,8 @@
             return Err(format!("{why}; then status {status}"));
         }
         let detail = format_args!(
-            "after={:?} upstream={} why={why}",
-            self.last, open.slot.choice.spec.id
+            "after={:?} upstream={} request={} why={why}",
+            self.last, open.slot.choice.spec.id, self.job.digest
         );
         let log = &self.job.router.log;
         log.request(Event::Resumed, &self.job.ask.id, detail);
@@ -284,7 +284,10 @@
     /// Breaks the answer off, so that it can't look whole.
     async fn cut(self, why: &str) {
         let log = &self.job.router.log;
-        let detail = format!("events={} why={why}", self.count);
+        let detail = format!(
+            "events={} request={} why={why}",
+            self.count, self.job.digest
+        );
         log.request(Event::Cut, &self.job.ask.id, detail);
         self.job.router.metrics.ended(&self.job.route.name, "cut");
         // A caller that left needs no end.
--- /dev/null
+++ b/crates/suspect/src/lib.rs
@@ -0,0 +1,7 @@
+//! Knows a request again that comes with another id.
+//!
+//! No I/O, clock or randomness.
+
+mod digest;
+
+pub use digest::Digest;
