Upstreams' ends are laid to the requests that were there, told to all instances; the third one refuses the request

What callers saw: engines ended one after the other, 38 in a wave, and with each all answers that it was making; a request was sent 16 and 17 times more than the three ends that are allowed. Cause: a connection that breaks said something of the upstream only. Of the request nothing was kept, so its repetition and its caller's next try, with another id and at whichever instance, started from nothing. Ruled out: engines that die of load (the failing test ends idle ones with one request and nothing else), and our repetitions alone (an order, which is never repeated, does the same).

Now a connection that breaks at an upstream of which nothing said that it leaves is looked at after 30 ms: a port that refuses is an end, one that answers is not, no answer waits for the list. A request is known by a digest; what is known of it is a set of ended lives, merged in any order, twice or late, and a number of whole answers, each of which voids what was held against it everywhere. One end is told to two instances that keep the request, two ends to all; one instance in turn is told all of it each half second, and one that starts asks two. From two ends on there is no repetition in the same try, from three on it is refused at once, not run, with the time of its next trial: 5 s, 60 s, 600 s after the last end, by leave of the instance that keeps it, so that what it can still cost is three. A request answered in the last 5 s is not blamed.

--- a/crates/dial/src/pool.rs
+++ b/crates/dial/src/pool.rs
@@ -1,6 +1,7 @@
 //! Kept connections by upstream.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -46,8 +47,10 @@
 pub enum ConnectError {
     /// All that it may have from here are in use.
     Full,
-    /// It refused, or can't be reached.
+    /// Nobody listens at its address.
     Refused(String),
+    /// It can't be reached, or was lost at once.
+    Unreachable(String),
     /// It did not answer in time.
     TimedOut,
 }
@@ -115,16 +118,19 @@
             kept: false,
         };
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let refused = |e: std::io::Error| ConnectError::Refused(e.to_string());
+        let unreachable = |e: std::io::Error| ConnectError::Unreachable(e.to_string());
         let stream = timeout_at(deadline, TcpStream::connect(to.addr))
             .await
             .map_err(|_| ConnectError::TimedOut)?
-            .map_err(refused)?;
-        tune(&stream).map_err(refused)?;
+            .map_err(|e| match e.kind() {
+                ErrorKind::ConnectionRefused => ConnectError::Refused(e.to_string()),
+                _ => unreachable(e),
+            })?;
+        tune(&stream).map_err(unreachable)?;
         let handshake = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|e| ConnectError::Refused(e.to_string()))?;
+            .map_err(|e| ConnectError::Unreachable(e.to_string()))?;
         let (send, conn) = handshake;
         // An error of the connection shows at its request; between requests it only ends.
         let task = tokio::spawn(async move {
--- a/crates/err/src/lib.rs
+++ b/crates/err/src/lib.rs
@@ -53,6 +53,8 @@
     BudgetOutOfReach,
     /// No upstream can take the request.
     NoUpstream,
+    /// Upstreams ended whenever they ran this request.
+    EndsUpstreams,
     /// The platform's service can't be reached, and the request needs it.
     PlatformDown,
     /// The instance is stopping.
@@ -136,6 +138,13 @@
         Some(2),
     ),
     row(Kind::NoUpstream, "no_upstream", 503, Ran::No, Some(2)),
+    row(
+        Kind::EndsUpstreams,
+        "ends_upstreams",
+        503,
+        Ran::No,
+        Some(60),
+    ),
     row(Kind::PlatformDown, "platform_down", 503, Ran::No, Some(5)),
     row(Kind::Draining, "draining", 503, Ran::No, Some(1)),
     row(Kind::NotConfigured, "not_configured", 503, Ran::No, Some(2)),
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -111,6 +111,12 @@
         self.upstreams.iter().flatten().filter(|u| !u.gone)
     }
 
+    /// Returns whether an upstream is listed, and nothing says that it leaves.
+    pub fn stays(&self, key: Key) -> bool {
+        let up = self.get(key);
+        !up.gone && !up.leaving
+    }
+
     /// Returns the lives of upstreams that all sources together say are leaving.
     pub fn all_leaving(&self) -> BTreeSet<String> {
         let leaving = self.upstreams.iter().flatten().filter(|u| u.leaving);
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,15 +1,15 @@
 //! One attempt at an upstream: chosen, connected, sent, and the head of its answer read.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
-use clock::Clock;
 use dial::{ConnectError, SendError, Target};
 use err::{Kind, Ran};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Uri};
-use place::{Choice, Denied, Outcome, Pool, Want};
+use place::{Choice, Denied, Outcome, Want};
+use suspect::Digest;
 use tokio::time::timeout_at;
 
 use crate::ask::Sending;
@@ -17,6 +17,7 @@
 use crate::event::Event;
 use crate::job::Job;
 use crate::refusal::Refusal;
+use crate::router::Router;
 
 /// Part of an upstream's connections that all instances together use: others may use it too.
 const CONNECTIONS_PCT: usize = 80;
@@ -30,8 +31,8 @@
 
 /// A request's place at its upstream; dropping it ends it.
 pub(crate) struct Slot {
-    pool: Arc<Mutex<Pool>>,
-    clock: Clock,
+    router: Arc<Router>,
+    digest: Digest,
     pub(crate) choice: Choice,
     sent_at: u64,
     outcome: Outcome,
@@ -40,8 +41,8 @@
 impl Slot {
     fn open(job: &Job, choice: Choice) -> Slot {
         Slot {
-            pool: Arc::clone(&job.router.pool),
-            clock: job.router.clock,
+            router: Arc::clone(&job.router),
+            digest: job.digest,
             choice,
             sent_at: job.router.clock.now(),
             outcome: Outcome::Dropped,
@@ -50,8 +51,8 @@
 
     /// Notes the first event, or the answer.
     pub(crate) fn first(&self) {
-        let mut pool = self.pool.lock().expect("no panic inside");
-        pool.first(self.clock.now(), &self.choice, self.sent_at);
+        let mut pool = self.router.pool.lock().expect("no panic inside");
+        pool.first(self.router.clock.now(), &self.choice, self.sent_at);
     }
 
     /// Ends it.
@@ -62,9 +63,17 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let mut pool = self.pool.lock().expect("no panic inside");
+        let mut pool = self.router.pool.lock().expect("no panic inside");
         let (key, ticket) = (self.choice.key, self.choice.ticket);
-        pool.end(self.clock.now(), key, ticket, self.outcome);
+        // An upstream that leaves closes what is left at its end: that is no crash.
+        let stays = pool.stays(key);
+        pool.end(self.router.clock.now(), key, ticket, self.outcome);
+        drop(pool);
+        match self.outcome {
+            Outcome::Broken if stays => self.router.suspects.broke(&self.choice.spec, self.digest),
+            Outcome::Well | Outcome::Error => self.router.suspects.answered(self.digest),
+            _ => {}
+        }
     }
 }
 
@@ -218,7 +227,7 @@
                 log.request(Event::AttemptFailed, &job.ask.id, detail);
                 let outcome = match e {
                     ConnectError::Full => Outcome::Refused,
-                    ConnectError::Refused(_) => Outcome::Silent,
+                    ConnectError::Refused(_) | ConnectError::Unreachable(_) => Outcome::Silent,
                     ConnectError::TimedOut => silence(job),
                 };
                 slot.end(outcome);
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -19,6 +19,7 @@
 use crate::bank::{Bank, Settled};
 use crate::fleet::Fleet;
 use crate::relay::Relay;
+use crate::suspects::{Others, Suspects};
 
 /// Pause between two rounds of a small fleet: a long prompt is read in some hundred milliseconds.
 const ROUND: Duration = Duration::from_millis(80);
@@ -37,6 +38,8 @@
     Settled(Vec<Settled>),
     /// How far it has read the store for its zone.
     Head(Head),
+    /// Requests under which upstreams have ended.
+    Suspects(Vec<suspect::Word>),
 }
 
 impl Datagram {
@@ -69,17 +72,20 @@
 
 /// Tells the others, and listens to them.
 pub(crate) fn spawn(
-    socket: Arc<UdpSocket>,
+    others: &Others,
     pool: Arc<Mutex<Pool>>,
     bank: Bank,
-    fleet: Fleet,
     relay: Relay,
+    suspects: Suspects,
     clock: Clock,
 ) {
+    let Others { fleet, socket, .. } = others.clone();
     let ears = Ears {
         pool: Arc::clone(&pool),
         bank,
         relay: relay.clone(),
+        suspects,
+        fleet: fleet.clone(),
         clock,
     };
     tokio::spawn(ears.listen(Arc::clone(&socket)));
@@ -126,6 +132,8 @@
     pool: Arc<Mutex<Pool>>,
     bank: Bank,
     relay: Relay,
+    suspects: Suspects,
+    fleet: Fleet,
     clock: Clock,
 }
 
@@ -142,6 +150,12 @@
                 Ok(Datagram::Loads(word)) => hear(&self.pool, &word, self.clock.now()),
                 Ok(Datagram::Settled(told)) => self.bank.take_settled(&told),
                 Ok(Datagram::Head(head)) => self.relay.hear(from, head),
+                Ok(Datagram::Suspects(words)) => {
+                    let lacks = self.suspects.hear(&self.fleet, &words);
+                    if !lacks.is_empty() {
+                        Datagram::Suspects(lacks).send(&socket, [from]);
+                    }
+                }
                 // Not one of ours, or of another version.
                 Err(_) => {}
             }
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -48,6 +48,8 @@
     UpstreamGone,
     /// An upstream's entry can't be read.
     UpstreamBroken,
+    /// An upstream ended without having said that it leaves, while requests ran there.
+    UpstreamEnded,
     /// A request was answered.
     Answered,
     /// A request was refused, or failed.
@@ -60,6 +62,12 @@
     CallerLeft,
     /// A stream was taken up at another upstream.
     Resumed,
+    /// Upstreams have ended under a request.
+    Suspected,
+    /// A request is tried under which upstreams have ended.
+    Tried,
+    /// A request under which upstreams have ended was answered.
+    Cleared,
     /// An upstream made more than was asked for.
     Excess,
     /// Tokens were taken from, or handed back to, a budget.
@@ -130,12 +138,31 @@
         Level::INFO,
         "upstream started again under its name",
     ),
+    row(Event::UpstreamEnded, 2406, Level::WARN, "upstream ended"),
     row(Event::Answered, 2501, Level::INFO, "answered"),
     row(Event::Refused, 2502, Level::INFO, "refused"),
     row(Event::AttemptFailed, 2503, Level::INFO, "attempt failed"),
     row(Event::Cut, 2504, Level::WARN, "answer broke off"),
     row(Event::CallerLeft, 2505, Level::INFO, "caller left"),
     row(Event::Resumed, 2506, Level::INFO, "stream resumed"),
+    row(
+        Event::Suspected,
+        2508,
+        Level::WARN,
+        "upstreams end under a request",
+    ),
+    row(
+        Event::Tried,
+        2509,
+        Level::WARN,
+        "suspected request is tried",
+    ),
+    row(
+        Event::Cleared,
+        2510,
+        Level::INFO,
+        "suspected request answered",
+    ),
     row(
         Event::Excess,
         2507,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::event::Event;
 use crate::follow::{Feed, Follow, Update};
@@ -27,6 +28,8 @@
 /// Longest wait of one watch of the list, in milliseconds: what it brings late costs a message to an
 /// instance that is gone, or a share of what is bounded for all.
 const WATCH_MS: u64 = 10_000;
+/// Instances that keep what is known of something: one of them may be lost with all that it was told.
+const KEEPERS: usize = 2;
 /// Pause before a failed registration is tried again.
 const AGAIN_AFTER: Duration = Duration::from_millis(500);
 
@@ -165,6 +168,15 @@
         homes
     }
 
+    /// Returns the instances that keep what is known of something, the one that decides about it first.
+    pub(crate) fn keepers(&self, what: u64) -> SmallVec<[Member; KEEPERS]> {
+        let members = self.0.members.lock().expect("no panic inside");
+        let mut ranked: Vec<(&String, &Member)> = members.iter().collect();
+        ranked.sort_by_cached_key(|(name, _)| xxh3_64_with_seed(name.as_bytes(), what));
+        let first = ranked.into_iter().take(KEEPERS);
+        first.map(|(_, m)| m.clone()).collect()
+    }
+
     /// Returns the other instances of the own zone.
     pub(crate) fn neighbours(&self) -> Vec<Member> {
         let mut listed = self.listed();
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -31,6 +31,7 @@
 use crate::reach::Reach;
 use crate::relay::Relay;
 use crate::router::Router;
+use crate::suspects::{Others, Suspects};
 
 /// Largest body that the readiness and operators' listeners take, in bytes.
 const OPS_BODY_LIMIT: usize = 1 << 16;
@@ -105,10 +106,12 @@
         let pool = Arc::new(Mutex::new(Pool::default()));
         let dialer = Dialer::default();
         let config = Config::open(Arc::clone(&dialect), bank.clone(), Arc::clone(&log));
+        let suspects = Suspects::open(&settings.name, clock, Arc::clone(&log), dialer.clone());
         let listing = Listing::open(
             Arc::clone(&dialect),
             Arc::clone(&pool),
             dialer.clone(),
+            suspects.clone(),
             Arc::clone(&reach),
             Arc::clone(&log),
             clock,
@@ -127,11 +130,16 @@
             feed.clone(),
             Arc::clone(&log),
         );
+        let others = Others {
+            fleet: fleet.clone(),
+            peers: peers.clone(),
+            socket: Arc::new(socket),
+        };
         let router = Arc::new(Router {
             dialect,
             clock,
             log: Arc::clone(&log),
-            metrics: Metrics::open(&calls),
+            metrics: Metrics::open(&calls, &suspects),
             config: config.clone(),
             bank: bank.clone(),
             pool,
@@ -141,6 +149,8 @@
             link: Mutex::new(Link::new(fleet_settings.link_mbps)),
             retries: Mutex::new(Retries::new(bounds(&fleet_settings))),
             fleet: fleet.clone(),
+            others: others.clone(),
+            suspects: suspects.clone(),
             reach: Arc::clone(&reach),
             zone: settings.zone.clone(),
             stopping: AtomicBool::new(false),
@@ -156,14 +166,15 @@
             config,
             listing,
             relay: relay.clone(),
+            suspects: suspects.clone(),
         };
-        let socket = Arc::new(socket);
+        suspects.spawn(&others);
         datagram::spawn(
-            Arc::clone(&socket),
+            &others,
             Arc::clone(&router.pool),
             bank.clone(),
-            fleet.clone(),
             relay,
+            suspects,
             clock,
         );
         let peer = peers::serve(server, desk.clone());
@@ -173,7 +184,7 @@
             reach,
             fleet,
             peers,
-            socket,
+            socket: others.socket,
             recovery_ms: fleet_settings.recovery_secs.map(|s| (s * 1000.0) as u64),
         });
         spawn_sweep(dialer);
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -108,6 +108,10 @@
         if self.attempts >= self.route.attempts || self.left_ms() == 0 {
             return false;
         }
+        // One that ends upstreams must not take the next one with it in the same try.
+        if !self.router.suspects.may_repeat(self.digest) {
+            return false;
+        }
         let (now, sharers) = (self.router.clock.now(), self.router.fleet.sharers());
         let mut retries = self.router.retries.lock().expect("no panic inside");
         retries.take(now, &self.service, sharers)
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod router;
 mod stream;
+mod suspects;
 
 pub use ask::{Ask, Sending};
 pub use dialect::{Dialect, Reading, Word};
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -16,6 +16,7 @@
 use crate::log::Log;
 use crate::reach::Reach;
 use crate::relay::Topic;
+use crate::suspects::Suspects;
 
 /// The list as one instance tells another.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -36,6 +37,7 @@
     dialect: Arc<dyn Dialect>,
     pool: Arc<Mutex<Pool>>,
     dialer: Dialer,
+    suspects: Suspects,
     reach: Arc<Reach>,
     log: Arc<Log>,
     clock: Clock,
@@ -62,6 +64,7 @@
         dialect: Arc<dyn Dialect>,
         pool: Arc<Mutex<Pool>>,
         dialer: Dialer,
+        suspects: Suspects,
         reach: Arc<Reach>,
         log: Arc<Log>,
         clock: Clock,
@@ -70,6 +73,7 @@
             dialect,
             pool,
             dialer,
+            suspects,
             reach,
             log,
             clock,
@@ -225,6 +229,7 @@
             Listed::Known => return,
             Listed::Reborn { ended } => {
                 self.0.dialer.cut(&ended);
+                self.0.suspects.ended(&ended);
                 Event::UpstreamReborn
             }
             Listed::New | Listed::Leaving if leaving => {
@@ -243,6 +248,7 @@
             self.0.dialer.forget(&life);
             let detail = format_args!("upstream={life}");
             self.0.log.note(Event::UpstreamGone, detail);
+            self.0.suspects.ended(&life);
         }
     }
 }
--- a/crates/proxy/src/metric.rs
+++ b/crates/proxy/src/metric.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::calls::Calls;
+use crate::suspects::Suspects;
 
 /// Upper bounds of the buckets of times, in seconds: from a relay's own time to the longest request.
 const SECONDS: [f64; 14] = [
@@ -60,7 +61,7 @@
 }
 
 impl Metrics {
-    pub(crate) fn open(calls: &Calls) -> Metrics {
+    pub(crate) fn open(calls: &Calls, suspects: &Suspects) -> Metrics {
         let metrics = Metrics {
             registry: Mutex::new(Registry::with_prefix("oriolehitch")),
             requests: Family::default(),
@@ -74,11 +75,11 @@
             unread: Counter::default(),
             prompt: Counter::default(),
         };
-        metrics.register(calls);
+        metrics.register(calls, suspects);
         metrics
     }
 
-    fn register(&self, calls: &Calls) {
+    fn register(&self, calls: &Calls, suspects: &Suspects) {
         let mut registry = self.registry.lock().expect("no panic inside");
         let r = &mut *registry;
         r.register(
@@ -104,6 +105,9 @@
         r.register("unread", "Prompt tokens not kept", self.unread.clone());
         r.register("prompt", "Prompt tokens sent", self.prompt.clone());
         r.register("store_calls", "Calls of the store", calls.metric());
+        let (ends, refused) = suspects.metrics();
+        r.register("request_ends", "Upstreams' ends laid to requests", ends);
+        r.register("suspects", "Requests refused for ends", refused);
     }
 
     /// Counts the end of a request.
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -46,6 +46,13 @@
             })
             .collect();
         drop(pool);
+        let suspects = router.suspects.list().into_iter().map(|word| {
+            json!({
+                "request": format!("{:.32}", word.digest), "ends": word.ended,
+                "trials": word.trials, "answers": word.answers,
+            })
+        });
+        let suspects: Vec<_> = suspects.collect();
         let value = json!({
             "id": router.fleet.me(),
             "at_ms": now,
@@ -59,6 +66,7 @@
             "log_lines_cut": router.log.cut(),
             "budgets": router.bank.dump(),
             "upstreams": upstreams,
+            "suspects": suspects,
         });
         Res::json(200, &value)
     }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -13,6 +13,7 @@
 use jsonrpsee_server::{RpcModule, Server, ServerBuilder, ServerHandle};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use suspect::Word;
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::bank::{Bank, Draw, Drawn};
@@ -23,6 +24,7 @@
 use crate::log::Log;
 use crate::reach::Reach;
 use crate::relay::{Lack, Passed, Relay};
+use crate::suspects::{Suspects, Trial};
 
 /// An instance answers within a few milliseconds, or is not there: a request waits for it.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(250);
@@ -84,6 +86,7 @@
     pub(crate) config: Config,
     pub(crate) listing: Listing,
     pub(crate) relay: Relay,
+    pub(crate) suspects: Suspects,
 }
 
 impl Desk {
@@ -143,6 +146,15 @@
         Ok(desk.relay.tell(&lack))
     });
     lacking.expect("a new name");
+    let suspects = module.register_method("suspects", |_, desk, _| -> RpcResult<Vec<Word>> {
+        Ok(desk.suspects.list())
+    });
+    suspects.expect("a new name");
+    let trial = module.register_method("trial", |params, desk, _| -> RpcResult<Trial> {
+        let word: Word = params.one()?;
+        Ok(desk.suspects.try_for(&word))
+    });
+    trial.expect("a new name");
     server.start(module)
 }
 
@@ -263,6 +275,24 @@
         self.call_briefly(addr, "ping", &()).await.unwrap_or(None)
     }
 
+    /// Asks an instance under which requests upstreams have ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub(crate) async fn suspects(&self, addr: SocketAddr) -> Result<Vec<Word>, String> {
+        self.call_briefly(addr, "suspects", &()).await
+    }
+
+    /// Asks the instance that keeps a request whether it may be tried.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub(crate) async fn trial(&self, addr: SocketAddr, word: &Word) -> Result<Trial, String> {
+        self.call_briefly(addr, "trial", word).await
+    }
+
     /// Gives an instance tokens that were debited here.
     ///
     /// # Errors
--- a/crates/proxy/src/pipe.rs
+++ b/crates/proxy/src/pipe.rs
@@ -128,6 +128,7 @@
             expected: Expected::default(),
             _busy: busy,
         };
+        self.suspects.admit(&self.others, job.digest).await?;
         job.charge = self.charge(&active, &job).await?;
         if job.route.streamed {
             stream::answer(job).await
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -17,6 +17,7 @@
 use crate::log::Log;
 use crate::metric::Metrics;
 use crate::reach::Reach;
+use crate::suspects::{Others, Suspects};
 
 /// What the filters work with.
 pub(crate) struct Router {
@@ -33,6 +34,8 @@
     pub(crate) link: Mutex<Link>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) fleet: Fleet,
+    pub(crate) others: Others,
+    pub(crate) suspects: Suspects,
     pub(crate) reach: Arc<Reach>,
     pub(crate) zone: String,
     pub(crate) stopping: AtomicBool,
--- /dev/null
+++ b/crates/proxy/src/suspects.rs
@@ -0,0 +1,351 @@
+//! Requests under which upstreams end: found out here, told to the other instances, refused.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use clock::Clock;
+use dial::{ConnectError, Dialer, Target};
+use err::Kind;
+use place::Spec;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use serde::{Deserialize, Serialize};
+use suspect::{Blame, Digest, Suspects as Table, Verdict, Word};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{sleep, Instant};
+
+use crate::datagram::Datagram;
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::log::Log;
+use crate::peers::Peers;
+use crate::refusal::Refusal;
+
+/// After a connection broke, it is found out so much later whether the upstream has ended: by then the port of a process
+/// that ended is closed.
+const CHECK_AFTER: Duration = Duration::from_millis(30);
+/// Pause before that is tried again where no answer came.
+const CHECK_AGAIN: Duration = Duration::from_secs(1);
+/// Pause between two times that a word is told: what is learnt meanwhile goes with it.
+const TELL_EVERY: Duration = Duration::from_millis(150);
+/// How often one other instance in turn is told what all should know: one that was cut off or frozen knows it again
+/// within the time after which it counts as being in touch.
+const PAGE_EVERY: Duration = Duration::from_millis(500);
+/// Words in a datagram.
+const WORDS_MOST: usize = 12;
+/// Instances that one asks when it starts: one of them may have started a moment ago too.
+const ASKED: usize = 2;
+/// Pause before they are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+/// An instance that finds no other one for so long is alone.
+const ASK_FOR: Duration = Duration::from_secs(10);
+/// When to come back with a request that will not be tried again, in milliseconds: the longest time before a trial.
+const RETRY_NEVER_MS: u64 = 600_000;
+
+/// The answer of the instance that decides whether a request is tried.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Trial {
+    pub(crate) granted: bool,
+    /// What that instance knows of the request.
+    pub(crate) word: Option<Word>,
+}
+
+/// A handle on the requests under which upstreams have ended.
+#[derive(Clone)]
+pub(crate) struct Suspects(Arc<Inner>);
+
+struct Inner {
+    clock: Clock,
+    log: Arc<Log>,
+    dialer: Dialer,
+    table: Mutex<Table>,
+    /// Wakes the one that tells others.
+    changed: Notify,
+    ends: Counter,
+    refused: Gauge,
+}
+
+/// Whom the others are found by, and told with.
+#[derive(Clone)]
+pub(crate) struct Others {
+    pub(crate) fleet: Fleet,
+    pub(crate) peers: Peers,
+    pub(crate) socket: Arc<UdpSocket>,
+}
+
+impl Suspects {
+    pub(crate) fn open(name: &str, clock: Clock, log: Arc<Log>, dialer: Dialer) -> Suspects {
+        Suspects(Arc::new(Inner {
+            clock,
+            log,
+            dialer,
+            table: Mutex::new(Table::open(name)),
+            changed: Notify::new(),
+            ends: Counter::default(),
+            refused: Gauge::default(),
+        }))
+    }
+
+    /// Returns how many ends were laid to requests, and how many requests are refused.
+    pub(crate) fn metrics(&self) -> (Counter, Gauge) {
+        (self.0.ends.clone(), self.0.refused.clone())
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.0.table.lock().expect("no panic inside")
+    }
+
+    /// Does something with the table, and has the others told what came of it.
+    fn change<T>(&self, f: impl FnOnce(&mut Table, u64) -> T) -> T {
+        let now = self.0.clock.now();
+        let mut table = self.table();
+        let done = f(&mut table, now);
+        self.0.refused.set(table.refused() as i64);
+        drop(table);
+        self.0.changed.notify_one();
+        done
+    }
+
+    /// Notes that a request's connection broke at an upstream of which nothing said that it leaves.
+    pub(crate) fn broke(&self, spec: &Spec, digest: Digest) {
+        let life = spec.life();
+        let first = self.change(|table, now| table.broke(now, &life, digest));
+        if first {
+            tokio::spawn(self.clone().find_out(life, spec.addr));
+        }
+    }
+
+    /// Finds out whether an upstream has ended.
+    async fn find_out(self, life: String, addr: SocketAddr) {
+        let target = Target {
+            upstream: &life,
+            addr,
+            most: usize::MAX,
+        };
+        let mut pause = CHECK_AFTER;
+        loop {
+            sleep(pause).await;
+            if !self.change(|table, now| table.is_unsure(now, &life)) {
+                return;
+            }
+            let until = Instant::now() + CHECK_AGAIN;
+            match self.0.dialer.open(target, until).await {
+                Ok(conn) => {
+                    self.change(|table, _| table.goes_on(&life));
+                    return self.0.dialer.keep(conn, None);
+                }
+                Err(ConnectError::Refused(_)) => return self.ended(&life),
+                // The way to it may be cut: its list tells, or it answers later.
+                Err(_) => pause = CHECK_AGAIN,
+            }
+        }
+    }
+
+    /// Takes that a life of an upstream has ended without having said that it leaves.
+    pub(crate) fn ended(&self, life: &str) {
+        let there = self.change(|table, now| table.ended(now, life));
+        if there.is_empty() {
+            return;
+        }
+        let detail = format_args!("upstream={life} requests={}", there.len());
+        self.0.log.note(Event::UpstreamEnded, detail);
+        for digest in there {
+            self.0.ends.inc();
+            let now = self.0.clock.now();
+            let word = self.table().word(now, digest);
+            let ends = word.map_or(0, |w| w.ended.len());
+            // Each end leaves many requests with one end, nearly all of them innocent.
+            if ends > 1 {
+                let detail = format_args!("request={digest} upstream={life} ends={ends}");
+                self.0.log.note(Event::Suspected, detail);
+            }
+        }
+    }
+
+    /// Notes a whole answer to a request.
+    pub(crate) fn answered(&self, digest: Digest) {
+        let now = self.0.clock.now();
+        let cleared = self.table().answered(now, digest);
+        if cleared {
+            let detail = format_args!("request={digest}");
+            self.0.log.note(Event::Cleared, detail);
+            self.change(|_, _| ());
+        }
+    }
+
+    /// Returns whether a request may be sent to another upstream in the same try.
+    pub(crate) fn may_repeat(&self, digest: Digest) -> bool {
+        self.table().may_repeat(digest)
+    }
+
+    /// Decides whether a request is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a request under which too many upstreams have ended.
+    pub(crate) async fn admit(&self, others: &Others, digest: Digest) -> Result<(), Refusal> {
+        let verdict = {
+            let now = self.0.clock.now();
+            self.table().admit(now, digest)
+        };
+        let blame = match verdict {
+            Verdict::Free => return Ok(()),
+            Verdict::Refused(blame) => blame,
+            Verdict::Due(blame) => {
+                if self.ask_trial(others, digest).await {
+                    let detail = format_args!("request={digest} {blame}");
+                    self.0.log.note(Event::Tried, detail);
+                    return Ok(());
+                }
+                blame
+            }
+        };
+        Err(refusal(&blame))
+    }
+
+    /// Asks the instance that keeps a request whether it may be tried.
+    async fn ask_trial(&self, others: &Others, digest: Digest) -> bool {
+        let keepers = others.fleet.keepers(digest.number());
+        let silent = |addr| others.peers.is_silent(addr);
+        let keeper = keepers.iter().find(|m| !silent(m.addr));
+        let me = others.fleet.me();
+        let Some(keeper) = keeper.filter(|m| m.id != me) else {
+            return self.grant(digest);
+        };
+        let now = self.0.clock.now();
+        let Some(word) = self.table().word(now, digest) else {
+            return false;
+        };
+        let trial = match others.peers.trial(keeper.addr, &word).await {
+            Ok(trial) => trial,
+            Err(why) => {
+                let detail = format_args!("request={digest} failed={why}");
+                self.0.log.note(Event::Tried, detail);
+                return false;
+            }
+        };
+        if let Some(word) = &trial.word {
+            self.change(|table, now| table.hear(now, word, false));
+        }
+        trial.granted
+    }
+
+    fn grant(&self, digest: Digest) -> bool {
+        self.change(|table, now| table.grant(now, digest))
+    }
+
+    /// Answers an instance that asks whether a request may be tried.
+    pub(crate) fn try_for(&self, word: &Word) -> Trial {
+        self.change(|table, now| table.hear(now, word, true));
+        let granted = self.grant(word.digest);
+        let now = self.0.clock.now();
+        Trial {
+            granted,
+            word: self.table().word(now, word.digest),
+        }
+    }
+
+    /// Takes the words of another instance; returns what that one lacks.
+    pub(crate) fn hear(&self, fleet: &Fleet, words: &[Word]) -> Vec<Word> {
+        let me = fleet.me();
+        let keeps = |word: &Word| {
+            let keepers = fleet.keepers(word.digest.number());
+            keepers.iter().any(|m| m.id == me)
+        };
+        let heard = words.iter().map(|word| (word, keeps(word)));
+        let heard: Vec<(&Word, bool)> = heard.collect();
+        self.change(|table, now| {
+            let lacks = heard.into_iter();
+            let lacks = lacks.filter_map(|(word, keeps)| table.hear(now, word, keeps));
+            lacks.collect()
+        })
+    }
+
+    /// Returns what all instances should know.
+    pub(crate) fn list(&self) -> Vec<Word> {
+        let now = self.0.clock.now();
+        self.table().list(now)
+    }
+
+    /// Tells the others, and asks them.
+    pub(crate) fn spawn(&self, others: &Others) {
+        tokio::spawn(self.clone().tell(others.clone()));
+        tokio::spawn(self.clone().tell_in_turn(others.clone()));
+        tokio::spawn(self.clone().ask(others.clone()));
+    }
+
+    /// Tells what is new.
+    async fn tell(self, others: Others) {
+        loop {
+            self.0.changed.notified().await;
+            loop {
+                let now = self.0.clock.now();
+                let due = self.table().due(now);
+                if due.is_empty() {
+                    break;
+                }
+                let (to_all, to_keepers): (Vec<_>, Vec<_>) = due.into_iter().partition(|d| d.1);
+                let to_all: Vec<Word> = to_all.into_iter().map(|d| d.0).collect();
+                let all = others.fleet.others().into_iter().map(|m| m.addr);
+                send(&others.socket, &to_all, &all.collect::<Vec<_>>());
+                for (word, _) in to_keepers {
+                    let keepers = others.fleet.keepers(word.digest.number());
+                    let keepers = keepers.iter().filter(|m| m.id != others.fleet.me());
+                    let keepers: Vec<SocketAddr> = keepers.map(|m| m.addr).collect();
+                    send(&others.socket, &[word], &keepers);
+                }
+                sleep(TELL_EVERY).await;
+            }
+        }
+    }
+
+    /// Tells one other instance after the other what all should know.
+    async fn tell_in_turn(self, others: Others) {
+        let mut turn: usize = rand::random::<u32>() as usize;
+        loop {
+            sleep(PAGE_EVERY).await;
+            let now = self.0.clock.now();
+            let page = self.table().page(now, WORDS_MOST);
+            let listed = others.fleet.others();
+            if page.is_empty() || listed.is_empty() {
+                continue;
+            }
+            turn = turn.wrapping_add(1);
+            send(&others.socket, &page, &[listed[turn % listed.len()].addr]);
+        }
+    }
+
+    /// Asks others what all should know: this instance has started a moment ago.
+    async fn ask(self, others: Others) {
+        let until = Instant::now() + ASK_FOR;
+        let (mut asked, mut answers) = (Vec::new(), 0);
+        while answers < ASKED && Instant::now() < until {
+            let listed = others.fleet.others();
+            let Some(next) = listed.iter().find(|m| !asked.contains(&m.addr)) else {
+                sleep(ASK_AGAIN).await;
+                continue;
+            };
+            asked.push(next.addr);
+            // Where one does not answer another one may.
+            if let Ok(words) = others.peers.suspects(next.addr).await {
+                answers += 1;
+                self.hear(&others.fleet, &words);
+            }
+        }
+    }
+}
+
+fn send(socket: &UdpSocket, words: &[Word], to: &[SocketAddr]) {
+    for words in words.chunks(WORDS_MOST) {
+        Datagram::Suspects(words.to_vec()).send(socket, to.iter().copied());
+    }
+}
+
+fn refusal(blame: &Blame) -> Refusal {
+    let mut refusal = Refusal::new(Kind::EndsUpstreams, blame.to_string());
+    // Its caller may wait for less: to say less would have it come back for nothing.
+    refusal.retry_ms = Some(blame.retry_ms.unwrap_or(RETRY_NEVER_MS).max(1));
+    refusal
+}
--- a/crates/suspect/src/digest.rs
+++ b/crates/suspect/src/digest.rs
@@ -29,6 +29,11 @@
         };
         Digest(half(0), half(8))
     }
+
+    /// Returns a number by which instances share out requests.
+    pub fn number(&self) -> u64 {
+        self.0
+    }
 }
 
 impl Display for Digest {
--- /dev/null
+++ b/crates/suspect/src/entry.rs
@@ -0,0 +1,114 @@
+//! What is known of one request.
+
+use std::collections::BTreeMap;
+
+use crate::digest::Digest;
+use crate::word::{Ended, Word};
+
+/// Upstreams that are remembered of a request, bounding memory: more say no more. Which of them stay must not depend on
+/// the order in which they are heard of, so it is the first ones by name.
+const LIVES_MOST: usize = 8;
+
+/// An upstream that ended under it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct End {
+    pub(crate) by: String,
+    pub(crate) at: u64,
+}
+
+/// What is known of a request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Entry {
+    /// How often it was answered after upstreams had ended under it.
+    pub(crate) answers: u32,
+    /// Upstreams that have ended under it since, by their lives.
+    pub(crate) ends: BTreeMap<String, End>,
+    pub(crate) trials: u8,
+    pub(crate) tried_at: u64,
+    /// When it was asked for or something was learnt of it.
+    pub(crate) used_at: u64,
+}
+
+/// What a word changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Merged {
+    /// Something was not known here.
+    pub(crate) news: bool,
+    /// Something is known here that the word does not say.
+    pub(crate) more: bool,
+}
+
+impl Entry {
+    /// Notes an upstream that ended under it; returns whether that is new.
+    pub(crate) fn end(&mut self, life: &str, end: End) -> bool {
+        if self.ends.contains_key(life) {
+            return false;
+        }
+        self.ends.insert(life.to_string(), end);
+        while self.ends.len() > LIVES_MOST {
+            self.ends.pop_last();
+        }
+        self.ends.contains_key(life)
+    }
+
+    /// Notes a whole answer: what ended before was not its doing. `after` is how many answers others know of.
+    pub(crate) fn clear(&mut self, after: u32) {
+        *self = Entry {
+            answers: self.answers.max(after) + 1,
+            used_at: self.used_at,
+            ..Entry::default()
+        };
+    }
+
+    /// Takes the word of another instance.
+    pub(crate) fn merge(&mut self, now: u64, word: &Word) -> Merged {
+        if word.answers < self.answers {
+            return Merged {
+                news: false,
+                more: true,
+            };
+        }
+        let mut news = false;
+        if word.answers > self.answers {
+            self.clear(word.answers - 1);
+            news = true;
+        }
+        for ended in &word.ended {
+            let end = End {
+                by: ended.by.clone(),
+                at: now.saturating_sub(ended.ago_ms),
+            };
+            news |= self.end(&ended.life, end);
+        }
+        if word.trials > self.trials {
+            self.trials = word.trials;
+            self.tried_at = now.saturating_sub(word.tried_ms);
+            news = true;
+        }
+        let said = |life: &String| word.ended.iter().any(|e| e.life == *life);
+        let more = self.trials > word.trials || !self.ends.keys().all(said);
+        Merged { news, more }
+    }
+
+    /// Returns what is known, for another instance.
+    pub(crate) fn word(&self, now: u64, digest: Digest) -> Word {
+        let ended = |(life, end): (&String, &End)| Ended {
+            life: life.clone(),
+            by: end.by.clone(),
+            ago_ms: now.saturating_sub(end.at),
+        };
+        Word {
+            digest,
+            answers: self.answers,
+            ended: self.ends.iter().map(ended).collect(),
+            trials: self.trials,
+            tried_ms: now.saturating_sub(self.tried_at),
+        }
+    }
+
+    /// Returns when the last upstream ended under it, or it was tried.
+    pub(crate) fn last_at(&self) -> u64 {
+        let ends = self.ends.values().map(|e| e.at);
+        ends.max().unwrap_or_default().max(self.tried_at)
+    }
+}
