--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -97,7 +97,7 @@
     /// Notes that the connection of a request broke at a life of an upstream; returns whether it is to be found out now
     /// if that has ended.
     pub fn broke(&mut self, now: u64, life: &str, digest: Digest) -> bool {
-        self.broken.note(now, life, digest)
+        !self.answered.has(now, digest) && self.broken.note(now, life, digest)
     }
 
     /// Returns whether it is still to be found out if a life has ended.
