What is known of a request that ends upstreams stands in the store, and is known after all instances were killed

What callers saw, in a scene of our own: all instances killed at once, and the request ended upstreams again, sent 10 times more where three are allowed for good. Cause: it was in the instances' memories only, and none has a disk.

The instance that decides about a request writes its word when it is refused, tried and cleared, under the revision that it knows; what nobody asks for within an hour is deleted. Weighed: each instance reads (195 calls at each start of the large fleet); the peers alone (nothing is left after a loss of all).

--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -68,6 +68,8 @@
     Tried,
     /// A request under which upstreams have ended was answered.
     Cleared,
+    /// What the store has of a suspected request can't be read.
+    SuspectBroken,
     /// An upstream made more than was asked for.
     Excess,
     /// Tokens were taken from, or handed back to, a budget.
@@ -163,6 +165,12 @@
         Level::INFO,
         "suspected request answered",
     ),
+    row(
+        Event::SuspectBroken,
+        2511,
+        Level::ERROR,
+        "suspected request can't be read",
+    ),
     row(
         Event::Excess,
         2507,
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -1,5 +1,6 @@
 //! One running instance: its start and its planned stop.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -22,6 +23,7 @@
 use crate::event::Event;
 use crate::fleet::{Fleet, Member};
 use crate::follow::Feed;
+use crate::kept::Kept;
 use crate::listen::{self, Phase};
 use crate::listing::Listing;
 use crate::log::Log;
@@ -169,6 +171,15 @@
             suspects: suspects.clone(),
         };
         suspects.spawn(&others);
+        let kept = Kept {
+            suspects: suspects.clone(),
+            fleet: fleet.clone(),
+            store: calls.store("suspects", &store),
+            reach: Arc::clone(&reach),
+            log: Arc::clone(&log),
+            revisions: HashMap::new(),
+        };
+        tokio::spawn(kept.run());
         datagram::spawn(
             &others,
             Arc::clone(&router.pool),
--- /dev/null
+++ b/crates/proxy/src/kept.rs
@@ -0,0 +1,163 @@
+//! What must be known of requests that end upstreams after all instances were killed at once: it stands in the store.
+//!
+//! The instance that decides about a request writes it there, when it is refused, tried and cleared: a few calls in a day.
+//! Two instances read it when they start and tell the others, so that a fleet that starts makes two calls.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kv::{Commit, Expect, Failure, Found, Put, Reading, Store, Txn};
+use suspect::{Digest, Word};
+use tokio::time::{sleep, Instant};
+
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::log::Log;
+use crate::reach::Reach;
+use crate::suspects::Suspects;
+
+/// Keys of requests.
+const PREFIX: &str = "oriolehitch/suspects/";
+/// The instances that keep this read the store for all when they start.
+const READERS_OF: u64 = 0;
+/// An instance knows by then whether it is one of them: it is listed when it has registered.
+const LISTED_WITHIN: Duration = Duration::from_secs(3);
+/// Pause before it looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// Pause after a call that failed.
+const AGAIN_AFTER: Duration = Duration::from_millis(500);
+
+/// Keeps the table in the store.
+pub(crate) struct Kept {
+    pub(crate) suspects: Suspects,
+    pub(crate) fleet: Fleet,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) reach: Arc<Reach>,
+    pub(crate) log: Arc<Log>,
+    /// Revisions of the keys that were read or written here.
+    pub(crate) revisions: HashMap<Digest, i64>,
+}
+
+impl Kept {
+    /// Reads what the store has, then writes what changes.
+    pub(crate) async fn run(mut self) {
+        if self.reads().await {
+            self.read().await;
+        }
+        loop {
+            self.suspects.wait_unsaved().await;
+            for digest in self.suspects.unsaved() {
+                if self.decides(digest) {
+                    self.save(digest).await;
+                }
+            }
+        }
+    }
+
+    /// Returns whether this instance reads for all.
+    async fn reads(&self) -> bool {
+        let until = Instant::now() + LISTED_WITHIN;
+        while Instant::now() < until {
+            let keepers = self.fleet.keepers(READERS_OF);
+            if keepers.iter().any(|m| m.id == self.fleet.me()) {
+                return true;
+            }
+            sleep(LOOK_AGAIN).await;
+        }
+        false
+    }
+
+    async fn read(&mut self) {
+        let items = loop {
+            match self.store.list(PREFIX, Reading::Linearizable).await {
+                Ok(listing) => break listing.items,
+                Err(_) => self.wait().await,
+            }
+        };
+        for item in items {
+            match serde_json::from_slice::<Word>(&item.value) {
+                Ok(word) => {
+                    self.revisions.insert(word.digest, item.revision);
+                    self.suspects.load(word);
+                }
+                Err(why) => {
+                    let detail = format_args!("key={} why={why}", item.key);
+                    self.log.note(Event::SuspectBroken, detail);
+                }
+            }
+        }
+    }
+
+    async fn wait(&self) {
+        sleep(AGAIN_AFTER).await;
+        self.reach.wait_back().await;
+    }
+
+    /// Returns whether this instance decides about a request.
+    fn decides(&self, digest: Digest) -> bool {
+        let keepers = self.fleet.keepers(digest.number());
+        keepers.first().is_none_or(|m| m.id == self.fleet.me())
+    }
+
+    /// Writes what is known of a request until the store has it.
+    async fn save(&mut self, digest: Digest) {
+        loop {
+            let word = self.suspects.to_save(digest);
+            match self.write(digest, word.as_ref()).await {
+                Ok(true) => return self.suspects.saved(digest, word.as_ref()),
+                // Another instance wrote it before: its revision is known now.
+                Ok(false) => {}
+                Err(failure) => {
+                    let detail = format!("what=suspect why={failure:?}");
+                    self.log.note(Event::WriteFailed, detail);
+                    self.wait().await;
+                }
+            }
+        }
+    }
+
+    /// Writes, or deletes where there is nothing to say; returns whether the store has it.
+    async fn write(&mut self, digest: Digest, word: Option<&Word>) -> Result<bool, Failure> {
+        let key = format!("{PREFIX}{digest:.32}");
+        let revision = self.revisions.get(&digest).copied().unwrap_or(0);
+        if word.is_none() && revision == 0 {
+            return Ok(true);
+        }
+        let put = word.map(|word| Put {
+            key: key.clone(),
+            value: serde_json::to_vec(word).expect("a word that JSON can hold"),
+            lease: 0,
+        });
+        let delete = if put.is_none() {
+            vec![key.clone()]
+        } else {
+            Vec::new()
+        };
+        let txn = Txn {
+            expect: vec![Expect {
+                key: key.clone(),
+                revision,
+            }],
+            put: put.into_iter().collect(),
+            delete,
+        };
+        match self.store.commit(txn).await? {
+            Commit::Done(revision) => {
+                if word.is_some() {
+                    self.revisions.insert(digest, revision);
+                } else {
+                    self.revisions.remove(&digest);
+                }
+                Ok(true)
+            }
+            Commit::Lost(items) => {
+                let there = items.iter().find(|f: &&Found| f.key == key);
+                let revision = there.map_or(0, |f| f.revision);
+                self.revisions.insert(digest, revision);
+                Ok(false)
+            }
+            Commit::LeaseEnded => Ok(false),
+        }
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 mod follow;
 mod instance;
 mod job;
+mod kept;
 mod listen;
 mod listing;
 mod log;
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -63,6 +63,8 @@
     table: Mutex<Table>,
     /// Wakes the one that tells others.
     changed: Notify,
+    /// Wakes the one that writes to the store.
+    unsaved: Notify,
     ends: Counter,
     refused: Gauge,
 }
@@ -83,6 +85,7 @@
             dialer,
             table: Mutex::new(Table::open(name)),
             changed: Notify::new(),
+            unsaved: Notify::new(),
             ends: Counter::default(),
             refused: Gauge::default(),
         }))
@@ -103,6 +106,9 @@
         let mut table = self.table();
         let done = f(&mut table, now);
         self.0.refused.set(table.refused() as i64);
+        if table.has_unsaved() {
+            self.0.unsaved.notify_one();
+        }
         drop(table);
         self.0.changed.notify_one();
         done
@@ -269,6 +275,32 @@
         self.table().list(now)
     }
 
+    /// Waits until something may have to be written to the store.
+    pub(crate) async fn wait_unsaved(&self) {
+        self.0.unsaved.notified().await;
+    }
+
+    /// Returns the requests of which the store has something else.
+    pub(crate) fn unsaved(&self) -> Vec<Digest> {
+        self.table().unsaved()
+    }
+
+    /// Returns what the store should have of a request, if anything.
+    pub(crate) fn to_save(&self, digest: Digest) -> Option<Word> {
+        let now = self.0.clock.now();
+        self.table().to_save(now, digest)
+    }
+
+    /// Notes what the store has of a request.
+    pub(crate) fn saved(&self, digest: Digest, word: Option<&Word>) {
+        self.table().saved(digest, word);
+    }
+
+    /// Takes what the store has of a request.
+    pub(crate) fn load(&self, word: Word) {
+        self.change(|table, now| table.load(now, word));
+    }
+
     /// Tells the others, and asks them.
     pub(crate) fn spawn(&self, others: &Others) {
         tokio::spawn(self.clone().tell(others.clone()));
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -27,6 +27,24 @@
     pub(crate) tried_at: u64,
     /// When it was asked for or something was learnt of it.
     pub(crate) used_at: u64,
+    /// What the store has of it, as far as known here.
+    pub(crate) saved: Option<Saved>,
+}
+
+/// What the store has of a request: more ends of it say no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Saved {
+    answers: u32,
+    trials: u8,
+}
+
+impl Saved {
+    pub(crate) fn of(word: &Word) -> Saved {
+        Saved {
+            answers: word.answers,
+            trials: word.trials,
+        }
+    }
 }
 
 /// What a word changed.
@@ -56,6 +74,7 @@
         *self = Entry {
             answers: self.answers.max(after) + 1,
             used_at: self.used_at,
+            saved: self.saved,
             ..Entry::default()
         };
     }
@@ -90,6 +109,14 @@
         Merged { news, more }
     }
 
+    /// Returns what the store would have of it.
+    pub(crate) fn image(&self) -> Saved {
+        Saved {
+            answers: self.answers,
+            trials: self.trials,
+        }
+    }
+
     /// Returns what is known, for another instance.
     pub(crate) fn word(&self, now: u64, digest: Digest) -> Word {
         let ended = |(life, end): (&String, &End)| Ended {
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -1,12 +1,12 @@
 //! The requests under which upstreams have ended, and what follows for them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::{self, Display, Formatter};
 
 use crate::answered::Answered;
 use crate::broken::Broken;
 use crate::digest::Digest;
-use crate::entry::{End, Entry};
+use crate::entry::{End, Entry, Saved};
 use crate::word::Word;
 
 /// A request under which so many upstreams have ended is not sent any more: one end says nothing, and of two the
@@ -81,6 +81,8 @@
     broken: Broken,
     answered: Answered,
     due: BTreeMap<Digest, Due>,
+    /// Requests that are forgotten here and stand in the store.
+    stale: BTreeSet<Digest>,
     /// The request that was told last in turn.
     turn: Option<Digest>,
 }
@@ -250,6 +252,42 @@
         words.filter_map(|digest| self.word(now, digest)).collect()
     }
 
+    /// Returns whether the store has something else of some request than it should.
+    pub fn has_unsaved(&self) -> bool {
+        !self.stale.is_empty() || self.entries.values().any(is_unsaved)
+    }
+
+    /// Returns the requests of which the store has something else than it should.
+    pub fn unsaved(&self) -> Vec<Digest> {
+        let unsaved = self.entries.iter().filter(|(_, e)| is_unsaved(e));
+        let stale = self.stale.iter().copied();
+        unsaved.map(|(digest, _)| *digest).chain(stale).collect()
+    }
+
+    /// Returns what the store should have of a request: only what is refused must be known after all instances have ended.
+    pub fn to_save(&self, now: u64, digest: Digest) -> Option<Word> {
+        let entry = self.entries.get(&digest)?;
+        (entry.ends.len() >= REFUSED_FROM).then(|| entry.word(now, digest))
+    }
+
+    /// Notes what the store has of a request.
+    pub fn saved(&mut self, digest: Digest, word: Option<&Word>) {
+        self.stale.remove(&digest);
+        if let Some(entry) = self.entries.get_mut(&digest) {
+            entry.saved = word.map(Saved::of);
+        }
+    }
+
+    /// Takes what the store has of a request, and has the others told. When it was written isn't known: it counts as new.
+    pub fn load(&mut self, now: u64, mut word: Word) {
+        word.ended.iter_mut().for_each(|e| e.ago_ms = 0);
+        word.tried_ms = 0;
+        let digest = word.digest;
+        self.entry(now, digest).merge(now, &word);
+        self.saved(digest, Some(&word));
+        self.tell(digest, true);
+    }
+
     /// Returns what is known of a request, for another instance.
     pub fn word(&self, now: u64, digest: Digest) -> Option<Word> {
         let entry = self.entries.get(&digest);
@@ -286,14 +324,18 @@
     }
 
     fn expire(&mut self, now: u64) {
-        self.entries.retain(|_, e| {
+        let keeps = |e: &Entry| {
             let keep_ms = if e.ends.is_empty() {
                 KEEP_ANSWERED_MS
             } else {
                 KEEP_MS
             };
             now < e.used_at + keep_ms
-        });
+        };
+        let saved = self.entries.iter();
+        let saved = saved.filter(|(_, e)| !keeps(e) && e.saved.is_some());
+        self.stale.extend(saved.map(|(digest, _)| *digest));
+        self.entries.retain(|_, e| keeps(e));
     }
 
     fn drop_least(&mut self) {
@@ -302,12 +344,22 @@
         }
         let least = self.entries.iter();
         let least = least.min_by_key(|(_, e)| (e.ends.len(), e.used_at));
-        if let Some(digest) = least.map(|(digest, _)| *digest) {
-            self.entries.remove(&digest);
+        let Some(digest) = least.map(|(digest, _)| *digest) else {
+            return;
+        };
+        let dropped = self.entries.remove(&digest);
+        if dropped.is_some_and(|e| e.saved.is_some()) {
+            self.stale.insert(digest);
         }
     }
 }
 
+/// Returns whether the store has something else of a request than it should.
+fn is_unsaved(entry: &Entry) -> bool {
+    let wanted = (entry.ends.len() >= REFUSED_FROM).then(|| entry.image());
+    wanted != entry.saved
+}
+
 /// Returns when a request may be tried; none when it won't be any more.
 fn next_trial(entry: &Entry) -> Option<u64> {
     let wait = TRIED_AFTER_MS.get(usize::from(entry.trials));
--- /dev/null
+++ b/crates/suspect/tests/table.rs
@@ -0,0 +1,245 @@
+//! What is held against a request, what voids it, and what follows.
+
+use suspect::{Digest, Suspects, Verdict, Word};
+
+/// Time at which the tests begin, in milliseconds.
+const START: u64 = 1_000_000;
+const SECOND: u64 = 1_000;
+const HOUR: u64 = 3_600 * SECOND;
+
+fn request(name: &str) -> Digest {
+    Digest::of([name.as_bytes()])
+}
+
+fn is_free(table: &mut Suspects, now: u64, digest: Digest) -> bool {
+    table.admit(now, digest) == Verdict::Free
+}
+
+/// Has upstreams end under a request, and returns the table of the instance that saw it.
+fn seen(lives: &[&str], now: u64, digest: Digest) -> Suspects {
+    let mut table = Suspects::open("a");
+    for life in lives {
+        assert!(table.broke(now, life, digest), "to be found out");
+        table.ended(now, life);
+    }
+    table
+}
+
+#[test]
+fn the_third_end_refuses_and_the_second_one_ends_repetition() {
+    let fatal = request("fatal");
+    let mut table = Suspects::open("a");
+    for (life, repeats) in [("u1", true), ("u2", false)] {
+        table.broke(START, life, fatal);
+        assert_eq!(table.ended(START, life), vec![fatal]);
+        assert_eq!(table.may_repeat(fatal), repeats, "{life}");
+        assert!(is_free(&mut table, START, fatal), "{life}");
+    }
+    table.broke(START, "u3", fatal);
+    table.ended(START, "u3");
+    let Verdict::Refused(blame) = table.admit(START + SECOND, fatal) else {
+        panic!("three ends refuse");
+    };
+    assert_eq!(blame.ends.len(), 3);
+    assert_eq!(blame.retry_ms, Some(4 * SECOND), "the first trial");
+    assert!(is_free(&mut table, START, request("another")));
+}
+
+#[test]
+fn one_end_seen_twice_is_one() {
+    let fatal = request("fatal");
+    let mut table = seen(&["u1", "u1", "u1"], START, fatal);
+    assert!(is_free(&mut table, START, fatal));
+}
+
+/// Connections break for many reasons: an upstream that answers afterwards has not ended.
+#[test]
+fn a_connection_that_broke_is_no_end() {
+    let harmless = request("harmless");
+    let mut table = Suspects::open("a");
+    for life in ["u1", "u2", "u3", "u4"] {
+        table.broke(START, life, harmless);
+        table.goes_on(life);
+        assert!(table.ended(START, life).is_empty(), "nothing was there");
+    }
+    assert!(is_free(&mut table, START, harmless));
+}
+
+/// Until it is found out, the careful guess holds: each send may cost an upstream.
+#[test]
+fn what_is_not_found_out_yet_counts() {
+    let fatal = request("fatal");
+    let mut table = seen(&["u1", "u2"], START, fatal);
+    table.broke(START, "u3", fatal);
+    assert!(!is_free(&mut table, START, fatal));
+    table.goes_on("u3");
+    assert!(is_free(&mut table, START, fatal));
+}
+
+#[test]
+fn a_whole_answer_voids_what_was_held_against_it() {
+    let popular = request("popular");
+    let mut table = seen(&["u1", "u2", "u3"], START, popular);
+    assert!(!is_free(&mut table, START, popular));
+    assert!(table.answered(START, popular));
+    assert!(is_free(&mut table, START, popular));
+    assert!(!table.answered(START, popular), "nothing was held any more");
+}
+
+/// Many callers with one request, while upstreams are lost for another reason.
+#[test]
+fn a_request_that_was_answered_a_moment_ago_is_not_blamed() {
+    let popular = request("popular");
+    let mut table = Suspects::open("a");
+    table.answered(START, popular);
+    assert!(!table.broke(START + SECOND, "u1", popular));
+    assert!(table.ended(START + SECOND, "u1").is_empty());
+    // Nor by others, who are told so.
+    let other = seen(&["u1", "u2", "u3"], START + SECOND, popular);
+    let word = other.word(START + SECOND, popular).expect("known there");
+    let reply = table.hear(START + SECOND, &word, false);
+    let reply = reply.expect("the other one lacks the answer");
+    assert!(reply.answers > word.answers && reply.ended.is_empty());
+    let mut other = other;
+    other.hear(START + SECOND, &reply, false);
+    assert!(is_free(&mut other, START + SECOND, popular));
+}
+
+/// .. but one that was answered once may end upstreams from some moment on.
+#[test]
+fn a_request_that_was_answered_long_ago_is_blamed() {
+    let fatal = request("fatal");
+    let mut table = Suspects::open("a");
+    table.answered(START, fatal);
+    for (i, life) in ["u1", "u2", "u3"].iter().enumerate() {
+        let now = START + (6 + i as u64) * SECOND;
+        table.broke(now, life, fatal);
+        table.ended(now, life);
+    }
+    assert!(!is_free(&mut table, START + 9 * SECOND, fatal));
+}
+
+/// A request that can still end upstreams costs three more at most, however long it comes.
+#[test]
+fn trials_are_three_for_good() {
+    let fatal = request("fatal");
+    let mut table = seen(&["u1", "u2", "u3"], START, fatal);
+    let (mut trials, mut now) = (0, START);
+    while now < START + 12 * HOUR {
+        now += SECOND;
+        match table.admit(now, fatal) {
+            Verdict::Due(_) => {
+                assert!(table.grant(now, fatal), "it is due");
+                assert!(!table.grant(now, fatal), "by one instance only");
+                trials += 1;
+                let life = format!("t{trials}");
+                table.broke(now, &life, fatal);
+                table.ended(now, &life);
+            }
+            Verdict::Refused(_) => {}
+            Verdict::Free => panic!("free again after {} s", (now - START) / SECOND),
+        }
+    }
+    assert_eq!(trials, 3);
+}
+
+#[test]
+fn a_trial_that_is_answered_makes_it_free() {
+    let mended = request("mended");
+    let mut table = seen(&["u1", "u2", "u3"], START, mended);
+    let now = START + 5 * SECOND;
+    assert!(matches!(table.admit(now, mended), Verdict::Due(_)));
+    assert!(table.grant(now, mended));
+    assert!(table.answered(now + SECOND, mended));
+    assert!(is_free(&mut table, now + SECOND, mended));
+}
+
+#[test]
+fn one_that_nobody_asks_for_is_forgotten() {
+    let fatal = request("fatal");
+    let mut table = seen(&["u1", "u2", "u3"], START, fatal);
+    // Words that go round among instances are no question.
+    let word = table.word(START, fatal).expect("known");
+    for minute in 0..61 {
+        table.hear(START + minute * 60 * SECOND, &word, false);
+    }
+    table.page(START + HOUR + SECOND, 10);
+    assert!(is_free(&mut table, START + HOUR + SECOND, fatal));
+}
+
+#[test]
+fn a_flood_of_broken_answers_pushes_out_no_request_that_is_refused() {
+    let fatal = request("fatal");
+    let mut table = seen(&["u1", "u2", "u3"], START, fatal);
+    for i in 0..5_000 {
+        let life = format!("f{}", i / 50);
+        table.broke(START + i, &life, request(&format!("r{i}")));
+        if i % 50 == 49 {
+            table.ended(START + i, &life);
+        }
+    }
+    assert!(!is_free(&mut table, START + 5_000, fatal));
+    assert_eq!(table.refused(), 1);
+}
+
+/// What the store has after all instances have ended is enough to go on from.
+#[test]
+fn what_was_saved_refuses_it_after_a_start() {
+    let fatal = request("fatal");
+    let mut table = seen(&["u1", "u2", "u3"], START, fatal);
+    assert_eq!(table.unsaved(), vec![fatal]);
+    let word = table.to_save(START, fatal).expect("it is refused");
+    table.saved(fatal, Some(&word));
+    assert!(!table.has_unsaved());
+    table.grant(START + 5 * SECOND, fatal);
+    assert!(
+        table.has_unsaved(),
+        "a trial is saved: there are three, for good"
+    );
+    let mut started = Suspects::open("b");
+    started.load(START, word);
+    assert!(!started.has_unsaved());
+    assert!(!is_free(&mut started, START, fatal));
+    started.answered(START + SECOND, fatal);
+    assert_eq!(started.unsaved(), vec![fatal]);
+    assert_eq!(started.to_save(START, fatal), None, "it is taken out");
+}
+
+/// Words may come in any order, twice, and late: what is known in the end is the same.
+#[test]
+fn words_in_any_order_come_to_the_same() {
+    use rand::rngs::StdRng;
+    use rand::seq::{IndexedRandom, SliceRandom};
+    use rand::SeedableRng;
+
+    let fatal = request("fatal");
+    for seed in 0..200 {
+        let rng = &mut StdRng::seed_from_u64(seed);
+        let mut words: Vec<Word> = Vec::new();
+        for (i, by) in ["a", "b", "c", "d"].iter().enumerate() {
+            let mut table = Suspects::open(by);
+            for life in
+                ["u1", "u2", "u3", "u4", "u5", "u6", "u7", "u8", "u9", "v1"].choose_multiple(rng, 4)
+            {
+                table.broke(START, life, fatal);
+                table.ended(START, life);
+            }
+            if i == 3 && seed % 2 == 0 {
+                table.answered(START, fatal);
+            }
+            words.extend(table.word(START, fatal));
+        }
+        words.extend(words.clone());
+        let mut end = |by: &str| {
+            words.shuffle(rng);
+            let mut table = Suspects::open(by);
+            for word in &words {
+                table.hear(START, word, true);
+            }
+            let word = table.word(START, fatal).expect("heard of");
+            let lives = word.ended.iter().map(|e| e.life.clone());
+            (word.answers, word.trials, lives.collect::<Vec<_>>())
+        };
+        assert_eq!(end("x"), end("y"), "seed {seed}");
+    }
+}
