--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -296,6 +296,14 @@
         pool.report(now, slot.choice.key, load);
     }
     let status = head.status.as_u16();
+    if reading.leaving || reading.rest.is_some() {
+        let detail = format_args!(
+            "upstream={upstream} status={status} leaving={} rest={:?}",
+            reading.leaving, reading.rest
+        );
+        let log = &job.router.log;
+        log.request(Event::UpstreamSaid, &job.ask.id, detail);
+    }
     match reading.word {
         Word::Ran => Ok(Open {
             slot,
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -1,6 +1,6 @@
 //! What callers, upstreams and operators speak: the one trait at the edge towards them.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use conf::Routing;
@@ -25,6 +25,15 @@
     NotOurs(&'static str),
 }
 
+/// For how long an upstream wants nothing more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    /// From its answer on.
+    For(Duration),
+    /// Until a time of day.
+    Until(SystemTime),
+}
+
 /// The head of an upstream's answer.
 #[derive(Clone, Debug)]
 pub struct Reading {
@@ -34,6 +43,10 @@
     pub load: Option<Load>,
     /// How long the upstream keeps the connection when it is idle.
     pub keep_alive: Option<Duration>,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
+    /// For how long it wants nothing more; none where it does not say, or not so that it can be understood.
+    pub rest: Option<Rest>,
 }
 
 /// Names, formats and calls of one way to speak; it decides nothing.
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -50,6 +50,8 @@
     UpstreamBroken,
     /// An upstream ended without having said that it leaves, while requests ran there.
     UpstreamEnded,
+    /// An upstream's answer says that it leaves, or wants nothing for a while.
+    UpstreamSaid,
     /// A request was answered.
     Answered,
     /// A request was refused, or failed.
@@ -141,6 +143,12 @@
         "upstream started again under its name",
     ),
     row(Event::UpstreamEnded, 2406, Level::WARN, "upstream ended"),
+    row(
+        Event::UpstreamSaid,
+        2407,
+        Level::INFO,
+        "upstream's word in an answer",
+    ),
     row(Event::Answered, 2501, Level::INFO, "answered"),
     row(Event::Refused, 2502, Level::INFO, "refused"),
     row(Event::AttemptFailed, 2503, Level::INFO, "attempt failed"),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -35,7 +35,7 @@
 mod suspects;
 
 pub use ask::{Ask, Sending};
-pub use dialect::{Dialect, Reading, Word};
+pub use dialect::{Dialect, Reading, Rest, Word};
 pub use events::Events;
 pub use instance::{Instance, Parts};
 pub use log::end_on_panic;
