An upstream's word in its answers that it leaves, or wants nothing for a while, is heeded; it outlives its entry in the list

What callers saw: answers cut off by ends that upstreams had announced, as requests reached them 3.1 and 5.7 s after an answer that said so, with the store out of reach. Cause: of an answer's head only the load, the idle time and whether it ran were read; the nearest source there is was not a source. Ruled out: a word read and lost to an older entry (no log had it before the store was back), and requests chosen before it (they came 3 s after it).

An answer that says it leaves counts at once, for its life, as the list's word does, and goes to the instances that ask for news. A 503 with a time keeps the upstream away from this instance until then, an hour at the most; an earlier word holds until its time. A request that was chosen before and waited for a connection looks again before it is sent. All away: refused at once, with the earliest time. What 421 says is the word of another upstream.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,6 +13,7 @@
 mod rate;
 mod retry;
 mod room;
+mod said;
 mod upstream;
 mod usual;
 mod want;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::rate::{homes, is_full, may_use, rate_one, Rated};
+use crate::said::Said;
 use crate::upstream::{Held, Key, Load, Outcome, Spec, Ticket, Upstream};
 use crate::usual::Usual;
 use crate::want::{Choice, Denied, Want};
@@ -16,6 +17,10 @@
 /// Shortest time after which a refused request may come back, in milliseconds.
 const RETRY_LEAST_MS: u64 = 300;
 
+/// Longest time for which an upstream is taken at its word that it wants nothing, in milliseconds: one that names a
+/// year by mistake must not be lost until it ends. It is asked again then, and may say so again.
+const REST_MOST_MS: u64 = 3_600_000;
+
 /// What an entry of the list is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Listed {
@@ -39,11 +44,15 @@
     by_id: HashMap<String, Key>,
     usual: HashMap<String, Usual>,
     tickets: u64,
+    said: Said,
 }
 
 impl Pool {
     /// Takes an entry of the list.
     pub fn list(&mut self, spec: Spec) -> Listed {
+        if spec.leaving {
+            self.said.leaving(&spec.life());
+        }
         let Some(key) = self.by_id.get(&spec.id).copied() else {
             self.add(spec);
             return Listed::New;
@@ -73,7 +82,11 @@
         let id = spec.id.clone();
         let free = self.upstreams.iter().position(Option::is_none);
         let at = free.unwrap_or(self.upstreams.len());
-        let up = Some(Upstream::new(spec));
+        let mut up = Upstream::new(spec);
+        let life = up.spec.life();
+        up.leaving |= self.said.is_leaving(&life);
+        up.rests_until = self.said.rests_until(&life);
+        let up = Some(up);
         if at == self.upstreams.len() {
             self.upstreams.push(up);
         } else {
@@ -97,6 +110,7 @@
 
     /// Notes that a life of an upstream is leaving, by whatever source; returns whether that is new.
     pub fn leaving(&mut self, life: &str) -> bool {
+        self.said.leaving(life);
         let of_life = |u: &&mut Upstream| u.spec.life() == life;
         let Some(up) = self.upstreams.iter_mut().flatten().find(of_life) else {
             return false;
@@ -111,6 +125,23 @@
         self.upstreams.iter().flatten().filter(|u| !u.gone)
     }
 
+    /// Notes that an upstream wants nothing for some milliseconds; returns whether that is longer than it said before. What it
+    /// said before holds until its time.
+    pub fn rests(&mut self, now: u64, key: Key, ms: u64) -> bool {
+        let until = now + ms.min(REST_MOST_MS);
+        let up = self.get_mut(key);
+        let longer = until > up.rests_until;
+        up.rests_until = up.rests_until.max(until);
+        let life = up.spec.life();
+        self.said.rests(&life, until);
+        longer
+    }
+
+    /// Returns whether an upstream takes new work.
+    pub fn takes(&self, now: u64, key: Key) -> bool {
+        self.get(key).takes(now)
+    }
+
     /// Returns whether an upstream is listed, and nothing says that it leaves.
     pub fn stays(&self, key: Key) -> bool {
         let up = self.get(key);
@@ -196,8 +227,11 @@
         }
         let all = self.upstreams.iter().enumerate();
         let all = all.filter_map(|(i, u)| Some((Key(i as u32), u.as_ref()?)));
-        let staying = all.filter(|(_, u)| of_service(u) && !u.gone && !u.leaving);
+        let staying = all.filter(|(_, u)| of_service(u) && u.takes(now));
         let staying: SmallVec<[(Key, &Upstream); 32]> = staying.collect();
+        if let Some(retry_ms) = self.all_rest(now, want).filter(|_| staying.is_empty()) {
+            return Err(Denied::Resting { retry_ms });
+        }
         let fit: SmallVec<[(Key, &Upstream); 32]> = {
             let fit = staying.iter().filter(|(_, u)| may_use(u, now, want));
             fit.copied().collect()
@@ -222,6 +256,14 @@
         Ok(rated)
     }
 
+    /// Returns the milliseconds until the first upstream of those that stay wants something; none where none is waited for.
+    fn all_rest(&self, now: u64, want: &Want<'_>) -> Option<u64> {
+        let stay = self.listed().filter(|u| !u.leaving);
+        let stay = stay.filter(|u| u.spec.service == want.service);
+        let rest = stay.map(|u| u.rests_until).filter(|until| *until > now);
+        rest.min().map(|until| until - now)
+    }
+
     /// Returns what this instance has at its upstreams, for the others.
     pub fn held(&self, now: u64) -> Vec<(u64, Held)> {
         let busy = self.upstreams.iter().flatten().filter(|u| u.inflight > 0);
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -136,6 +136,8 @@
     pub inflight: u32,
     /// Whether any source said that it is leaving; never taken back.
     pub leaving: bool,
+    /// It wants nothing before this time.
+    pub rests_until: u64,
     /// Whether it is no longer listed.
     pub gone: bool,
     /// Its health.
@@ -168,6 +170,7 @@
             leaving: spec.leaving,
             spec,
             inflight: 0,
+            rests_until: 0,
             gone: false,
             health: Health::default(),
             known: Known::default(),
@@ -209,6 +212,11 @@
         reported.max(self.inflight + others)
     }
 
+    /// Returns whether it takes new work: it is listed, does not leave, and wants some.
+    pub fn takes(&self, now: u64) -> bool {
+        !self.gone && !self.leaving && self.rests_until <= now
+    }
+
     /// Returns the name that instances use among each other for this life of it.
     pub fn hash(&self) -> u64 {
         self.life_hash
--- a/crates/place/src/want.rs
+++ b/crates/place/src/want.rs
@@ -47,6 +47,11 @@
     Unknown,
     /// All that are known were tried, leave, or are out.
     NoneLeft,
+    /// All that stay have named a time before which they want nothing.
+    Resting {
+        /// Milliseconds until the first of them does.
+        retry_ms: u64,
+    },
     /// They are so busy that the answer would come too late.
     Busy {
         /// Milliseconds after which coming back makes sense.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt at an upstream: chosen, connected, sent, and the head of its answer read.
 
 use std::sync::Arc;
+use std::time::SystemTime;
 
+use clock::wall_ms;
 use dial::{ConnectError, SendError, Target};
 use err::{Kind, Ran};
 use http_body_util::Full;
@@ -13,7 +15,7 @@
 use tokio::time::timeout_at;
 
 use crate::ask::Sending;
-use crate::dialect::{Reading, Word};
+use crate::dialect::{Reading, Rest, Word};
 use crate::event::Event;
 use crate::job::Job;
 use crate::refusal::Refusal;
@@ -55,6 +57,12 @@
         pool.first(self.router.clock.now(), &self.choice, self.sent_at);
     }
 
+    /// Returns whether its upstream still takes new work.
+    fn still_takes(&self) -> bool {
+        let pool = self.router.pool.lock().expect("no panic inside");
+        pool.takes(self.router.clock.now(), self.choice.key)
+    }
+
     /// Ends it.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -110,6 +118,10 @@
                 let message = format!("the upstreams of {} are busy", job.service);
                 Refusal::new(Kind::Overloaded, message).back_in(retry_ms, left)
             }
+            Failed::Denied(Denied::Resting { retry_ms }) => {
+                let message = format!("the upstreams of {} want nothing for now", job.service);
+                Refusal::new(Kind::NoUpstream, message).back_at(retry_ms)
+            }
             Failed::Denied(Denied::Unknown | Denied::NoneLeft) => {
                 let message = format!("no upstream of {} is left", job.service);
                 Refusal::new(Kind::NoUpstream, message).back_in(RETRY_NO_UPSTREAM_MS, left)
@@ -220,7 +232,9 @@
         let until = job.router.clock.at(job.deadline);
         job.router.metrics.connects.inc();
         match job.router.dialer.open(target, until).await {
-            Ok(conn) => return Ok((slot, conn)),
+            Ok(conn) if slot.still_takes() => return Ok((slot, conn)),
+            // It said meanwhile that it leaves, or wants nothing: nothing of this request was sent.
+            Ok(_) => {}
             Err(e) => {
                 let detail = format_args!("upstream={} connect={e:?}", spec.id);
                 let log = &job.router.log;
@@ -296,14 +310,7 @@
         pool.report(now, slot.choice.key, load);
     }
     let status = head.status.as_u16();
-    if reading.leaving || reading.rest.is_some() {
-        let detail = format_args!(
-            "upstream={upstream} status={status} leaving={} rest={:?}",
-            reading.leaving, reading.rest
-        );
-        let log = &job.router.log;
-        log.request(Event::UpstreamSaid, &job.ask.id, detail);
-    }
+    heed(job, &slot, &reading);
     match reading.word {
         Word::Ran => Ok(Open {
             slot,
@@ -331,6 +338,39 @@
     }
 }
 
+/// Takes an upstream's word that it leaves, or wants nothing for a while: its answer is the nearest source there is.
+fn heed(job: &Job, slot: &Slot, reading: &Reading) {
+    // That would be the word of another upstream, which has the address now.
+    if reading.word == Word::Misdirected {
+        return;
+    }
+    let life = slot.choice.spec.life();
+    if reading.leaving {
+        job.router.listing.leaving(&life, "answer");
+    }
+    let Some(rest) = reading.rest else {
+        return;
+    };
+    let ms = match rest {
+        Rest::For(time) => time.as_millis(),
+        Rest::Until(date) => {
+            let since = date.duration_since(SystemTime::UNIX_EPOCH);
+            let date_ms = since.unwrap_or_default().as_millis();
+            date_ms.saturating_sub(u128::from(wall_ms()))
+        }
+    };
+    let ms = u64::try_from(ms).unwrap_or(u64::MAX);
+    let now = job.router.clock.now();
+    let mut pool = job.router.pool.lock().expect("no panic inside");
+    let longer = pool.rests(now, slot.choice.key, ms);
+    drop(pool);
+    if longer {
+        let detail = format_args!("upstream={life} rests_ms={ms}");
+        let log = &job.router.log;
+        log.request(Event::UpstreamSaid, &job.ask.id, detail);
+    }
+}
+
 /// Returns what silence says of an upstream: nothing while the own link is full.
 fn silence(job: &Job) -> Outcome {
     if job.router.is_crowded() {
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -38,7 +38,7 @@
             .map(|u| {
                 json!({
                     "id": u.spec.id, "service": u.spec.service, "zone": u.spec.zone,
-                    "leaving": u.leaving, "inflight": u.inflight,
+                    "leaving": u.leaving, "rests_ms": u.rests_until.saturating_sub(now), "inflight": u.inflight,
                     "occupancy": u.occupancy(now), "out": u.health.is_out(now),
                     "failing": u.health.failing(now), "delay_ms": u.delay(now),
                     "slowness": u.slowness(now),
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -29,6 +29,12 @@
         self
     }
 
+    /// Says when to come back, also where the caller does not wait for so long: coming sooner would be for nothing.
+    pub fn back_at(mut self, retry_ms: u64) -> Refusal {
+        self.retry_ms = Some(retry_ms.max(1));
+        self
+    }
+
     /// Says what is known of the request's run.
     pub fn ran(mut self, ran: Ran) -> Refusal {
         self.error.ran = ran;
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -376,8 +376,6 @@
 }
 
 fn refusal(blame: &Blame) -> Refusal {
-    let mut refusal = Refusal::new(Kind::EndsUpstreams, blame.to_string());
-    // Its caller may wait for less: to say less would have it come back for nothing.
-    refusal.retry_ms = Some(blame.retry_ms.unwrap_or(RETRY_NEVER_MS).max(1));
-    refusal
+    let retry_ms = blame.retry_ms.unwrap_or(RETRY_NEVER_MS);
+    Refusal::new(Kind::EndsUpstreams, blame.to_string()).back_at(retry_ms)
 }
