An error of an upstream's own voids nothing that is held against a request

A test shows it: three of eight upstreams answer with errors, the request was sent 198 times more; 0 to 3 now (passed). Only an answer that the upstream did not mark as an error voids. A request that is there by chance and gets only errors is still tried like any other.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -79,7 +79,8 @@
         drop(pool);
         match self.outcome {
             Outcome::Broken if stays => self.router.suspects.broke(&self.choice.spec, self.digest),
-            Outcome::Well | Outcome::Error => self.router.suspects.answered(self.digest),
+            // An error may be one that the upstream answers with before it runs anything.
+            Outcome::Well => self.router.suspects.answered(self.digest),
             _ => {}
         }
     }
