Only requests that are refused are told in turn, four at a time; the instances that keep one are found without sorting; a word goes to the newest entry of its life

Read for 970 instances: requests with two ends are held for an hour, and told in turn, twelve each half second at every instance, would be 8 KB/s for each, of the 11 KB/s that all control may take there. What is missed of two ends the third one brings together, since the instances that keep the request have them. Refused ones are few. Each word that is heard looks for the two instances that keep its request: sorted 970 names each time, one pass now. Where a list adds an upstream's birth while an answer is under way, the word that it leaves named a life that no entry had any more.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -137,6 +137,11 @@
         longer
     }
 
+    /// Returns the life of an upstream, by its newest entry.
+    pub fn life(&self, key: Key) -> String {
+        self.get(key).spec.life()
+    }
+
     /// Returns whether an upstream takes new work.
     pub fn takes(&self, now: u64, key: Key) -> bool {
         self.get(key).takes(now)
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -345,7 +345,10 @@
     if reading.word == Word::Misdirected {
         return;
     }
-    let life = slot.choice.spec.life();
+    let life = {
+        let pool = job.router.pool.lock().expect("no panic inside");
+        pool.life(slot.choice.key)
+    };
     if reading.leaving {
         job.router.listing.leaving(&life, "answer");
     }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -171,10 +171,15 @@
     /// Returns the instances that keep what is known of something, the one that decides about it first.
     pub(crate) fn keepers(&self, what: u64) -> SmallVec<[Member; KEEPERS]> {
         let members = self.0.members.lock().expect("no panic inside");
-        let mut ranked: Vec<(&String, &Member)> = members.iter().collect();
-        ranked.sort_by_cached_key(|(name, _)| xxh3_64_with_seed(name.as_bytes(), what));
-        let first = ranked.into_iter().take(KEEPERS);
-        first.map(|(_, m)| m.clone()).collect()
+        let ranked = members.iter();
+        let ranked = ranked.map(|(name, m)| (xxh3_64_with_seed(name.as_bytes(), what), m));
+        let mut first: SmallVec<[(u64, &Member); KEEPERS + 1]> = SmallVec::new();
+        for member in ranked {
+            let at = first.partition_point(|f| f.0 < member.0);
+            first.insert(at, member);
+            first.truncate(KEEPERS);
+        }
+        first.into_iter().map(|(_, m)| m.clone()).collect()
     }
 
     /// Returns the other instances of the own zone.
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -35,6 +35,8 @@
 const PAGE_EVERY: Duration = Duration::from_millis(500);
 /// Words in a datagram.
 const WORDS_MOST: usize = 12;
+/// Words that one instance in turn is told: this goes on as long as there are any, and must cost next to nothing.
+const PAGE_MOST: usize = 4;
 /// Instances that one asks when it starts: one of them may have started a moment ago too.
 const ASKED: usize = 2;
 /// Pause before they are asked again.
@@ -339,7 +341,7 @@
         loop {
             sleep(PAGE_EVERY).await;
             let now = self.0.clock.now();
-            let page = self.table().page(now, WORDS_MOST);
+            let page = self.table().page(now, PAGE_MOST);
             let listed = others.fleet.others();
             if page.is_empty() || listed.is_empty() {
                 continue;
--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -234,13 +234,13 @@
         words.collect()
     }
 
-    /// Returns the next requests in turn that all instances know of, for one of them: it may have been cut off, frozen or
-    /// not there when it was told.
+    /// Returns the next requests in turn that are refused, for one instance: it may have been cut off, frozen or not there
+    /// when it was told. Those with fewer ends are not worth it: what is missed of them the third end brings together.
     pub fn page(&mut self, now: u64, most: usize) -> Vec<Word> {
         self.expire(now);
         let known = self.entries.iter();
         let mut known: Vec<Digest> = known
-            .filter(|(_, e)| e.ends.len() >= ALL_HEAR_FROM)
+            .filter(|(_, e)| e.ends.len() >= REFUSED_FROM)
             .map(|(digest, _)| *digest)
             .collect();
         known.sort_unstable();
