--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -5,9 +5,11 @@
 use budget::{Event, Post, ReserveReply};
 use rand::Rng;
 
+use crate::item::{Ask, Item};
 use crate::job::{Fate, Job, Phase, Request, Run};
+use crate::node::{Node, State};
 use crate::policy::Asks;
-use crate::world::{run_at, Ask, Item, Node, State, World, HOME_WAIT, RPC_TIMEOUT, SHARDS};
+use crate::world::{run_at, World, HOME_WAIT, RPC_TIMEOUT, SHARDS};
 
 impl World {
     pub(crate) fn arrive(&mut self, i: usize) {
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -6,9 +6,11 @@
 mod caller;
 pub mod check;
 pub mod fault;
+mod item;
 pub mod job;
 mod link;
 pub mod load;
+pub mod node;
 pub mod platform;
 pub mod policy;
 pub mod report;
--- a/crates/trial/src/link.rs
+++ b/crates/trial/src/link.rs
@@ -3,7 +3,9 @@
 use budget::{Action, Event, Output, Post};
 use rand::Rng;
 
-use crate::world::{Ask, Call, Item, State, World, CALL_TIMEOUT, RPC_TIMEOUT};
+use crate::item::{Ask, Call, Item};
+use crate::node::State;
+use crate::world::{World, CALL_TIMEOUT, RPC_TIMEOUT};
 
 impl World {
     pub(crate) fn hop(&self, from: usize, to: usize) -> Option<u64> {
--- /dev/null
+++ b/crates/trial/src/node.rs
@@ -0,0 +1,43 @@
+//! One start of an instance in the fake world.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use budget::Bank;
+
+use crate::item::Ask;
+
+/// How an instance stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It works.
+    Up,
+    /// It stops as planned.
+    Leaving,
+    /// It has stopped as planned.
+    Left,
+    /// It was killed.
+    Dead,
+}
+
+/// One start of an instance.
+pub struct Node {
+    /// Its incarnation.
+    pub id: String,
+    /// Which of the instances it is a start of.
+    pub slot: usize,
+    /// Its zone.
+    pub zone: usize,
+    /// How it stands.
+    pub state: State,
+    /// When that began, in milliseconds.
+    pub since: u64,
+    /// Until when it is paused, in milliseconds.
+    pub frozen_until: u64,
+    pub(crate) frozen_since: u64,
+    /// Its decisions on budgets.
+    pub bank: Bank,
+    pub(crate) asks: BTreeMap<u64, Ask>,
+    pub(crate) next_ask: u64,
+    pub(crate) silent: BTreeSet<usize>,
+    pub(crate) told_leave: bool,
+}
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -5,13 +5,13 @@
 
 use budget::msg::RunAt;
 use budget::place::Candidate;
-use budget::{Act, Bank, Event, Post, Record, ReserveReply};
-use rand::Rng;
+use budget::{Act, Bank, Event};
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::fault::Fault;
-use crate::job::{Fate, Job, Phase, Request, Run};
+use crate::item::{Ask, Item};
+use crate::job::{Job, Phase, Request, Run};
+use crate::node::{Node, State};
 use crate::platform::Platform;
 use crate::policy::Policy;
 use crate::trace::Trace;
@@ -45,162 +45,6 @@
 /// Time after the trace in which everything is healed and settles, in milliseconds.
 pub const AFTER: u64 = 90_000;
 
-/// How an instance stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// It works.
-    Up,
-    /// It stops as planned.
-    Leaving,
-    /// It has stopped as planned.
-    Left,
-    /// It was killed.
-    Dead,
-}
-
-/// One start of an instance.
-pub struct Node {
-    /// Its incarnation.
-    pub id: String,
-    /// Which of the instances it is a start of.
-    pub slot: usize,
-    /// Its zone.
-    pub zone: usize,
-    /// How it stands.
-    pub state: State,
-    /// When that began, in milliseconds.
-    pub since: u64,
-    /// Until when it is paused, in milliseconds.
-    pub frozen_until: u64,
-    pub(crate) frozen_since: u64,
-    /// Its decisions on budgets.
-    pub bank: Bank,
-    pub(crate) asks: BTreeMap<u64, Ask>,
-    pub(crate) next_ask: u64,
-    pub(crate) silent: BTreeSet<usize>,
-    pub(crate) told_leave: bool,
-}
-
-#[derive(Clone, Debug)]
-pub(crate) enum Ask {
-    Reserve {
-        job: usize,
-        tries: usize,
-    },
-    Settle {
-        job: usize,
-    },
-    Recall {
-        from: usize,
-        account: usize,
-    },
-    Open {
-        from: usize,
-        account: usize,
-        key: String,
-    },
-    Act,
-}
-
-#[derive(Clone, Debug)]
-pub(crate) enum Call {
-    Read,
-    Write {
-        base: i64,
-        record: Record,
-    },
-    Segment {
-        name: String,
-        segment: budget::record::Segment,
-    },
-    ReadSegment {
-        name: String,
-    },
-}
-
-#[derive(Clone, Debug)]
-pub(crate) enum Item {
-    Arrive(usize),
-    Fault(usize),
-    Tick(usize),
-    Members,
-    Bank {
-        node: usize,
-        shard: u32,
-        event: Event,
-    },
-    Exec {
-        node: usize,
-        shard: u32,
-        call: Call,
-        answered: bool,
-    },
-    Reserve {
-        node: usize,
-        job: usize,
-        tries: usize,
-    },
-    Reply {
-        job: usize,
-        tries: usize,
-        reply: ReserveReply,
-    },
-    ReserveLate {
-        job: usize,
-        tries: usize,
-    },
-    Void {
-        node: usize,
-        job: usize,
-        left: u32,
-    },
-    EngineEnd {
-        job: usize,
-    },
-    SettleRound {
-        job: usize,
-        round: usize,
-    },
-    Settle {
-        node: usize,
-        job: usize,
-        post: Post,
-    },
-    Settled {
-        job: usize,
-    },
-    Recall {
-        node: usize,
-        from: usize,
-        account: usize,
-        tokens: u64,
-    },
-    Recalled {
-        node: usize,
-        from: usize,
-        account: usize,
-        sent: Option<u64>,
-        ask: u64,
-    },
-    Keep {
-        node: usize,
-        from: usize,
-        account: usize,
-        post: Post,
-    },
-    Open {
-        node: usize,
-        from: usize,
-        account: usize,
-        key: String,
-        upto: u64,
-    },
-    Comeback {
-        request: usize,
-    },
-    Restart(usize),
-}
-
 /// What a run measured.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
@@ -629,59 +473,6 @@
         id
     }
 
-    pub(crate) fn fault(&mut self, i: usize) {
-        let fault = self.trace.faults[i].1;
-        self.note(|| format!("{fault:?}"));
-        match fault {
-            Fault::Kill(slot) => self.kill(slot),
-            Fault::Freeze(slot, ms) => {
-                let node = self.slots[slot];
-                if self.nodes[node].frozen_until <= self.now {
-                    self.nodes[node].frozen_since = self.now;
-                    self.nodes[node].frozen_until = self.now + ms;
-                }
-            }
-            Fault::Stop(slot) => {
-                let node = self.slots[slot];
-                if self.nodes[node].state == State::Up {
-                    self.nodes[node].state = State::Leaving;
-                }
-            }
-            Fault::Down(down) => self.platform.faults.down = down,
-            Fault::Slow(ms) => self.platform.faults.slow_ms = ms,
-            Fault::Lose(pct) => self.platform.faults.lose_pct = pct,
-            Fault::Cut(zone, cut) => {
-                self.cut[zone] = cut;
-                self.cut_platform[zone] = cut;
-            }
-            Fault::CutPeers(zone, cut) => self.cut[zone] = cut,
-            Fault::TopUp(account, tokens, zone) => self.top_up(account, tokens, zone),
-        }
-    }
-
-    pub(crate) fn kill(&mut self, slot: usize) {
-        let node = self.slots[slot];
-        if matches!(self.nodes[node].state, State::Dead | State::Left) {
-            return;
-        }
-        self.tally.kills += 1;
-        self.nodes[node].state = State::Dead;
-        self.nodes[node].since = self.now;
-        self.put(self.now + RESTART, Item::Restart(slot));
-        for job in 0..self.jobs.len() {
-            if self.jobs[job].entry == node && self.jobs[job].phase != Phase::Ended {
-                self.jobs[job].phase = Phase::Ended;
-                let request = self.jobs[job].request;
-                if self.rng.random_range(0..100) < RETRY_PCT {
-                    let at = self.now + self.rng.random_range(RETRY);
-                    self.put(at, Item::Comeback { request });
-                } else {
-                    self.requests[request].fate = Fate::Lost;
-                }
-            }
-        }
-    }
-
     /// Returns the tokens that vanished holders left unspent.
     pub fn stranded(&self) -> u64 {
         let gone = |h: &str| {
