--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -19,7 +19,8 @@
 use crate::bank::{Bank, Settled};
 use crate::fleet::Fleet;
 use crate::relay::Relay;
-use crate::suspects::{Others, Suspects};
+use crate::suspects::Suspects;
+use crate::tell::Others;
 
 /// Pause between two rounds of a small fleet: a long prompt is read in some hundred milliseconds.
 const ROUND: Duration = Duration::from_millis(80);
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -33,7 +33,8 @@
 use crate::reach::Reach;
 use crate::relay::Relay;
 use crate::router::Router;
-use crate::suspects::{Others, Suspects};
+use crate::suspects::Suspects;
+use crate::tell::Others;
 
 /// Largest body that the readiness and operators' listeners take, in bytes.
 const OPS_BODY_LIMIT: usize = 1 << 16;
@@ -170,7 +171,7 @@
             relay: relay.clone(),
             suspects: suspects.clone(),
         };
-        suspects.spawn(&others);
+        suspects.spawn_tell(&others);
         let kept = Kept {
             suspects: suspects.clone(),
             fleet: fleet.clone(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -33,6 +33,7 @@
 mod router;
 mod stream;
 mod suspects;
+mod tell;
 
 pub use ask::{Ask, Sending};
 pub use dialect::{Dialect, Reading, Rest, Word};
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -17,7 +17,8 @@
 use crate::log::Log;
 use crate::metric::Metrics;
 use crate::reach::Reach;
-use crate::suspects::{Others, Suspects};
+use crate::suspects::Suspects;
+use crate::tell::Others;
 
 /// What the filters work with.
 pub(crate) struct Router {
--- /dev/null
+++ b/crates/proxy/src/tell.rs
@@ -0,0 +1,111 @@
+//! Requests under which upstreams end: the other instances are told, and asked.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use suspect::Word;
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, Instant};
+
+use crate::datagram::Datagram;
+use crate::fleet::Fleet;
+use crate::peers::Peers;
+use crate::suspects::Suspects;
+
+/// Pause between two times that a word is told: what is learnt meanwhile goes with it.
+const TELL_EVERY: Duration = Duration::from_millis(150);
+/// How often one other instance in turn is told what all should know: one that was cut off or frozen knows it again
+/// within the time after which it counts as being in touch.
+const PAGE_EVERY: Duration = Duration::from_millis(500);
+/// Words in a datagram.
+const WORDS_MOST: usize = 12;
+/// Words that one instance in turn is told: this goes on as long as there are any, and must cost next to nothing.
+const PAGE_MOST: usize = 4;
+/// Instances that one asks when it starts: one of them may have started a moment ago too.
+const ASKED: usize = 2;
+/// Pause before they are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+/// An instance that finds no other one for so long is alone.
+const ASK_FOR: Duration = Duration::from_secs(10);
+
+/// Whom the others are found by, and told with.
+#[derive(Clone)]
+pub(crate) struct Others {
+    pub(crate) fleet: Fleet,
+    pub(crate) peers: Peers,
+    pub(crate) socket: Arc<UdpSocket>,
+}
+
+impl Suspects {
+    /// Tells the others, and asks them.
+    pub(crate) fn spawn_tell(&self, others: &Others) {
+        tokio::spawn(self.clone().tell(others.clone()));
+        tokio::spawn(self.clone().tell_in_turn(others.clone()));
+        tokio::spawn(self.clone().ask(others.clone()));
+    }
+
+    /// Tells what is new.
+    async fn tell(self, others: Others) {
+        loop {
+            self.wait_changed().await;
+            loop {
+                let due = self.due();
+                if due.is_empty() {
+                    break;
+                }
+                let (to_all, to_keepers): (Vec<_>, Vec<_>) = due.into_iter().partition(|d| d.1);
+                let to_all: Vec<Word> = to_all.into_iter().map(|d| d.0).collect();
+                let all = others.fleet.others().into_iter().map(|m| m.addr);
+                send(&others.socket, &to_all, &all.collect::<Vec<_>>());
+                for (word, _) in to_keepers {
+                    let keepers = others.fleet.keepers(word.digest.number());
+                    let keepers = keepers.iter().filter(|m| m.id != others.fleet.me());
+                    let keepers: Vec<SocketAddr> = keepers.map(|m| m.addr).collect();
+                    send(&others.socket, &[word], &keepers);
+                }
+                sleep(TELL_EVERY).await;
+            }
+        }
+    }
+
+    /// Tells one other instance after the other what all should know.
+    async fn tell_in_turn(self, others: Others) {
+        let mut turn: usize = rand::random::<u32>() as usize;
+        loop {
+            sleep(PAGE_EVERY).await;
+            let page = self.page(PAGE_MOST);
+            let listed = others.fleet.others();
+            if page.is_empty() || listed.is_empty() {
+                continue;
+            }
+            turn = turn.wrapping_add(1);
+            send(&others.socket, &page, &[listed[turn % listed.len()].addr]);
+        }
+    }
+
+    /// Asks others what all should know: this instance has started a moment ago.
+    async fn ask(self, others: Others) {
+        let until = Instant::now() + ASK_FOR;
+        let (mut asked, mut answers) = (Vec::new(), 0);
+        while answers < ASKED && Instant::now() < until {
+            let listed = others.fleet.others();
+            let Some(next) = listed.iter().find(|m| !asked.contains(&m.addr)) else {
+                sleep(ASK_AGAIN).await;
+                continue;
+            };
+            asked.push(next.addr);
+            // Where one does not answer another one may.
+            if let Ok(words) = others.peers.suspects(next.addr).await {
+                answers += 1;
+                self.hear(&others.fleet, &words);
+            }
+        }
+    }
+}
+
+fn send(socket: &UdpSocket, words: &[Word], to: &[SocketAddr]) {
+    for words in words.chunks(WORDS_MOST) {
+        Datagram::Suspects(words.to_vec()).send(socket, to.iter().copied());
+    }
+}
