--- a/crates/suspect/src/suspects.rs
+++ b/crates/suspect/src/suspects.rs
@@ -22,6 +22,9 @@
 /// mended, and it may have been there by chance. If it ends one more each time, all of them together are no more than it
 /// cost before it was known; then it is refused as long as it comes.
 const TRIED_AFTER_MS: [u64; 3] = [5_000, 60_000, 600_000];
+/// While it is found out whether upstreams have ended, a caller comes back after this time, in milliseconds: that takes some
+/// milliseconds where their ports answer.
+const UNSURE_MS: u64 = 300;
 /// One that nobody has asked for in this time is forgotten, in milliseconds.
 const KEEP_MS: u64 = 3_600_000;
 /// That a request was answered is kept for so long, in milliseconds, for instances that hear late of it.
@@ -158,15 +161,18 @@
         }
         let unsure = self.broken.count(digest) > 0;
         let entry = self.entry(now, digest);
-        let at = next_trial(entry);
+        let trial_ms = next_trial(entry).map(|at| at.saturating_sub(now));
         let ends = entry.ends.iter();
         let ends = ends.map(|(life, e)| (life.clone(), e.by.clone(), now.saturating_sub(e.at)));
-        let blame = Blame {
+        let mut blame = Blame {
             ends: ends.collect(),
             trials: entry.trials,
-            retry_ms: at.map(|at| at.saturating_sub(now)),
+            retry_ms: trial_ms,
         };
-        if blame.retry_ms == Some(0) && !unsure {
+        if unsure {
+            blame.retry_ms = Some(UNSURE_MS);
+            Verdict::Refused(blame)
+        } else if trial_ms == Some(0) {
             Verdict::Due(blame)
         } else {
             Verdict::Refused(blame)
--- a/crates/suspect/tests/table.rs
+++ b/crates/suspect/tests/table.rs
@@ -71,7 +71,10 @@
     let fatal = request("fatal");
     let mut table = seen(&["u1", "u2"], START, fatal);
     table.broke(START, "u3", fatal);
-    assert!(!is_free(&mut table, START, fatal));
+    let Verdict::Refused(blame) = table.admit(START, fatal) else {
+        panic!("two ends, and one more perhaps");
+    };
+    assert_eq!(blame.retry_ms, Some(300), "soon it is known");
     table.goes_on("u3");
     assert!(is_free(&mut table, START, fatal));
 }
