--- a/crates/conf/src/routing.rs
+++ b/crates/conf/src/routing.rs
@@ -66,12 +66,16 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
     /// Connections that one of its upstreams takes from all instances together.
     pub connections: u32,
     /// Tokens in one event of a stream; 0 when unknown.
     pub tokens_per_event: u64,
+    /// How long one of its upstreams is cold after its start, in milliseconds.
+    pub cold_ms: u64,
+    /// Requests a second that a cold one bears from all instances together; 0 when there is no such bound.
+    pub cold_per_sec: f64,
 }
 
 /// What callers may send, and for how long.
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -85,6 +85,10 @@
     pub memory_mb: Option<u64>,
     /// Shortest lease that the platform grants, in milliseconds.
     pub lease_least_ms: Option<u64>,
+    /// Factor by which the rate that a cold upstream bears may be exceeded by all instances together.
+    pub cold_over: Option<f64>,
+    /// Requests a second that a cold upstream may get besides from all instances together.
+    pub cold_slack: Option<f64>,
     /// Time in which service is to be back after a loss of all instances, in seconds: customers keep tokens for it.
     pub recovery_secs: Option<f64>,
 }
--- a/crates/conf/src/shape.rs
+++ b/crates/conf/src/shape.rs
@@ -94,6 +94,8 @@
     may("link_mbps", Shape::Number(0.001, 10_000_000.0)),
     may("memory_mb", Shape::Uint(16, 1_000_000_000)),
     may("lease_least_ms", Shape::Uint(1, 600_000)),
+    may("cold_over", Shape::Number(0.0, 1_000.0)),
+    may("cold_slack", Shape::Number(0.0, 1_000_000.0)),
     may("recovery_secs", Shape::Number(0.1, 3_600.0)),
 ];
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -5,6 +5,7 @@
 //! same time and see late reports only. No I/O, clock or randomness: the time comes in with each
 //! event, in milliseconds.
 
+mod cold;
 mod health;
 mod known;
 mod link;
@@ -18,6 +19,7 @@
 mod usual;
 mod want;
 
+pub use cold::{Cold, Senders};
 pub use link::Link;
 pub use missing::Missing;
 pub use pool::{Listed, Pool};
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -5,6 +5,7 @@
 
 use smallvec::SmallVec;
 
+use crate::cold::{Cold, Senders};
 use crate::rate::{homes, is_full, may_use, rate_one, Rated};
 use crate::said::Said;
 use crate::upstream::{Held, Key, Load, Outcome, Spec, Ticket, Upstream};
@@ -47,11 +48,29 @@
     said: Said,
     /// Zones that are evacuated.
     evacuated: BTreeSet<String>,
+    /// How the upstreams of a service behave while they are cold.
+    cold: HashMap<String, Cold>,
+    senders: Senders,
 }
 
 impl Pool {
+    /// Sets how the upstreams of each service behave while they are cold.
+    pub fn set_cold(&mut self, cold: HashMap<String, Cold>) {
+        self.cold = cold;
+    }
+
+    /// Takes the hashed names of the listed instances, this one's first.
+    pub fn list_senders(&mut self, now: u64, me: u64, names: &[u64]) {
+        self.senders.list(now, me, names);
+        for up in self.upstreams.iter_mut().flatten() {
+            if up.cold_until(now).is_some() {
+                up.sends_cold(self.senders.first_from(up.hash()));
+            }
+        }
+    }
+
     /// Takes that a zone is evacuated, or no longer.
-    pub fn evacuate(&mut self, zone: &str, evacuated: bool) {
+    pub fn evacuate(&mut self, now: u64, zone: &str, evacuated: bool) {
         if evacuated {
             self.evacuated.insert(zone.to_string());
         } else {
@@ -59,6 +78,11 @@
         }
         let of_zone = |u: &&mut Upstream| u.spec.zone == zone;
         for up in self.upstreams.iter_mut().flatten().filter(of_zone) {
+            if up.evacuated && !evacuated {
+                let usual = self.cold.get(&up.spec.service).copied();
+                up.comes_back(now, usual.unwrap_or_default());
+                up.sends_cold(self.senders.first_from(up.hash()));
+            }
             up.evacuated = evacuated;
         }
     }
@@ -68,13 +92,17 @@
         &self.evacuated
     }
 
+    fn cold(&self, service: &str) -> Cold {
+        self.cold.get(service).copied().unwrap_or_default()
+    }
+
     /// Takes an entry of the list.
-    pub fn list(&mut self, spec: Spec) -> Listed {
+    pub fn list(&mut self, now: u64, spec: Spec) -> Listed {
         if spec.leaving {
             self.said.leaving(&spec.life());
         }
         let Some(key) = self.by_id.get(&spec.id).copied() else {
-            self.add(spec);
+            self.add(now, spec);
             return Listed::New;
         };
         let up = self.get_mut(key);
@@ -85,13 +113,13 @@
             let ended = up.spec.life();
             up.gone = true;
             self.drop_idle(key);
-            let key = self.add(spec);
+            let key = self.add(now, spec);
             self.get_mut(key).reborn = true;
             return Listed::Reborn { ended };
         }
         let news = spec.leaving && !up.leaving;
         up.relist(spec);
-        self.place(key);
+        self.place(now, key);
         if news {
             Listed::Leaving
         } else {
@@ -99,13 +127,20 @@
         }
     }
 
-    /// Takes what an upstream's entry says of its zone.
-    fn place(&mut self, key: Key) {
+    /// Takes what an upstream's entry says of its zone, and of how long it is cold.
+    fn place(&mut self, now: u64, key: Key) {
+        let usual = self.cold(&self.get(key).spec.service);
         let evacuated = self.evacuated.contains(&self.get(key).spec.zone);
-        self.get_mut(key).evacuated = evacuated;
+        let up = self.get_mut(key);
+        up.evacuated = evacuated;
+        up.warms_up(now, usual);
+        if up.cold_until(now).is_some() {
+            let from = self.senders.first_from(self.get(key).hash());
+            self.get_mut(key).sends_cold(from);
+        }
     }
 
-    fn add(&mut self, spec: Spec) -> Key {
+    fn add(&mut self, now: u64, spec: Spec) -> Key {
         let id = spec.id.clone();
         let free = self.upstreams.iter().position(Option::is_none);
         let at = free.unwrap_or(self.upstreams.len());
@@ -121,7 +156,7 @@
         }
         let key = Key(at as u32);
         self.by_id.insert(id, key);
-        self.place(key);
+        self.place(now, key);
         key
     }
 
@@ -172,7 +207,8 @@
 
     /// Returns whether a request that was chosen for an upstream may still be sent there.
     pub fn may_send(&self, now: u64, choice: &Choice) -> bool {
-        self.get(choice.key).takes(now)
+        let up = self.get(choice.key);
+        up.may_get(now, choice.ticket, self.cold(&up.spec.service))
     }
 
     /// Returns whether an upstream is listed, and nothing says that it leaves.
@@ -260,7 +296,9 @@
         }
         let all = self.upstreams.iter().enumerate();
         let all = all.filter_map(|(i, u)| Some((Key(i as u32), u.as_ref()?)));
+        let cold = self.cold(want.service);
         let staying = all.filter(|(_, u)| of_service(u) && u.takes(now));
+        let staying = staying.filter(|(_, u)| u.is_open(now, cold));
         let staying: SmallVec<[(Key, &Upstream); 32]> = staying.collect();
         if staying.is_empty() {
             self.why_none(now, want)?;
@@ -306,7 +344,8 @@
         if let Some(retry_ms) = soonest(&mut stay.iter().map(|u| u.rests_until)) {
             return Err(Denied::Resting { retry_ms });
         }
-        Ok(())
+        let cold = soonest(&mut stay.iter().filter_map(|u| u.cold_until(now)));
+        cold.map_or(Ok(()), |retry_ms| Err(Denied::Cold { retry_ms }))
     }
 
     /// Returns what this instance has at its upstreams, for the others.
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::cold::{Cold, Sent};
 use crate::health::Health;
 use crate::known::Known;
 
@@ -47,6 +48,8 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// How much longer it is cold, in milliseconds; none where its list does not say.
+    pub cold_ms: Option<u64>,
 }
 
 impl Spec {
@@ -140,6 +143,14 @@
     pub rests_until: u64,
     /// Whether its zone is evacuated.
     pub evacuated: bool,
+    /// Until when it is cold, by its entry or by what is known of its zone, in milliseconds.
+    cold_until: u64,
+    /// It is taken for cold until then, whatever its entry says, in milliseconds.
+    cold_at_least: u64,
+    /// From when on this instance sends to it while it is cold, in milliseconds; none while another one does.
+    cold_from: Option<u64>,
+    /// Requests that were sent there while it was cold.
+    sent_cold: Sent,
     /// Whether it is no longer listed.
     pub gone: bool,
     /// Its health.
@@ -174,6 +185,10 @@
             inflight: 0,
             rests_until: 0,
             evacuated: false,
+            cold_until: 0,
+            cold_at_least: 0,
+            cold_from: None,
+            sent_cold: Sent::default(),
             gone: false,
             health: Health::default(),
             known: Known::default(),
@@ -220,6 +235,42 @@
         !self.gone && !self.leaving && !self.evacuated && self.rests_until <= now
     }
 
+    /// Returns until when it is cold, in milliseconds; none where it is warm.
+    pub fn cold_until(&self, now: u64) -> Option<u64> {
+        let until = self.cold_until.max(self.cold_at_least);
+        (until > now).then_some(until)
+    }
+
+    /// Takes what its entry says of how long it is cold.
+    pub(crate) fn warms_up(&mut self, now: u64, usual: Cold) {
+        self.cold_until = now + self.spec.cold_ms.unwrap_or(usual.lasts_ms);
+    }
+
+    /// Takes that it comes back into service: it may have become cold since its entry was written.
+    pub(crate) fn comes_back(&mut self, now: u64, usual: Cold) {
+        self.cold_at_least = now + usual.lasts_ms;
+    }
+
+    /// Takes from when on this instance sends to it while it is cold.
+    pub(crate) fn sends_cold(&mut self, from: Option<u64>) {
+        self.cold_from = from;
+    }
+
+    /// Returns whether it is warm, or may get one more request from this instance while it is cold.
+    pub(crate) fn is_open(&self, now: u64, cold: Cold) -> bool {
+        if cold.most.is_none() || self.cold_until(now).is_none() {
+            return true;
+        }
+        let sends = self.cold_from.is_some_and(|from| from <= now);
+        sends && self.sent_cold.has_room(now, cold)
+    }
+
+    /// Returns whether a request that was chosen for it may be sent: it did not turn cold meanwhile.
+    pub(crate) fn may_get(&self, now: u64, ticket: Ticket, cold: Cold) -> bool {
+        let warm = cold.most.is_none() || self.cold_until(now).is_none();
+        self.takes(now) && (warm || self.sent_cold.holds(ticket))
+    }
+
     /// Returns the name that instances use among each other for this life of it.
     pub fn hash(&self) -> u64 {
         self.life_hash
@@ -269,6 +320,9 @@
     pub fn begin(&mut self, now: u64, ticket: Ticket, read_ms: f64) {
         self.inflight += 1;
         self.since_report += 1;
+        if self.cold_until(now).is_some() {
+            self.sent_cold.begin(now, ticket);
+        }
         self.reading.push(Reading {
             ticket,
             sent_at: now,
@@ -279,6 +333,7 @@
     /// Takes the first token, or the answer, of a request; `alone_ms` is what it would have taken on
     /// an upstream of its service's usual speed with nothing else to do.
     pub fn first(&mut self, now: u64, ticket: Ticket, alone_ms: f64) {
+        self.sent_cold.end(now, ticket, true);
         let Some(i) = self.reading.iter().position(|r| r.ticket == ticket) else {
             return;
         };
@@ -329,6 +384,8 @@
         assert!(self.inflight > 0, "{}: an end too many", self.spec.id);
         self.inflight -= 1;
         self.reading.retain(|r| r.ticket != ticket);
+        let answered = matches!(outcome, Outcome::Well | Outcome::Error | Outcome::Refused);
+        self.sent_cold.end(now, ticket, answered);
         match outcome {
             Outcome::Well => self.health.well(now),
             Outcome::Error => self.health.error(now),
--- a/crates/place/src/want.rs
+++ b/crates/place/src/want.rs
@@ -54,6 +54,11 @@
     },
     /// The zones of all that stay are evacuated.
     Evacuated,
+    /// All that stay have just started, or came back, and get no more for now.
+    Cold {
+        /// Milliseconds until the first of them is warm.
+        retry_ms: u64,
+    },
     /// They are so busy that the answer would come too late.
     Busy {
         /// Milliseconds after which coming back makes sense.
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -16,12 +16,13 @@
         zone: format!("z{}", i % 3),
         slots: 64,
         leaving: false,
+        cold_ms: None,
     }
 }
 
 fn pool(n: u32, service: &str) -> Pool {
     let mut pool = Pool::default();
-    (0..n).for_each(|i| assert_eq!(pool.list(spec(i, service)), Listed::New));
+    (0..n).for_each(|i| assert_eq!(pool.list(0, spec(i, service)), Listed::New));
     pool
 }
 
--- /dev/null
+++ b/crates/place/tests/cold.rs
@@ -0,0 +1,268 @@
+//! Upstreams that come back together, cold: what all instances together send to one of them within a second.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use place::{Cold, Denied, Outcome, Pool, Spec, Want};
+
+/// Requests a second that a cold upstream bears, by the service's configuration and the fleet's settings.
+const BOUND: usize = 17;
+/// Time for which upstreams are cold.
+const COLD_MS: u64 = 3_000;
+/// Time until an instance's view of the fleet counts.
+const SETTLED_MS: u64 = 3_000;
+const UPSTREAMS: u32 = 6;
+/// Step of the simulation, in milliseconds.
+const STEP_MS: u64 = 10;
+
+fn spec(i: u32, zone: &str, cold_ms: Option<u64>) -> Spec {
+    Spec {
+        id: format!("u{i}"),
+        born: None,
+        service: "pool".to_string(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 9000 + i as u16)),
+        zone: zone.to_string(),
+        slots: 64,
+        leaving: false,
+        cold_ms,
+    }
+}
+
+fn want<'a>() -> Want<'a> {
+    Want {
+        service: "pool",
+        zone: "a",
+        parts: &[],
+        prompt: 0,
+        tried: &[],
+        deadline: 1_000_000,
+        repeatable: true,
+        random: 7,
+    }
+}
+
+fn cold() -> HashMap<String, Cold> {
+    let cold = Cold {
+        lasts_ms: COLD_MS,
+        most: Some(BOUND as f64),
+    };
+    HashMap::from([("pool".to_string(), cold)])
+}
+
+/// A request under way: when it arrives, when its answer is back, and at which instance.
+struct Request {
+    answered_at: u64,
+    from: usize,
+    choice: place::Choice,
+    sent_at: u64,
+}
+
+struct Fleet {
+    pools: Vec<Pool>,
+    under_way: Vec<Request>,
+    /// When requests arrived, by upstream.
+    arrivals: BTreeMap<String, Vec<u64>>,
+    /// How long a request takes to its upstream, in milliseconds: it differs from second to second.
+    way_ms: fn(u64) -> u64,
+}
+
+impl Fleet {
+    fn open(count: usize, way_ms: fn(u64) -> u64) -> Fleet {
+        let mut pools = Vec::new();
+        for _ in 0..count {
+            let mut pool = Pool::default();
+            pool.set_cold(cold());
+            pools.push(pool);
+        }
+        Fleet {
+            pools,
+            under_way: Vec::new(),
+            arrivals: BTreeMap::new(),
+            way_ms,
+        }
+    }
+
+    /// Has an instance see some others.
+    fn see(&mut self, now: u64, who: usize, seen: &[usize]) {
+        let names: Vec<u64> = seen.iter().map(|i| *i as u64).collect();
+        self.pools[who].list_senders(now, who as u64, &names);
+    }
+
+    fn list_all(&mut self, now: u64, cold_ms: Option<u64>) {
+        for pool in &mut self.pools {
+            for i in 0..UPSTREAMS {
+                pool.list(now, spec(i, "a", cold_ms));
+            }
+        }
+    }
+
+    /// Each instance sends whatever it may.
+    fn step(&mut self, now: u64) {
+        let (ended, left): (Vec<_>, Vec<_>) =
+            self.under_way.drain(..).partition(|r| r.answered_at <= now);
+        self.under_way = left;
+        for r in ended {
+            let pool = &mut self.pools[r.from];
+            pool.first(now, &r.choice, r.sent_at);
+            pool.end(now, r.choice.key, r.choice.ticket, Outcome::Well);
+        }
+        for from in 0..self.pools.len() {
+            while let Ok(choice) = self.pools[from].choose(now, &want()) {
+                let arrives = now + (self.way_ms)(now);
+                let arrivals = self.arrivals.entry(choice.spec.id.clone());
+                arrivals.or_default().push(arrives);
+                self.under_way.push(Request {
+                    answered_at: arrives + 5,
+                    from,
+                    choice,
+                    sent_at: now,
+                });
+            }
+        }
+    }
+
+    /// Returns the most requests that arrived at one upstream within a second.
+    fn most_in_a_second(&mut self) -> usize {
+        let mut most = 0;
+        for arrivals in self.arrivals.values_mut() {
+            arrivals.sort_unstable();
+            for (i, at) in arrivals.iter().enumerate() {
+                let within = arrivals[i..].iter().take_while(|a| **a < at + 1_000);
+                most = most.max(within.count());
+            }
+        }
+        most
+    }
+}
+
+fn short(_: u64) -> u64 {
+    3
+}
+
+/// A link that waits: what was sent in two seconds arrives in one.
+fn bunched(now: u64) -> u64 {
+    1_000 - now % 1_000
+}
+
+/// Guards against all instances rushing to upstreams that came back empty, in fleets of any size, on links that wait.
+#[test]
+fn a_cold_upstream_gets_its_bound_at_most_and_something() {
+    for count in [1, 9, 80, 300, 970] {
+        for way in [short as fn(u64) -> u64, bunched] {
+            let mut fleet = Fleet::open(count, way);
+            let all: Vec<usize> = (0..count).collect();
+            for who in 0..count {
+                fleet.see(0, who, &all);
+            }
+            fleet.list_all(SETTLED_MS, Some(COLD_MS));
+            for now in (SETTLED_MS..SETTLED_MS + COLD_MS).step_by(STEP_MS as usize) {
+                fleet.step(now);
+            }
+            let most = fleet.most_in_a_second();
+            assert!(most <= BOUND / 3, "{count} instances: {most}");
+            assert_eq!(fleet.arrivals.len(), UPSTREAMS as usize, "each gets some");
+        }
+    }
+}
+
+/// Views that differ: a part of the fleet was cut off before the last ones joined, and another one earlier still.
+#[test]
+fn three_views_of_the_fleet_keep_to_the_bound_together() {
+    for count in [80, 300, 970] {
+        let mut fleet = Fleet::open(count, bunched);
+        for who in 0..count {
+            let known = match who % 3 {
+                0 => count,
+                1 => count * 4 / 5,
+                _ => count / 2,
+            };
+            let seen: Vec<usize> = (0..count).filter(|i| *i < known || *i == who).collect();
+            fleet.see(0, who, &seen);
+        }
+        fleet.list_all(SETTLED_MS, Some(COLD_MS));
+        for now in (SETTLED_MS..SETTLED_MS + COLD_MS).step_by(STEP_MS as usize) {
+            fleet.step(now);
+        }
+        let most = fleet.most_in_a_second();
+        assert!(most <= BOUND, "{count} instances: {most}");
+    }
+}
+
+/// A fleet that starts: each instance sees those that came before it, and then more and more.
+#[test]
+fn instances_that_join_in_turn_keep_to_the_bound() {
+    for count in [80, 300] {
+        let mut fleet = Fleet::open(count, bunched);
+        fleet.list_all(0, Some(10_000));
+        for now in (0..10_000_u64).step_by(STEP_MS as usize) {
+            if now % 200 == 0 {
+                let joined = (count * now as usize / 6_000).min(count);
+                for who in 0..joined {
+                    // Some hear of the newest ones a second later.
+                    let late = who % 4 == 0;
+                    let then = now.saturating_sub(if late { 1_000 } else { 0 });
+                    let seen = (count * then as usize / 6_000).min(count);
+                    let seen: Vec<usize> = (0..count).filter(|i| *i < seen || *i == who).collect();
+                    fleet.see(now, who, &seen);
+                }
+            }
+            fleet.step(now);
+        }
+        let most = fleet.most_in_a_second();
+        assert!(most <= BOUND, "{count} instances: {most}");
+    }
+}
+
+/// A request that was given up may still arrive, so it counts on.
+#[test]
+fn what_was_given_up_counts_for_seconds() {
+    let mut fleet = Fleet::open(1, short);
+    fleet.see(0, 0, &[0]);
+    fleet.list_all(SETTLED_MS, Some(20_000));
+    let pool = &mut fleet.pools[0];
+    let mut given_up = 0;
+    for now in SETTLED_MS..SETTLED_MS + 4_000 {
+        while let Ok(choice) = pool.choose(now, &want()) {
+            pool.end(now, choice.key, choice.ticket, Outcome::Silent);
+            given_up += 1;
+        }
+    }
+    assert_eq!(given_up, UPSTREAMS as usize * (BOUND / 3));
+}
+
+/// One upstream is cold and the other is warm: the warm one gets the work of those that may not send to the cold one.
+#[test]
+fn the_warm_one_serves_and_nobody_waits_for_the_cold_one() {
+    let mut fleet = Fleet::open(1, short);
+    let pool = &mut fleet.pools[0];
+    pool.list(0, spec(0, "a", Some(COLD_MS)));
+    pool.list(0, spec(1, "a", Some(0)));
+    for _ in 0..20 {
+        let choice = pool.choose(10, &want()).unwrap();
+        assert_eq!(choice.spec.id, "u1");
+    }
+    // It has become cold as well, by its entry: what was chosen before goes elsewhere, or is refused with the time.
+    let choice = pool.choose(10, &want()).unwrap();
+    assert!(pool.may_send(10, &choice));
+    pool.list(10, spec(1, "a", Some(2_000)));
+    assert!(!pool.may_send(10, &choice));
+    let denied = pool.choose(20, &want()).unwrap_err();
+    assert_eq!(denied, Denied::Cold { retry_ms: 1_990 });
+    assert!(pool.choose(2_010, &want()).is_ok(), "warm again");
+}
+
+/// An entry that says nothing of it means the service's usual time; a service without a bound has no such gate.
+#[test]
+fn an_upstream_of_which_nothing_is_said_is_cold_at_first() {
+    let mut pool = Pool::default();
+    pool.set_cold(cold());
+    pool.list(100, spec(0, "a", None));
+    assert_eq!(
+        pool.choose(100, &want()).unwrap_err(),
+        Denied::Cold { retry_ms: COLD_MS }
+    );
+    assert!(pool.choose(100 + COLD_MS, &want()).is_ok());
+    let mut free = Pool::default();
+    free.list(100, spec(0, "a", Some(COLD_MS)));
+    assert!(free.choose(100, &want()).is_ok());
+}
--- a/crates/place/tests/lives.rs
+++ b/crates/place/tests/lives.rs
@@ -26,6 +26,7 @@
         zone: "z".to_string(),
         slots: 8,
         leaving: false,
+        cold_ms: None,
     }
 }
 
@@ -49,7 +50,7 @@
 #[test]
 fn nothing_of_an_earlier_life_holds() {
     let mut pool = Pool::default();
-    pool.list(spec(100));
+    pool.list(0, spec(100));
     let first = choose(&mut pool, 0);
     let known = choose(&mut pool, 10);
     assert!(known.unread <= 500, "it has them now: {}", known.unread);
@@ -71,7 +72,7 @@
     )]);
     pool.hear(20, 77, &told);
     let ended = "e@100".to_string();
-    assert_eq!(pool.list(spec(200)), Listed::Reborn { ended });
+    assert_eq!(pool.list(0, spec(200)), Listed::Reborn { ended });
     let up = pool.listed().next().expect("the later life");
     assert_eq!((up.inflight, up.occupancy(30)), (0, 0));
     // What others still say of the earlier life does not concern the later one.
@@ -102,9 +103,9 @@
 #[test]
 fn a_leaving_ends_with_its_life() {
     let mut pool = Pool::default();
-    pool.list(spec(100));
+    pool.list(0, spec(100));
     assert!(pool.leaving("e@100"));
-    pool.list(spec(200));
+    pool.list(0, spec(200));
     assert!(!pool.leaving("e@100"), "it is gone");
     assert!(pool.listed().all(|u| !u.leaving));
     assert!(pool.leaving("e@200"));
@@ -115,14 +116,14 @@
 #[test]
 fn an_older_entry_changes_nothing() {
     let mut pool = Pool::default();
-    pool.list(spec(200));
-    assert_eq!(pool.list(spec(100)), Listed::Known);
+    pool.list(0, spec(200));
+    assert_eq!(pool.list(0, spec(100)), Listed::Known);
     assert_eq!(pool.listed().next().expect("listed").spec.born, Some(200));
     // One that does not say is of the life that is known.
     let silent = Spec {
         born: None,
         ..spec(0)
     };
-    assert_eq!(pool.list(silent), Listed::Known);
+    assert_eq!(pool.list(0, silent), Listed::Known);
     assert_eq!(pool.listed().next().expect("listed").spec.born, Some(200));
 }
--- a/crates/place/tests/said.rs
+++ b/crates/place/tests/said.rs
@@ -15,13 +15,14 @@
         zone: "z".to_string(),
         slots: 8,
         leaving: false,
+        cold_ms: None,
     }
 }
 
 fn pool(ids: &[&str]) -> Pool {
     let mut pool = Pool::default();
     for id in ids {
-        pool.list(spec(id));
+        pool.list(0, spec(id));
     }
     pool
 }
@@ -62,12 +63,12 @@
     let mut pool = pool(&["a"]);
     pool.leaving("a");
     pool.delist("a");
-    pool.list(spec("a"));
+    pool.list(0, spec("a"));
     assert_eq!(choose(&mut pool, 0).unwrap_err(), Denied::NoneLeft);
     assert!(!pool.leaving("b"), "it is not listed yet");
-    pool.list(spec("b"));
+    pool.list(0, spec("b"));
     assert_eq!(choose(&mut pool, 0).unwrap_err(), Denied::NoneLeft);
-    pool.list(spec("c"));
+    pool.list(0, spec("c"));
     let choice = choose(&mut pool, 0).expect("another life");
     assert_eq!(choice.spec.id, "c");
 }
@@ -79,14 +80,14 @@
         ..spec("a")
     };
     let mut pool = Pool::default();
-    pool.list(born(100));
+    pool.list(0, born(100));
     let choice = choose(&mut pool, 0).expect("it takes work");
     pool.rests(0, choice.key, HOUR);
     end(&mut pool, 0, &choice);
     pool.leaving("a@100");
-    pool.list(born(200));
+    pool.list(0, born(200));
     assert!(choose(&mut pool, 0).is_ok(), "a later life");
-    pool.list(born(100));
+    pool.list(0, born(100));
     assert!(
         choose(&mut pool, 0).is_ok(),
         "an older entry says nothing of it"
@@ -129,7 +130,7 @@
     assert!(!pool.rests(100, choice.key, 200), "shorter");
     end(&mut pool, 100, &choice);
     pool.delist("a");
-    pool.list(spec("a"));
+    pool.list(0, spec("a"));
     let denied = Denied::Resting { retry_ms: 8_000 };
     assert_eq!(choose(&mut pool, 1_000).unwrap_err(), denied);
     let choice = choose(&mut pool, 9_000).expect("its time is over");
--- a/crates/place/tests/zones.rs
+++ b/crates/place/tests/zones.rs
@@ -1,8 +1,9 @@
 //! Zones that are evacuated.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use place::{Denied, Pool, Spec, Want};
+use place::{Cold, Denied, Pool, Spec, Want};
 
 fn spec(id: &str, zone: &str) -> Spec {
     Spec {
@@ -13,6 +14,7 @@
         zone: zone.to_string(),
         slots: 64,
         leaving: false,
+        cold_ms: Some(0),
     }
 }
 
@@ -32,8 +34,13 @@
 /// Two zones with an upstream each.
 fn pool() -> Pool {
     let mut pool = Pool::default();
-    pool.list(spec("u1", "a"));
-    pool.list(spec("u2", "b"));
+    let cold = Cold {
+        lasts_ms: 3_000,
+        most: Some(17.0),
+    };
+    pool.set_cold(HashMap::from([("pool".to_string(), cold)]));
+    pool.list(0, spec("u1", "a"));
+    pool.list(0, spec("u2", "b"));
     pool
 }
 
@@ -43,15 +50,22 @@
     let mut pool = pool();
     let before = pool.choose(10, &want()).unwrap();
     assert_eq!(before.spec.zone, "a", "the own zone first");
-    pool.evacuate("a", true);
+    pool.evacuate(20, "a", true);
     assert!(!pool.may_send(20, &before), "chosen before");
-    pool.list(spec("u1", "a"));
-    pool.list(spec("u3", "a"));
+    pool.list(30, spec("u1", "a"));
+    pool.list(30, spec("u3", "a"));
     for _ in 0..20 {
         assert_eq!(pool.choose(30, &want()).unwrap().spec.id, "u2");
     }
-    pool.evacuate("b", true);
+    pool.evacuate(40, "b", true);
     assert_eq!(pool.choose(40, &want()).unwrap_err(), Denied::Evacuated);
-    pool.evacuate("b", false);
-    assert_eq!(pool.choose(60, &want()).unwrap().spec.id, "u2");
+    pool.evacuate(50, "b", false);
+    // It may have become cold meanwhile, whatever its entry said before.
+    assert!(matches!(
+        pool.choose(60, &want()).unwrap_err(),
+        Denied::Cold { .. }
+    ));
+    pool.list(70, spec("u2", "b"));
+    assert!(pool.choose(80, &want()).is_err(), "an entry may be older");
+    assert!(pool.choose(3_050, &want()).is_ok());
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -126,6 +126,10 @@
                 let message = format!("the upstreams of {} want nothing for now", job.service);
                 Refusal::new(Kind::NoUpstream, message).back_at(retry_ms)
             }
+            Failed::Denied(Denied::Cold { retry_ms }) => {
+                let message = format!("the upstreams of {} have just started", job.service);
+                Refusal::new(Kind::Overloaded, message).back_in(retry_ms, left)
+            }
             Failed::Denied(Denied::Evacuated) => {
                 let message = format!("all zones of {} are evacuated", job.service);
                 Refusal::new(Kind::NoUpstream, message).back_in(RETRY_EVACUATED_MS, left)
@@ -241,7 +245,7 @@
         job.router.metrics.connects.inc();
         match job.router.dialer.open(target, until).await {
             Ok(conn) if slot.may_send() => return Ok((slot, conn)),
-            // It leaves, rests or is evacuated by now: nothing of this request was sent.
+            // It leaves, rests, is evacuated or cold by now: nothing of this request was sent.
             Ok(_) => {}
             Err(e) => {
                 let detail = format_args!("upstream={} connect={e:?}", spec.id);
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,12 +1,13 @@
 //! The operators' configuration in force: only ever replaced by a higher version.
 
 use std::collections::{BTreeSet, HashMap};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 
 use bytes::Bytes;
 use conf::Routing;
 use kv::{Change, Store};
 use notice::Notice;
+use place::{Cold, Pool};
 
 use crate::bank::Bank;
 use crate::dialect::Dialect;
@@ -39,11 +40,22 @@
     log: Arc<Log>,
     notices: Notices,
     relay: Relay,
+    pool: Arc<Mutex<Pool>>,
+    bounds: ColdBounds,
     active: RwLock<Option<Arc<Active>>>,
     /// Keys that a version which is not in force here yet no longer holds, by their hashes.
     revoked: RwLock<HashMap<u64, u64>>,
 }
 
+/// How far the rate that a cold upstream bears may be exceeded by the fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ColdBounds {
+    /// A factor.
+    pub(crate) over: f64,
+    /// Requests besides.
+    pub(crate) slack: f64,
+}
+
 /// What a configuration is put in force with.
 pub(crate) struct Works {
     pub(crate) dialect: Arc<dyn Dialect>,
@@ -51,6 +63,8 @@
     pub(crate) log: Arc<Log>,
     pub(crate) notices: Notices,
     pub(crate) relay: Relay,
+    pub(crate) pool: Arc<Mutex<Pool>>,
+    pub(crate) bounds: ColdBounds,
 }
 
 impl Config {
@@ -61,6 +75,8 @@
             log,
             notices,
             relay,
+            pool,
+            bounds,
         } = works;
         Config(Arc::new(Inner {
             dialect,
@@ -68,6 +84,8 @@
             log,
             notices,
             relay,
+            pool,
+            bounds,
             active: RwLock::new(None),
             revoked: RwLock::default(),
         }))
@@ -109,6 +127,7 @@
             routing.accounts.len(),
         );
         self.0.bank.set_prepaid(&routing);
+        self.set_cold(&routing);
         let next = Arc::new(Active {
             routing,
             raw: Bytes::copy_from_slice(raw),
@@ -137,6 +156,18 @@
         self.0.notices.learn(Notice::Version { version });
     }
 
+    fn set_cold(&self, routing: &Routing) {
+        let bounds = self.0.bounds;
+        let cold = |s: &conf::Service| Cold {
+            lasts_ms: s.cold_ms,
+            most: (s.cold_per_sec > 0.0).then_some(s.cold_per_sec * bounds.over + bounds.slack),
+        };
+        let services = routing.services.iter();
+        let cold = services.map(|(name, s)| (name.clone(), cold(s)));
+        let mut pool = self.0.pool.lock().expect("no panic inside");
+        pool.set_cold(cold.collect());
+    }
+
     /// Takes the word that a version no longer holds a key: nobody gets in with it any more, though that version itself may
     /// come later.
     pub(crate) fn revoke(&self, key: u64, version: u64) {
--- a/crates/proxy/src/evacuation.rs
+++ b/crates/proxy/src/evacuation.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
+use clock::Clock;
 use kv::{Change, Found};
 use notice::Notice;
 use place::Pool;
@@ -21,6 +22,7 @@
     notices: Notices,
     pool: Arc<Mutex<Pool>>,
     log: Arc<Log>,
+    clock: Clock,
 }
 
 impl Evacuations {
@@ -29,12 +31,14 @@
         notices: Notices,
         pool: Arc<Mutex<Pool>>,
         log: Arc<Log>,
+        clock: Clock,
     ) -> Evacuations {
         Evacuations(Arc::new(Inner {
             dialect,
             notices,
             pool,
             log,
+            clock,
         }))
     }
 
@@ -99,7 +103,7 @@
         if pool.evacuated().contains(zone) == evacuated {
             return;
         }
-        pool.evacuate(zone, evacuated);
+        pool.evacuate(self.0.clock.now(), zone, evacuated);
         drop(pool);
         let event = if evacuated {
             Event::ZoneEvacuated
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -54,7 +54,7 @@
     UpstreamSaid,
     /// A zone is evacuated: its upstreams get nothing.
     ZoneEvacuated,
-    /// A zone is no longer evacuated: its upstreams get requests again.
+    /// A zone is no longer evacuated: its upstreams get requests again, few while they are cold.
     ZoneBack,
     /// A request was answered.
     Answered,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -5,14 +5,16 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use clock::Clock;
 use escrow::ASKED;
 use kv::{Commit, Expect, Failure, Found, Put, Store, Txn};
+use place::Pool;
 use relay::Candidate;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::event::Event;
 use crate::follow::{Feed, Follow, Update};
@@ -61,6 +63,8 @@
     store: Arc<dyn Store>,
     feed: Feed,
     log: Arc<Log>,
+    pool: Arc<Mutex<Pool>>,
+    clock: Clock,
     members: Mutex<BTreeMap<String, Member>>,
     lease: Mutex<i64>,
 }
@@ -88,6 +92,8 @@
         store: Arc<dyn Store>,
         feed: Feed,
         log: Arc<Log>,
+        pool: Arc<Mutex<Pool>>,
+        clock: Clock,
     ) -> Fleet {
         let own = me.addr;
         let seed = |addr: &SocketAddr| Member {
@@ -106,6 +112,8 @@
             store,
             feed,
             log,
+            pool,
+            clock,
             members: Mutex::default(),
             lease: Mutex::new(0),
         }))
@@ -339,7 +347,7 @@
         }
     }
 
-    /// Takes which instances of the own zone may read the store for it.
+    /// Takes which instances of the own zone may read the store for it, and which of all may send to cold upstreams.
     fn place(&self, members: &BTreeMap<String, Member>) {
         let zone = members.iter().filter(|(_, m)| m.zone == self.0.me.zone);
         let zone = zone.map(|(key, m)| Candidate {
@@ -352,6 +360,10 @@
             link_mbps: self.0.me.link_mbps,
         };
         self.0.feed.relay.place(&me, &zone);
+        let names: Vec<u64> = members.keys().map(|k| xxh3_64(k.as_bytes())).collect();
+        let mut pool = self.0.pool.lock().expect("no panic inside");
+        let now = self.0.clock.now();
+        pool.list_senders(now, xxh3_64(self.0.key.as_bytes()), &names);
     }
 
     /// Ends the lease, and with it the own key.
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -17,7 +17,7 @@
 
 use crate::bank::{Bank, Means};
 use crate::calls::Calls;
-use crate::config::{Config, Works};
+use crate::config::{ColdBounds, Config, Works};
 use crate::datagram;
 use crate::dialect::Dialect;
 use crate::evacuation::Evacuations;
@@ -117,12 +117,15 @@
             log: Arc::clone(&log),
             notices: notices.clone(),
             relay: relay.clone(),
+            pool: Arc::clone(&pool),
+            bounds: cold_bounds(&fleet_settings),
         });
         let evacuations = Evacuations::open(
             Arc::clone(&dialect),
             notices.clone(),
             Arc::clone(&pool),
             Arc::clone(&log),
+            clock,
         );
         let suspects = Suspects::open(&settings.name, clock, Arc::clone(&log), dialer.clone());
         let listing = Listing::open(
@@ -149,6 +152,8 @@
             calls.store("instances", &store),
             feed.clone(),
             Arc::clone(&log),
+            Arc::clone(&pool),
+            clock,
         );
         let others = Others {
             fleet: fleet.clone(),
@@ -343,6 +348,13 @@
     }
 }
 
+fn cold_bounds(fleet: &conf::Fleet) -> ColdBounds {
+    ColdBounds {
+        over: fleet.cold_over.unwrap_or(1.0),
+        slack: fleet.cold_slack.unwrap_or_default(),
+    }
+}
+
 fn spawn_sweep(dialer: Dialer) {
     tokio::spawn(async move {
         loop {
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -286,7 +286,8 @@
         if leaving {
             self.spread_leaving(&life);
         }
-        let listed = self.0.pool.lock().expect("no panic inside").list(spec);
+        let now = self.0.clock.now();
+        let listed = self.0.pool.lock().expect("no panic inside").list(now, spec);
         let event = match listed {
             Listed::Known => return,
             Listed::Reborn { ended } => {
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -42,6 +42,7 @@
                     "occupancy": u.occupancy(now), "out": u.health.is_out(now),
                     "failing": u.health.failing(now), "delay_ms": u.delay(now),
                     "slowness": u.slowness(now), "evacuated": u.evacuated,
+                    "cold_ms": u.cold_until(now).map_or(0, |until| until - now),
                 })
             })
             .collect();
