--- a/crates/conf/src/routing.rs
+++ b/crates/conf/src/routing.rs
@@ -47,6 +47,8 @@
     pub public: bool,
     /// The services that answer it.
     pub shares: Vec<Share>,
+    /// Regions that its requests may reach; empty where they may reach all.
+    pub regions: Vec<String>,
 }
 
 impl Route {
@@ -113,6 +115,8 @@
     pub priority: Option<u8>,
     /// Tokens that it may spend altogether; none for no bound.
     pub prepaid: Option<u64>,
+    /// Regions that its requests may reach; empty where they may reach all.
+    pub regions: Vec<String>,
 }
 
 /// All routes, services and customers of one version.
@@ -182,6 +186,19 @@
         None
     }
 
+    /// Returns the regions that a request on a route with a key may reach, empty where it may reach all; none where the
+    /// route and the key's customer allow different ones.
+    pub fn regions(&self, route: &Route, key: Option<&str>) -> Option<Vec<String>> {
+        let customer = key.and_then(|key| self.account(key));
+        let own = customer.map_or(&[][..], |a| &a.regions);
+        if own.is_empty() || route.regions.is_empty() {
+            return Some([own, &route.regions].concat());
+        }
+        let both = own.iter().filter(|r| route.regions.contains(r));
+        let both: Vec<String> = both.cloned().collect();
+        (!both.is_empty()).then_some(both)
+    }
+
     /// Returns the customer that holds a key.
     pub fn account(&self, key: &str) -> Option<&Account> {
         self.by_key.get(key).map(|i| &self.accounts[*i])
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one process: all optional but its place and the platform's address.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -89,6 +90,8 @@
     pub cold_over: Option<f64>,
     /// Requests a second that a cold upstream may get besides from all instances together.
     pub cold_slack: Option<f64>,
+    /// The region of each availability zone, for routes and customers that are bound to regions.
+    pub zones: Option<BTreeMap<String, String>>,
     /// Time in which service is to be back after a loss of all instances, in seconds: customers keep tokens for it.
     pub recovery_secs: Option<f64>,
 }
--- a/crates/conf/src/shape.rs
+++ b/crates/conf/src/shape.rs
@@ -96,6 +96,7 @@
     may("lease_least_ms", Shape::Uint(1, 600_000)),
     may("cold_over", Shape::Number(0.0, 1_000.0)),
     may("cold_slack", Shape::Number(0.0, 1_000_000.0)),
+    may("zones", Shape::Map(&Shape::Text)),
     may("recovery_secs", Shape::Number(0.1, 3_600.0)),
 ];
 
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -1,7 +1,7 @@
 //! All upstreams of all services, and the choice among them.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use smallvec::SmallVec;
 
@@ -48,12 +48,19 @@
     said: Said,
     /// Zones that are evacuated.
     evacuated: BTreeSet<String>,
+    /// The region of each zone.
+    regions: BTreeMap<String, String>,
     /// How the upstreams of a service behave while they are cold.
     cold: HashMap<String, Cold>,
     senders: Senders,
 }
 
 impl Pool {
+    /// Sets the region of each zone.
+    pub fn set_regions(&mut self, regions: BTreeMap<String, String>) {
+        self.regions = regions;
+    }
+
     /// Sets how the upstreams of each service behave while they are cold.
     pub fn set_cold(&mut self, cold: HashMap<String, Cold>) {
         self.cold = cold;
@@ -298,7 +305,7 @@
         let all = all.filter_map(|(i, u)| Some((Key(i as u32), u.as_ref()?)));
         let cold = self.cold(want.service);
         let staying = all.filter(|(_, u)| of_service(u) && u.takes(now));
-        let staying = staying.filter(|(_, u)| u.is_open(now, cold));
+        let staying = staying.filter(|(_, u)| self.may_reach(u, want) && u.is_open(now, cold));
         let staying: SmallVec<[(Key, &Upstream); 32]> = staying.collect();
         if staying.is_empty() {
             self.why_none(now, want)?;
@@ -327,6 +334,12 @@
         Ok(rated)
     }
 
+    /// Returns whether an upstream is in a region that a request may reach.
+    fn may_reach(&self, up: &Upstream, want: &Want<'_>) -> bool {
+        let region = self.regions.get(&up.spec.zone);
+        want.regions.is_empty() || region.is_some_and(|r| want.regions.contains(r))
+    }
+
     /// Returns why no upstream of a service takes a request, where that is more than that all leave.
     fn why_none(&self, now: u64, want: &Want<'_>) -> Result<(), Denied> {
         let of_service = self.listed().filter(|u| u.spec.service == want.service);
@@ -338,13 +351,20 @@
         if stay.is_empty() {
             return Ok(());
         }
-        if stay.iter().all(|u| u.evacuated) {
+        let reached: SmallVec<[&Upstream; 32]> = stay
+            .into_iter()
+            .filter(|u| self.may_reach(u, want))
+            .collect();
+        if reached.is_empty() {
+            return Err(Denied::Outside);
+        }
+        if reached.iter().all(|u| u.evacuated) {
             return Err(Denied::Evacuated);
         }
-        if let Some(retry_ms) = soonest(&mut stay.iter().map(|u| u.rests_until)) {
+        if let Some(retry_ms) = soonest(&mut reached.iter().map(|u| u.rests_until)) {
             return Err(Denied::Resting { retry_ms });
         }
-        let cold = soonest(&mut stay.iter().filter_map(|u| u.cold_until(now)));
+        let cold = soonest(&mut reached.iter().filter_map(|u| u.cold_until(now)));
         cold.map_or(Ok(()), |retry_ms| Err(Denied::Cold { retry_ms }))
     }
 
--- a/crates/place/src/want.rs
+++ b/crates/place/src/want.rs
@@ -13,6 +13,8 @@
     pub parts: &'a [Part],
     /// Tokens of its prompt; 0 for a plain call.
     pub prompt: u32,
+    /// Regions whose upstreams it may reach; empty where it may reach all.
+    pub regions: &'a [String],
     /// Upstreams that were tried.
     pub tried: &'a [Key],
     /// When its answer is no longer wanted, in milliseconds.
@@ -54,6 +56,8 @@
     },
     /// The zones of all that stay are evacuated.
     Evacuated,
+    /// None of those that stay is in a region that the request may reach.
+    Outside,
     /// All that stay have just started, or came back, and get no more for now.
     Cold {
         /// Milliseconds until the first of them is warm.
--- a/crates/place/tests/cold.rs
+++ b/crates/place/tests/cold.rs
@@ -34,6 +34,7 @@
         zone: "a",
         parts: &[],
         prompt: 0,
+        regions: &[],
         tried: &[],
         deadline: 1_000_000,
         repeatable: true,
--- a/crates/place/tests/lives.rs
+++ b/crates/place/tests/lives.rs
@@ -36,6 +36,7 @@
         zone: "z",
         parts: &PARTS,
         prompt: 8_500,
+        regions: &[],
         tried: &[],
         deadline: now + 10_000,
         repeatable: true,
--- a/crates/place/tests/said.rs
+++ b/crates/place/tests/said.rs
@@ -33,6 +33,7 @@
         zone: "z",
         parts: &[],
         prompt: 0,
+        regions: &[],
         tried: &[],
         deadline: now + 1_000,
         repeatable: true,
--- a/crates/place/tests/zones.rs
+++ b/crates/place/tests/zones.rs
@@ -1,6 +1,6 @@
-//! Zones that are evacuated.
+//! Zones that are evacuated, and regions that a request may not reach.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use place::{Cold, Denied, Pool, Spec, Want};
@@ -18,12 +18,13 @@
     }
 }
 
-fn want<'a>() -> Want<'a> {
+fn want(regions: &[String]) -> Want<'_> {
     Want {
         service: "pool",
         zone: "a",
         parts: &[],
         prompt: 0,
+        regions,
         tried: &[],
         deadline: 1_000_000,
         repeatable: true,
@@ -48,24 +49,44 @@
 #[test]
 fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
     let mut pool = pool();
-    let before = pool.choose(10, &want()).unwrap();
+    let before = pool.choose(10, &want(&[])).unwrap();
     assert_eq!(before.spec.zone, "a", "the own zone first");
     pool.evacuate(20, "a", true);
     assert!(!pool.may_send(20, &before), "chosen before");
     pool.list(30, spec("u1", "a"));
     pool.list(30, spec("u3", "a"));
     for _ in 0..20 {
-        assert_eq!(pool.choose(30, &want()).unwrap().spec.id, "u2");
+        assert_eq!(pool.choose(30, &want(&[])).unwrap().spec.id, "u2");
     }
     pool.evacuate(40, "b", true);
-    assert_eq!(pool.choose(40, &want()).unwrap_err(), Denied::Evacuated);
+    assert_eq!(pool.choose(40, &want(&[])).unwrap_err(), Denied::Evacuated);
     pool.evacuate(50, "b", false);
     // It may have become cold meanwhile, whatever its entry said before.
     assert!(matches!(
-        pool.choose(60, &want()).unwrap_err(),
+        pool.choose(60, &want(&[])).unwrap_err(),
         Denied::Cold { .. }
     ));
     pool.list(70, spec("u2", "b"));
-    assert!(pool.choose(80, &want()).is_err(), "an entry may be older");
-    assert!(pool.choose(3_050, &want()).is_ok());
+    assert!(
+        pool.choose(80, &want(&[])).is_err(),
+        "an entry may be older"
+    );
+    assert!(pool.choose(3_050, &want(&[])).is_ok());
+}
+
+/// Guards against a request that leaves the regions which its route and its customer allow.
+#[test]
+fn a_request_stays_in_its_regions() {
+    let mut pool = pool();
+    let region = |zone: &str, region: &str| (zone.to_string(), region.to_string());
+    pool.set_regions(BTreeMap::from([region("a", "north"), region("b", "south")]));
+    let (south, west) = (["south".to_string()], ["west".to_string()]);
+    for _ in 0..20 {
+        assert_eq!(pool.choose(10, &want(&south)).unwrap().spec.zone, "b");
+    }
+    assert_eq!(pool.choose(10, &want(&west)).unwrap_err(), Denied::Outside);
+    // A zone whose region nobody knows is in none.
+    pool.list(10, spec("u3", "c"));
+    assert_eq!(pool.choose(10, &want(&west)).unwrap_err(), Denied::Outside);
+    assert!(pool.choose(10, &want(&[])).is_ok());
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -134,6 +134,10 @@
                 let message = format!("all zones of {} are evacuated", job.service);
                 Refusal::new(Kind::NoUpstream, message).back_in(RETRY_EVACUATED_MS, left)
             }
+            Failed::Denied(Denied::Outside) => {
+                let message = format!("no upstream of {} is in an allowed region", job.service);
+                Refusal::new(Kind::NoUpstream, message).back_in(RETRY_EVACUATED_MS, left)
+            }
             Failed::Denied(Denied::Unknown | Denied::NoneLeft) => {
                 let message = format!("no upstream of {} is left", job.service);
                 Refusal::new(Kind::NoUpstream, message).back_in(RETRY_NO_UPSTREAM_MS, left)
@@ -269,6 +273,7 @@
         zone: &job.router.zone,
         parts: &job.ask.parts,
         prompt: job.ask.prompt,
+        regions: &job.regions,
         tried: &job.tried,
         deadline: job.deadline,
         repeatable: job.is_repeatable(),
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -108,7 +108,7 @@
             peers: peers.clone(),
         };
         let bank = Bank::open(clock, Arc::clone(&log));
-        let pool = Arc::new(Mutex::new(Pool::default()));
+        let pool = Arc::new(Mutex::new(pool(&fleet_settings)));
         let dialer = Dialer::default();
         let notices = Notices::default();
         let config = Config::open(Works {
@@ -355,6 +355,12 @@
     }
 }
 
+fn pool(fleet: &conf::Fleet) -> Pool {
+    let mut pool = Pool::default();
+    pool.set_regions(fleet.zones.clone().unwrap_or_default());
+    pool
+}
+
 fn spawn_sweep(dialer: Dialer) {
     tokio::spawn(async move {
         loop {
--- a/crates/proxy/src/job.rs
+++ b/crates/proxy/src/job.rs
@@ -76,6 +76,8 @@
     pub(crate) service: String,
     pub(crate) traits: Service,
     pub(crate) customer: Option<String>,
+    /// Regions whose upstreams it may reach; empty where it may reach all.
+    pub(crate) regions: Vec<String>,
     /// When it came, in milliseconds.
     pub(crate) arrived: u64,
     /// When its answer is no longer wanted, in milliseconds.
--- a/crates/proxy/src/pipe.rs
+++ b/crates/proxy/src/pipe.rs
@@ -109,8 +109,14 @@
             let mut retries = self.retries.lock().expect("no panic inside");
             retries.request(arrived, &service);
         }
+        let regions = active.routing.regions(&route, ask.key.as_deref());
+        let regions = regions.ok_or_else(|| {
+            let message = format!("route {} and its customer share no region", route.name);
+            Refusal::new(Kind::NoUpstream, message)
+        })?;
         let mut job = Job {
             router: Arc::clone(self),
+            regions,
             digest: digest(&ask, customer.as_deref(), &head, &body),
             ask,
             head,
