A report tells where requests waited: here, or at their upstreams

`oriolehitch waits LOG...`, by route, customer, instance, upstream or second: answered, repeated, refused, and the medians and 95th percentiles of the time from arrival to the last sending and from there to the first byte.

--- a/crates/oriolehitch/src/flags.rs
+++ b/crates/oriolehitch/src/flags.rs
@@ -115,6 +115,18 @@
             /// Prints JSON.
             optional --json
         }
+        /// Shows where requests waited for their first byte, in milliseconds, by the logs of a fleet.
+        ///
+        /// here: from the arrival to the last sending, for tokens, upstreams, connections and earlier attempts; there: from
+        /// that to the first byte; 50 and 95: percentiles.
+        cmd waits {
+            /// Logs in JSON of one instance each, or of many with the instance's name before each line.
+            repeated logs: PathBuf
+            /// What a row is of: route, customer, instance, upstream or second; route if it is not given.
+            optional --by what: String
+            /// Prints JSON.
+            optional --json
+        }
         /// Runs one stand-in as a process.
         cmd stub {
             /// The platform's key-value service.
--- a/crates/oriolehitch/src/lib.rs
+++ b/crates/oriolehitch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod stubs;
 pub mod table;
 pub mod tokens;
+pub mod waits;
 
 use flags::{Flags, OriolehitchCmd};
 use tokio::runtime::Builder;
@@ -78,6 +79,7 @@
         OriolehitchCmd::Check(cmd) => Ok(check::run(&cmd)),
         OriolehitchCmd::Tokens(cmd) => tokens::run(&cmd),
         OriolehitchCmd::Calls(cmd) => calls::run(&cmd),
+        OriolehitchCmd::Waits(cmd) => waits::run(&cmd),
         OriolehitchCmd::Stub(cmd) => stubs::run(cmd).await,
         OriolehitchCmd::Dump(cmd) => operate::dump(cmd).await,
     }
--- a/crates/oriolehitch/tests/reports/main.rs
+++ b/crates/oriolehitch/tests/reports/main.rs
@@ -181,3 +181,35 @@
     let by_time = shown(&["calls", file, "--every", "10", "--json"]);
     assert_eq!(by_time[by_time.len() - 2..], late);
 }
+
+#[test]
+fn waits_are_told_apart_by_where_they_were() {
+    let answered = |instance: &str, sent: u32, first: u32, attempts: u32| {
+        let detail = format!(
+            "route=r customer=c upstream=e attempts={attempts} code=ok ms=900 sent_ms={sent} first_ms={first} expected_ms=60"
+        );
+        line(2, instance, 2501, &detail)
+    };
+    let text = [
+        line(1, "a", 2001, "id=a.1"),
+        answered("a", 10, 110, 1),
+        answered("a", 30, 90, 2),
+        answered("b", 200, 260, 1),
+        line(3, "b", 2502, "code=overloaded ran=No"),
+    ]
+    .concat();
+    let file = file("waits.log", &text);
+    let file = file.to_str().expect("a name in letters");
+    let Outcome::Done(text) = run(&["waits", file, "--by", "instance", "--json"]) else {
+        panic!("refused");
+    };
+    let rows: Vec<Value> = serde_json::from_str(&text).expect("JSON");
+    let of = |row: &Value, field: &str| row[field].as_u64().expect("a number");
+    let fields = ["answered", "repeated", "refused", "here_95", "there_50"];
+    let shown: Vec<[u64; 5]> = rows.iter().map(|r| fields.map(|f| of(r, f))).collect();
+    assert_eq!(shown, [[2, 1, 0, 30, 60], [1, 0, 1, 200, 60]]);
+    assert!(matches!(
+        run(&["waits", file, "--by", "weather"]),
+        Outcome::Refused(_)
+    ));
+}
