An instance may have an eighth of an upstream's connections, not an equal part only

From 433 instances on an equal part is none at all: no request would reach such an upstream (by reading, a test shows it). Cause: the part did not look at what an instance carries.

Ways: as it was; a part by what an instance carries, told by all (late by 0.7 s, and connections are held longer); an eighth for whoever needs it, since requests under way are bounded by the upstreams' places already. Four instances at their most and the others' parts fit. Kept for what it prevents at size.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Uri};
-use place::{Choice, Denied, Outcome, Want};
+use place::{connections, Choice, Denied, Outcome, Want};
 use suspect::Digest;
 use tokio::time::timeout_at;
 
@@ -21,8 +21,6 @@
 use crate::refusal::Refusal;
 use crate::router::Router;
 
-/// Part of an upstream's connections that all instances together use: others may use it too.
-const CONNECTIONS_PCT: usize = 80;
 /// A request that may be repeated is given up at an upstream that is silent for so many times its
 /// objective, and for so many times what was expected: slower ones answer still.
 const SILENT_OBJECTIVES: f64 = 3.0;
@@ -239,11 +237,11 @@
             return Ok((slot, conn));
         }
         let sharers = job.router.fleet.sharers();
-        let all = job.traits.connections as usize * CONNECTIONS_PCT / 100;
+        let most = connections(job.traits.connections as usize, sharers);
         let target = Target {
             upstream: &incarnation,
             addr: spec.addr,
-            most: if all == 0 { usize::MAX } else { all / sharers },
+            most: most.unwrap_or(usize::MAX),
         };
         let until = job.router.clock.at(job.deadline);
         job.router.metrics.connects.inc();
