What is kept back for a restart of all is what a ration needs, in a large fleet

At 80 a home is seldom hit, and what an outage refuses weighs more. So what is kept falls with the number of instances.

Why the ration: the smaller half of the requests takes an eighth of the tokens.

Ruled out on the way: tokens that seem out of reach by the record.

Tests: escrow ration.rs (an outage borne, half served to the end after a loss, nothing kept from larger ones without one).

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -2,6 +2,7 @@
 
 use crate::rate::Rate;
 use crate::record::{Line, Record};
+use crate::sizes::Sizes;
 use crate::totals::{Told, Totals};
 
 /// Demand that a grant covers, in milliseconds: the store may be out of reach for nine seconds and
@@ -9,13 +10,14 @@
 const HORIZON_MS: u64 = 10_000;
 /// Time in which service is to be back after a loss of all instances, in milliseconds, where nothing names another.
 const RECOVERY_MS: u64 = 12_000;
-/// Percentage of that time for which a customer is to have tokens after a loss: it is served again for a while.
+/// Percentages of that time for which a customer is to have tokens after a loss, for all its requests and for the smaller half
+/// of them: it is served again for a while.
 ///
 /// What homes hold when all processes end stays charged, for it may have been spent. A budget that is granted down to
 /// less leaves its customer refused to the end of the budget, with none of what is left in reach; one that is granted
-/// less is out of reach in an outage of the store, for as long as the outage lasts. Of 84 days that ended with a loss
-/// of all, 17 served less than two fifths of what was owed 12 s after it; with grants by a share of what is left, 26.
-const KEEP_PCT: u64 = 125;
+/// less is out of reach in an outage of the store, for as long as the outage lasts.
+const KEEP_ALL_PCT: u64 = 125;
+const KEEP_HALF_PCT: u64 = 200;
 /// Demand that a grant covers at least, in milliseconds, however soon the budget ends: without it each
 /// request needs a write of its own then, and loses against the others'. A loss strands it.
 const LEAST_MS: u64 = 300;
@@ -70,6 +72,8 @@
     planned: u64,
     /// Handed back, cumulative: debited here before the store hears of it.
     returned: u64,
+    /// Charged for the incarnation before this one and not spent by its word: out of reach for good.
+    left_behind: u64,
     /// Came from other instances.
     received: Totals,
     /// Went to other instances.
@@ -81,6 +85,9 @@
     heard: Totals,
     reserved: u64,
     demand: Rate,
+    sizes: Sizes,
+    /// When tokens were asked for first, by this incarnation.
+    first_asked_at: Option<u64>,
     /// When tokens were asked for last.
     asked_at: Option<u64>,
     /// Tokens that waiting requests lack.
@@ -140,9 +147,67 @@
     /// Counts a request's demand.
     pub fn ask(&mut self, now: u64, tokens: u64) {
         self.demand.add(now, tokens);
+        self.first_asked_at.get_or_insert(now);
         self.asked_at = Some(now);
     }
 
+    /// Counts a request by the whole of what it can cost.
+    pub fn note_size(&mut self, now: u64, tokens: u64) {
+        self.sizes.add(now, tokens);
+    }
+
+    /// Returns whether a request may have tokens, in a fleet that has started again as a whole: one of the larger half may not
+    /// have those that the smaller half needs, where a part of the budget is out of reach for good.
+    pub fn admits(&self, now: u64, size: u64) -> bool {
+        let Some(known) = &self.known else {
+            return true;
+        };
+        let Some(half) = self.sizes.half() else {
+            return true;
+        };
+        let rates = self.rates(now, &known.record);
+        // The smaller half needs it for what is left of the time in which service is to be back.
+        let gone = self.first_asked_at.map_or(0, |at| now.saturating_sub(at));
+        let window = self.recovery_ms() * KEEP_HALF_PCT / 100;
+        let kept = part(self.ration(rates), window.saturating_sub(gone), window);
+        let left = self.usable() + self.free();
+        size <= half.most || self.left_behind <= rates || left.saturating_sub(size) >= kept
+    }
+
+    /// Returns the demand of all instances, in tokens a second.
+    fn rates(&self, now: u64, record: &Record) -> u64 {
+        record.rate.saturating_sub(self.line.rate) + self.demand.get(now)
+    }
+
+    /// Returns what the smaller half of the requests needs after a loss of all instances, at the demand of all.
+    fn ration(&self, rates: u64) -> u64 {
+        let half = self.sizes.half().map_or(1.0, |h| h.part);
+        let ration = self.recovery_demand(rates) as f64 * half * KEEP_HALF_PCT as f64 / 100.0;
+        (ration as u64).min(self.all_needs(rates))
+    }
+
+    /// Returns what all requests need after a loss of all instances, at the demand of all.
+    fn all_needs(&self, rates: u64) -> u64 {
+        self.recovery_demand(rates).saturating_mul(KEEP_ALL_PCT) / 100
+    }
+
+    fn recovery_demand(&self, rates: u64) -> u64 {
+        rates.saturating_mul(self.recovery_ms()) / 1000
+    }
+
+    fn recovery_ms(&self) -> u64 {
+        self.recovery_ms.unwrap_or(RECOVERY_MS)
+    }
+
+    /// Returns the tokens that are not granted, so that the customer goes on with them after a loss, in a fleet of so many
+    /// instances. What one home holds is lost with it: the fewer there are, the more often it is one of those that are
+    /// lost.
+    fn kept(&self, rates: u64, sharers: u64) -> u64 {
+        let ration = self.ration(rates);
+        let rest = self.all_needs(rates) - ration;
+        ration + rest * SMALL_FLEET / sharers.max(SMALL_FLEET)
+    }
+
     /// Reserves tokens for a request.
     pub fn reserve(&mut self, tokens: u64) -> bool {
         let fits = self.usable() >= tokens;
@@ -273,6 +338,7 @@
         self.returned = 0;
         self.told += self.planned;
         self.planned = 0;
+        self.left_behind = theirs.charged().saturating_sub(theirs.spent);
         self.line = Line {
             rate: theirs.rate,
             ..Line::default()
@@ -307,14 +373,14 @@
     }
 
     /// Returns the tokens that this instance should hold.
-    fn target(&self, now: u64) -> u64 {
+    fn target(&self, now: u64, sharers: u64) -> u64 {
         let Some(known) = &self.known else {
             return 0;
         };
         let rate = self.demand.get(now);
-        let others = known.record.rate.saturating_sub(self.line.rate);
-        let rates = others + rate;
-        let share = part(self.pool(&known.record, rate, rates), rate, rates);
+        let rates = self.rates(now, &known.record);
+        let pool = self.pool(&known.record, rate, rates, sharers);
+        let share = part(pool, rate, rates);
         let wanted = rate * HORIZON_MS / 1000;
         wanted.min(share.max(rate * LEAST_MS / 1000))
     }
@@ -325,7 +391,7 @@
     /// Tokens to hand back are debited here at once: were the answer lost, the write may yet land.
     pub fn plan(&mut self, now: u64, sharers: u64, home: bool) -> Option<Line> {
         let holds = home || !self.is_idle(now);
-        let target = if holds { self.target(now) } else { 0 };
+        let target = if holds { self.target(now, sharers) } else { 0 };
         let known = self.known.as_ref()?;
         let free = self.prepaid.saturating_sub(known.record.charged);
         let have = self.balance();
@@ -423,14 +489,13 @@
 
     /// Returns the tokens that grants may hold together, at the own demand and that of all: what there is beyond those
     /// that the customer goes on with after a loss of all instances.
-    fn pool(&self, record: &Record, rate: u64, rates: u64) -> u64 {
+    fn pool(&self, record: &Record, rate: u64, rates: u64, sharers: u64) -> u64 {
         let own = self.balance() + self.reserved;
         // What other living instances hold is not known here: by their demand, and never what the dead hold too.
         let unspent = record.charged.saturating_sub(record.spent);
         let living = part(own, rates, rate).min(unspent).max(own);
         let left = self.free() + living;
-        let keep_ms = self.recovery_ms.unwrap_or(RECOVERY_MS) * KEEP_PCT / 100;
-        left.saturating_sub(rates.saturating_mul(keep_ms) / 1000)
+        left.saturating_sub(self.kept(rates, sharers))
     }
 }
 
--- a/crates/escrow/src/lib.rs
+++ b/crates/escrow/src/lib.rs
@@ -13,6 +13,7 @@
 mod home;
 mod rate;
 mod record;
+mod sizes;
 mod totals;
 
 pub use holding::{Holding, Known, Short};
--- a/crates/escrow/tests/fleet/main.rs
+++ b/crates/escrow/tests/fleet/main.rs
@@ -3,4 +3,5 @@
 mod cases;
 mod loss;
 mod random;
+mod ration;
 mod store;
--- a/crates/proxy/src/bank/draw.rs
+++ b/crates/proxy/src/bank/draw.rs
@@ -22,6 +22,8 @@
     customer: String,
     /// Tokens that the request needs beyond what the caller has.
     tokens: u64,
+    /// The most that the whole request can cost.
+    size: u64,
     /// What the caller has passed on to this home of what it has spent, in words before: they may be lost.
     spent: Told,
     /// What is prepaid by the configuration of the caller.
@@ -62,7 +64,7 @@
         }
         let mut cut_off = 0;
         for home in homes {
-            match self.draw_from(home, customer, lacking).await {
+            match self.draw_from(home, customer, lacking, tokens).await {
                 Drawn::Tokens(_) if self.try_reserve(customer, lacking) => {
                     charge.reserved = tokens;
                     return Some(Ok(charge));
@@ -82,8 +84,8 @@
     }
 
     /// Calls a home.
-    async fn draw_from(&self, home: &Member, customer: &str, tokens: u64) -> Drawn {
-        let draw = self.draw(home, customer, tokens);
+    async fn draw_from(&self, home: &Member, customer: &str, tokens: u64, size: u64) -> Drawn {
+        let draw = self.draw(home, customer, tokens, size);
         let (bank, addr) = (self.clone(), home.addr);
         let call = async move {
             let drawn = bank.means().peers.draw(addr, &draw).await?;
@@ -117,10 +119,11 @@
         }
     }
 
-    fn draw(&self, home: &Member, customer: &str, tokens: u64) -> Draw {
+    fn draw(&self, home: &Member, customer: &str, tokens: u64, size: u64) -> Draw {
         self.open_holding(customer, |h| Draw {
             customer: customer.to_string(),
             tokens,
+            size,
             spent: self.tell(&home.id, h.passed_on(&home.id)),
             prepaid: h.prepaid(),
         })
@@ -138,9 +141,10 @@
         // the demand, each would take tokens for all of it afterwards.
         let home = self.means().fleet.is_home(&draw.customer);
         if home || !self.is_cut_off() {
-            self.ask(&draw.customer, draw.tokens);
+            self.ask(&draw.customer, draw.tokens, draw.size);
         }
-        match self.reserve_here(&draw.customer, draw.tokens, until).await {
+        let reserved = self.reserve_here(&draw.customer, draw.tokens, draw.size, until);
+        match reserved.await {
             Ok(charge) => {
                 let total = charge.hand_over(&draw.spent.from);
                 Drawn::Tokens(self.tell(&draw.spent.from, total))
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -138,14 +138,17 @@
                 return reserved;
             }
         }
-        self.ask(customer, tokens);
-        self.reserve_here(customer, tokens, deadline).await
+        self.ask(customer, tokens, tokens);
+        self.reserve_here(customer, tokens, tokens, deadline).await
     }
 
-    /// Counts demand that this instance is to cover.
-    fn ask(&self, customer: &str, tokens: u64) {
+    /// Counts demand that this instance is to cover, and the whole of what the request can cost.
+    fn ask(&self, customer: &str, tokens: u64, size: u64) {
         let now = self.0.clock.now();
-        self.open_holding(customer, |h| h.ask(now, tokens));
+        self.open_holding(customer, |h| {
+            h.ask(now, tokens);
+            h.note_size(now, size);
+        });
     }
 
     /// Works on a customer's holding, a new one if there is none.
@@ -178,16 +181,17 @@
         }
     }
 
-    /// Reserves tokens of the own holding, waiting a little for the store and for other instances to
-    /// fill it.
+    /// Reserves tokens of the own holding for a request of some size, waiting a little for the store and for other
+    /// instances to fill it.
     async fn reserve_here(
         &self,
         customer: &str,
         tokens: u64,
+        size: u64,
         deadline: Instant,
     ) -> Result<Charge, Short> {
         let charge = self.charge(customer);
-        match self.first_try(customer, tokens) {
+        match self.first_try(customer, tokens, size) {
             Tried::Reserved => return Ok(charge.of(tokens)),
             Tried::Refused(short) => return Err(short),
             Tried::Wait => {}
@@ -211,9 +215,13 @@
         }
     }
 
-    fn first_try(&self, customer: &str, tokens: u64) -> Tried {
+    fn first_try(&self, customer: &str, tokens: u64, size: u64) -> Tried {
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         let account = accounts.entry(customer.to_string()).or_default();
+        let rationed = self.means().fleet.has_started_again();
+        if rationed && !account.holding.admits(self.0.clock.now(), size) {
+            return Tried::Refused(self.why(&account.holding, size));
+        }
         if account.holding.reserve(tokens) {
             return Tried::Reserved;
         }
--- a/crates/proxy/src/calls.rs
+++ b/crates/proxy/src/calls.rs
@@ -212,7 +212,7 @@
     }
 
     fn renew_lease(&self, lease: i64) -> Answer<'_, bool> {
-        let end = |incarnations: &bool| if *incarnations { "done" } else { "lease_ended" };
+        let end = |renewed: &bool| if *renewed { "done" } else { "lease_ended" };
         Box::pin(self.counted("renewal", self.store.renew_lease(lease), end))
     }
 
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -33,6 +34,10 @@
 const WATCH_MS: u64 = 10_000;
 /// Instances that keep what is known of something: one of them may be lost with all that it was told.
 const KEEPERS: usize = 2;
+/// Instances that start within so many seconds have started together: machines come back one after the other.
+const TOGETHER_SECS: u64 = 15;
+/// All but one in so many are most of them.
+const MOST_PART: usize = 4;
 /// Pause before a failed registration is tried again.
 const AGAIN_AFTER: Duration = Duration::from_millis(500);
 
@@ -66,9 +71,17 @@
     pool: Arc<Mutex<Pool>>,
     clock: Clock,
     members: Mutex<BTreeMap<String, Member>>,
+    /// Whether most instances have started with this one, or after it.
+    started_again: AtomicBool,
     lease: Mutex<i64>,
 }
 
+/// Returns the seconds since the Unix epoch at which an incarnation started, as its name tells.
+fn started_at(incarnation: &str) -> Option<u64> {
+    let start = incarnation.rsplit('.').next()?.get(..8)?;
+    u64::from_str_radix(start, 16).ok()
+}
+
 /// Returns the homes of a customer as the instances of a zone see them.
 fn homes<'a>(
     customer: &str,
@@ -115,6 +128,7 @@
             pool,
             clock,
             members: Mutex::default(),
+            started_again: AtomicBool::new(false),
             lease: Mutex::new(0),
         }))
     }
@@ -340,6 +354,7 @@
         }
         let after = members.len();
         self.place(&members);
+        self.compare_starts(&members);
         drop(members);
         if before != after {
             let detail = format_args!("before={before} now={after}");
@@ -347,6 +362,22 @@
         }
     }
 
+    /// Returns whether most instances have started with this one, or after it: the first time, or after a loss of all.
+    pub(crate) fn has_started_again(&self) -> bool {
+        self.0.started_again.load(Ordering::Relaxed)
+    }
+
+    /// Takes which instances have started with this one, or after it.
+    fn compare_starts(&self, members: &BTreeMap<String, Member>) {
+        let Some(own) = started_at(&self.0.me.id) else {
+            return;
+        };
+        let earlier = |m: &&Member| started_at(&m.id).is_some_and(|at| at + TOGETHER_SECS < own);
+        let earlier = members.values().filter(earlier).count();
+        let most = earlier * MOST_PART <= members.len();
+        self.0.started_again.store(most, Ordering::Relaxed);
+    }
+
     /// Takes which instances of the own zone may read the store for it, and which of all may send to cold upstreams.
     fn place(&self, members: &BTreeMap<String, Member>) {
         let zone = members.iter().filter(|(_, m)| m.zone == self.0.me.zone);
