An instance that has a version is asked for it once, until it says so again

Found by reading: an instance that lacks a version asked a holder again and again, without a pause, where that one has the version by a call between instances and not by the store, so that it can't pass it on: up to 300 ms of calls. A wait for what is lacking no longer looks three times a second where nothing can be known to be lacking. Test: relay lack.rs, a holder is asked once.

--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -127,7 +127,6 @@
         let late = self.feed.relay.is_late(self.topic) && Instant::now() >= self.watch_at;
         if late {
             self.watch_at = Instant::now() + GAP;
-            self.compacted = true;
         }
         let due = late || Instant::now() >= self.list_at;
         match after.filter(|_| !due) {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,5 +1,6 @@
 //! What is read of the store, passed on between the instances of a zone. Who reads is decided by `relay`.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -109,10 +110,12 @@
         if known == 0 {
             return Source::Store;
         }
-        match self.lacks(topic) {
-            Next::Store => return Source::Store,
-            Next::Peer(holder) => return Source::Peer(holder),
-            Next::Readers => {}
+        if topic == Topic::Config {
+            match self.lack(Lack::turn) {
+                Next::Store => return Source::Store,
+                Next::Peer(holder) => return Source::Peer(holder),
+                Next::Readers => {}
+            }
         }
         let now = self.0.clock.now();
         let readers = self.0.readers.lock().expect("no panic inside");
@@ -123,26 +126,31 @@
         ahead.map_or(Source::Nowhere, Source::Peer)
     }
 
-    /// Returns where to turn for what is known to exist and not known here.
-    fn lacks(&self, topic: Topic) -> Next {
-        if topic != Topic::Config {
-            return Next::Readers;
-        }
+    /// Asks where to turn for what is known to exist and not known here.
+    fn lack(&self, ask: impl FnOnce(&mut Lack, u64, u64) -> Next) -> Next {
         let now = self.0.clock.now();
         let rank = self.0.readers.lock().expect("no panic inside").rank();
         let wait_ms = (rank as u64 * STAGGER_MS).min(STAGGER_MOST_MS);
-        let lack = self.0.lack.lock().expect("no panic inside");
-        lack.next(now, wait_ms)
+        let mut lack = self.0.lack.lock().expect("no panic inside");
+        ask(&mut lack, now, wait_ms)
     }
 
-    /// Returns whether what is lacking is to be read from the store.
+    fn lacks(&self) -> Next {
+        self.lack(|lack, now, wait_ms| lack.next(now, wait_ms))
+    }
+
+    /// Returns whether what is lacking of a topic is to be read from the store.
     pub(crate) fn is_late(&self, topic: Topic) -> bool {
-        self.lacks(topic) == Next::Store
+        topic == Topic::Config && self.lacks() == Next::Store
     }
 
-    /// Waits until something is lacking for longer than the readers take.
+    /// Waits until something of a topic is lacking for longer than the readers take.
     pub(crate) async fn wait_lacking(&self, topic: Topic) {
-        while self.lacks(topic) == Next::Readers {
+        if topic != Topic::Config {
+            // Only versions have a number by which a lack is known.
+            return pending().await;
+        }
+        while self.lacks() == Next::Readers {
             sleep(BEAT).await;
         }
     }
--- a/crates/relay/src/lack.rs
+++ b/crates/relay/src/lack.rs
@@ -78,6 +78,16 @@
         self.holders.first().map(|(h, _)| *h)
     }
 
+    /// Returns where to turn now. An instance that has it is asked once, until it says so again: it may have it from a source
+    /// from which it can't pass it on.
+    pub fn turn(&mut self, now: u64, wait_ms: u64) -> Next {
+        let next = self.next(now, wait_ms);
+        if let Next::Peer(holder) = next {
+            self.forget(holder);
+        }
+        next
+    }
+
     /// Returns where to turn; `wait_ms` parts those that turn to the store.
     pub fn next(&self, now: u64, wait_ms: u64) -> Next {
         let Some((_, since)) = self.heard.first() else {
--- a/crates/relay/tests/lack.rs
+++ b/crates/relay/tests/lack.rs
@@ -60,6 +60,20 @@
     assert_eq!(lack.next(5_000, 0), Next::Readers);
 }
 
+/// Guards against an instance that asks one and the same holder without a pause, which has the version and can't pass it on.
+#[test]
+fn a_holder_is_asked_once_until_it_says_so_again() {
+    let mut lack = Lack::default();
+    lack.has(7);
+    lack.hear(0, 9);
+    lack.hold(addr(1), 9, true);
+    assert_eq!(lack.turn(400, 0), Next::Peer(addr(1)));
+    assert_eq!(lack.turn(400, 0), Next::Readers);
+    lack.hold(addr(1), 9, true);
+    assert_eq!(lack.turn(500, 0), Next::Peer(addr(1)));
+    assert_eq!(lack.turn(700, 0), Next::Store);
+}
+
 /// An older word changes nothing.
 #[test]
 fn older_news_are_left_out() {
