--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -168,7 +168,7 @@
         pool.set_cold(cold.collect());
     }
 
-    /// Takes the word that a version no longer holds a key: nobody gets in with it any more, though that version itself may
+    /// Takes a peer's report that a version revokes a key: it is refused from now on, though that version itself may
     /// come later.
     pub(crate) fn revoke(&self, key: u64, version: u64) {
         if version <= self.version() {
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -167,7 +167,7 @@
         self.0.notices.learn(Notice::Leaving { upstream });
     }
 
-    /// Takes the word of a peer that an upstream's entry was removed at a revision.
+    /// Takes a peer's report that an upstream's entry was removed at a revision.
     pub(crate) fn gone(&self, id: &str, revision: i64) {
         let key = format!("{}{id}", self.0.dialect.upstream_prefix());
         let seen = self.0.seen.lock().expect("no panic inside");
@@ -254,7 +254,7 @@
         seen.revision = seen.revision.max(revision);
     }
 
-    /// Takes the word that an entry is missing at a revision.
+    /// Takes that an entry is missing at a revision.
     fn missing(&self, key: &str, revision: i64) {
         let (now, back_at) = (self.0.clock.now(), self.0.reach.back_at());
         let gone = {
--- a/crates/proxy/src/notices.rs
+++ b/crates/proxy/src/notices.rs
@@ -1,4 +1,4 @@
-//! Small and urgent news: what of it this instance learns, tells its peers and acts on.
+//! Small and urgent news: what this instance learns, broadcasts and acts on.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -109,7 +109,7 @@
     Datagram::Notices { version, batch }.send(&others.socket, chosen);
 }
 
-/// Returns the name of a key among instances: they do not tell each other keys.
+/// Returns the name of a key among instances: keys themselves are never sent.
 pub(crate) fn key_hash(key: &str) -> u64 {
     let digest = Sha256::digest(key.as_bytes());
     u64::from_be_bytes(digest[..8].try_into().expect("eight bytes"))
--- a/crates/proxy/src/reach.rs
+++ b/crates/proxy/src/reach.rs
@@ -21,7 +21,7 @@
 /// Without an answer for this long the store counts as out of reach, in milliseconds, once a call has
 /// failed.
 const OUT_AFTER_MS: u64 = 1_500;
-/// A store that is asked because of what others say has so long to answer, in milliseconds.
+/// A store that is asked because of what others report has so long to answer, in milliseconds.
 const ASKED_FOR_MS: u64 = 250;
 /// An instance whose last answer is older than this had not asked for anything, in milliseconds: one that reads
 /// the store by itself has a call under way all the time, and an end of it that often. Silence counts from
@@ -90,8 +90,8 @@
         }
     }
 
-    /// Takes the word of all readers that the store is out of their reach. It is asked at once; one that has no answer by the
-    /// next word goes by it, instead of having requests wait for calls that get none.
+    /// Takes the report of all readers that the store is unavailable to them. It is asked at once; one that has no answer by the
+    /// next report goes by it, instead of having requests wait for calls that get none.
     pub(crate) fn told_out(&self) {
         if self.is_out() {
             return;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -160,14 +160,14 @@
         self.0.lack.lock().expect("no panic inside").has(version);
     }
 
-    /// Takes the word that a version of the configuration exists.
+    /// Takes a report that a version of the configuration exists.
     pub(crate) fn hear_version(&self, version: u64) {
         let now = self.0.clock.now();
         let mut lack = self.0.lack.lock().expect("no panic inside");
         lack.hear(now, version);
     }
 
-    /// Takes the word that an instance has a version of the configuration.
+    /// Takes a report that an instance has a version of the configuration.
     pub(crate) fn hold(&self, holder: SocketAddr, version: u64, near: bool) {
         let mut lack = self.0.lack.lock().expect("no panic inside");
         lack.hold(holder, version, near);
--- a/crates/relay/src/lack.rs
+++ b/crates/relay/src/lack.rs
@@ -44,7 +44,7 @@
         self.holders.retain(|(_, v)| *v > known);
     }
 
-    /// Takes the word that a version exists.
+    /// Takes a report that a version exists.
     pub fn hear(&mut self, now: u64, version: u64) {
         let newest = self.heard.last().map_or(self.known, |(v, _)| *v);
         if version <= newest {
@@ -57,7 +57,7 @@
         self.heard.push((version, now));
     }
 
-    /// Takes the word that an instance has a version; one that is near is asked first.
+    /// Takes a report that an instance has a version; one that is near is asked first.
     pub fn hold(&mut self, holder: SocketAddr, version: u64, near: bool) {
         if version <= self.known {
             return;
@@ -78,7 +78,7 @@
         self.holders.first().map(|(h, _)| *h)
     }
 
-    /// Returns where to turn now. An instance that has it is asked once, until it says so again: it may have it from a source
+    /// Returns where to turn now. An instance that has it is asked once, until it reports it again: it may have it from a source
     /// from which it can't pass it on.
     pub fn turn(&mut self, now: u64, wait_ms: u64) -> Next {
         let next = self.next(now, wait_ms);
