--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -1,8 +1,9 @@
 //! One customer's tokens at one instance.
 
-use crate::rate::Rate;
+use crate::keep::Keep;
+use crate::rate::{part, Rate};
 use crate::record::{Line, Record};
-use crate::sizes::Sizes;
+use crate::sizes::{Half, Sizes};
 use crate::totals::{Told, Totals};
 
 /// Demand that a grant covers, in milliseconds: the store may be out of reach for nine seconds and
@@ -10,14 +11,6 @@
 const HORIZON_MS: u64 = 10_000;
 /// Time in which service is to be back after a loss of all instances, in milliseconds, where nothing names another.
 const RECOVERY_MS: u64 = 12_000;
-/// Percentages of that time for which a customer is to have tokens after a loss, for all its requests and for the smaller half
-/// of them: it is served again for a while.
-///
-/// What homes hold when all processes end stays charged, for it may have been spent. A budget that is granted down to
-/// less leaves its customer refused to the end of the budget, with none of what is left in reach; one that is granted
-/// less is out of reach in an outage of the store, for as long as the outage lasts.
-const KEEP_ALL_PCT: u64 = 125;
-const KEEP_HALF_PCT: u64 = 200;
 /// Demand that a grant covers at least, in milliseconds, however soon the budget ends: without it each
 /// request needs a write of its own then, and loses against the others'. A loss strands it.
 const LEAST_MS: u64 = 300;
@@ -72,7 +65,7 @@
     planned: u64,
     /// Handed back, cumulative: debited here before the store hears of it.
     returned: u64,
-    /// Charged for the incarnation before this one and not spent by its word: out of reach for good.
+    /// Charged for the incarnation before this one and not spent by its last report: out of reach for good.
     left_behind: u64,
     /// Came from other instances.
     received: Totals,
@@ -162,16 +155,17 @@
         let Some(known) = &self.known else {
             return true;
         };
+        let rates = self.rates(now, &known.record);
+        if self.left_behind <= rates {
+            return true;
+        }
         let Some(half) = self.sizes.half() else {
             return true;
         };
-        let rates = self.rates(now, &known.record);
-        // The smaller half needs it for what is left of the time in which service is to be back.
-        let gone = self.first_asked_at.map_or(0, |at| now.saturating_sub(at));
-        let window = self.recovery_ms() * KEEP_HALF_PCT / 100;
-        let kept = part(self.ration(rates), window.saturating_sub(gone), window);
+        let gone_ms = self.first_asked_at.map_or(0, |at| now.saturating_sub(at));
+        let kept = self.keep(rates, Some(half)).ration_left(gone_ms);
         let left = self.usable() + self.free();
-        size <= half.most || self.left_behind <= rates || left.saturating_sub(size) >= kept
+        size <= half.most || left.saturating_sub(size) >= kept
     }
 
     /// Returns the demand of all instances, in tokens a second.
@@ -179,33 +173,13 @@
         record.rate.saturating_sub(self.line.rate) + self.demand.get(now)
     }
 
-    /// Returns what the smaller half of the requests needs after a loss of all instances, at the demand of all.
-    fn ration(&self, rates: u64) -> u64 {
-        let half = self.sizes.half().map_or(1.0, |h| h.part);
-        let ration = self.recovery_demand(rates) as f64 * half * KEEP_HALF_PCT as f64 / 100.0;
-        (ration as u64).min(self.all_needs(rates))
-    }
-
-    /// Returns what all requests need after a loss of all instances, at the demand of all.
-    fn all_needs(&self, rates: u64) -> u64 {
-        self.recovery_demand(rates).saturating_mul(KEEP_ALL_PCT) / 100
-    }
-
-    fn recovery_demand(&self, rates: u64) -> u64 {
-        rates.saturating_mul(self.recovery_ms()) / 1000
-    }
-
-    fn recovery_ms(&self) -> u64 {
-        self.recovery_ms.unwrap_or(RECOVERY_MS)
-    }
-
-    /// Returns the tokens that are not granted, so that the customer goes on with them after a loss, in a fleet of so many
-    /// instances. What one home holds is lost with it: the fewer there are, the more often it is one of those that are
-    /// lost.
-    fn kept(&self, rates: u64, sharers: u64) -> u64 {
-        let ration = self.ration(rates);
-        let rest = self.all_needs(rates) - ration;
-        ration + rest * SMALL_FLEET / sharers.max(SMALL_FLEET)
+    /// Returns what the requests need after a restart of all instances; all of it where nothing is known of their sizes.
+    fn keep(&self, rates: u64, half: Option<Half>) -> Keep {
+        Keep {
+            recovery_ms: self.recovery_ms.unwrap_or(RECOVERY_MS),
+            rates,
+            half: half.map_or(1.0, |h| h.part),
+        }
     }
 
     /// Reserves tokens for a request.
@@ -495,12 +469,6 @@
         let unspent = record.charged.saturating_sub(record.spent);
         let living = part(own, rates, rate).min(unspent).max(own);
         let left = self.free() + living;
-        left.saturating_sub(self.kept(rates, sharers))
+        left.saturating_sub(self.keep(rates, self.sizes.half()).kept(sharers))
     }
 }
-
-/// Returns `of` times the ratio of two rates.
-fn part(of: u64, rate: u64, rates: u64) -> u64 {
-    let part = u128::from(of) * u128::from(rate) / u128::from(rates.max(1));
-    u64::try_from(part).unwrap_or(u64::MAX)
-}
--- a/crates/escrow/src/lib.rs
+++ b/crates/escrow/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod holding;
 mod home;
+mod keep;
 mod rate;
 mod record;
 mod sizes;
--- a/crates/escrow/src/rate.rs
+++ b/crates/escrow/src/rate.rs
@@ -36,3 +36,9 @@
         (self.sum_at(now) * 1000.0 / seen) as u64
     }
 }
+
+/// Returns `of` times the ratio of two numbers.
+pub(crate) fn part(of: u64, rate: u64, rates: u64) -> u64 {
+    let part = u128::from(of) * u128::from(rate) / u128::from(rates.max(1));
+    u64::try_from(part).unwrap_or(u64::MAX)
+}
--- a/crates/escrow/src/sizes.rs
+++ b/crates/escrow/src/sizes.rs
@@ -68,23 +68,26 @@
         if tokens <= 0.0 {
             return None;
         }
-        let mean = (tokens / count * ROUNDING) as u64;
-        let mut smaller = Class::default();
-        for (i, class) in self.classes.iter().enumerate() {
-            smaller.count += class.count;
-            smaller.tokens += class.tokens;
-            let is_half = if count < LEAST {
-                i >= class_of(mean)
-            } else {
-                smaller.count * 2.0 >= count
-            };
-            if is_half {
-                let most = if count < LEAST { mean } else { largest_of(i) };
-                let part = smaller.tokens / tokens;
-                return Some(Half { most, part });
-            }
-        }
-        None
+        let (last, most) = if count < LEAST {
+            let mean = (tokens / count * ROUNDING) as u64;
+            (class_of(mean), mean)
+        } else {
+            let middle = self.middle(count);
+            (middle, largest_of(middle))
+        };
+        let smaller: f64 = self.classes[..=last].iter().map(|c| c.tokens).sum();
+        let part = smaller / tokens;
+        Some(Half { most, part })
+    }
+
+    /// Returns the class in which half of so many requests is reached.
+    fn middle(&self, count: f64) -> usize {
+        let mut smaller = 0.0;
+        let reached = self.classes.iter().position(|c| {
+            smaller += c.count;
+            smaller * 2.0 >= count
+        });
+        reached.unwrap_or(CLASSES - 1)
     }
 }
 
--- a/crates/escrow/tests/fleet/loss.rs
+++ b/crates/escrow/tests/fleet/loss.rs
@@ -1,109 +1,11 @@
 //! Days that end with the loss of all instances at once, by customers whose budgets last longer and shorter.
 
-use crate::store::{Node, Store};
+use crate::day::{Day, Fared, DOWN_MS, GAP_MS};
 
-/// What the customer's requests ask for, in tokens a second.
-const RATE: u64 = 50_000;
-/// What each asks for, and spends.
+/// What each request asks for, and spends.
 const TOKENS: u64 = 5_000;
-/// How long each runs, in milliseconds.
-const RUNS_MS: u64 = 500;
-/// The home looks through its holdings so often, in milliseconds.
-const LOOK_MS: u64 = 1_000;
-/// From the loss to the start of the next incarnation, in milliseconds.
-const DOWN_MS: u64 = 1_500;
-/// A request that does not fit into so many hundredths of the budget is owed no answer.
-const OWED_PCT: u64 = 97;
-
-/// One customer's day at its home.
-struct Day {
-    store: Store,
-    node: Node,
-    prepaid: u64,
-    /// By requests that have ended, also those that a loss ended.
-    spent: u64,
-    /// When requests that run will end.
-    ends: Vec<u64>,
-}
-
-/// How requests sent in some span fared.
-#[derive(Clone, Copy, Debug, Default)]
-struct Fared {
-    served: u64,
-    /// Refused, though the budget would have covered them.
-    refused: u64,
-}
-
-impl Day {
-    fn open(prepaid: u64) -> Day {
-        Day {
-            store: Store::default(),
-            node: Node::new("home", "home.1", prepaid),
-            prepaid,
-            spent: 0,
-            ends: Vec::new(),
-        }
-    }
-
-    /// Plays from one moment to another, in milliseconds, with the store in reach or not.
-    fn play(&mut self, from: u64, to: u64, reach: bool) -> Fared {
-        let mut fared = Fared::default();
-        for now in (from..to).step_by(100) {
-            self.end_due(now);
-            if reach && now % LOOK_MS == 0 {
-                self.look(now);
-            }
-            if self.request(now, reach) {
-                fared.served += 1;
-            } else {
-                let running = self.ends.len() as u64 * TOKENS;
-                let owed = self.spent + running + TOKENS <= self.prepaid * OWED_PCT / 100;
-                fared.refused += u64::from(owed);
-            }
-        }
-        fared
-    }
-
-    fn end_due(&mut self, now: u64) {
-        let before = self.ends.len();
-        self.ends.retain(|end| *end > now);
-        for _ in self.ends.len()..before {
-            self.node.holding.settle(TOKENS, TOKENS);
-            self.spent += TOKENS;
-        }
-    }
-
-    fn request(&mut self, now: u64, reach: bool) -> bool {
-        self.node.holding.ask(now, TOKENS);
-        if !self.node.holding.reserve(TOKENS) {
-            if !reach {
-                return false;
-            }
-            self.node.holding.lack(TOKENS);
-            self.look(now);
-            self.node.holding.lack_no_more(TOKENS);
-            if !self.node.holding.reserve(TOKENS) {
-                return false;
-            }
-        }
-        self.ends.push(now + RUNS_MS);
-        true
-    }
-
-    fn look(&mut self, now: u64) {
-        self.node.read(&self.store, now);
-        if let Some(line) = self.node.holding.plan(now, 1, true) {
-            self.node.commit(&mut self.store, line, now);
-        }
-    }
-
-    /// Ends the process with all that it holds; what its requests were about to spend is spent.
-    fn lose(&mut self) {
-        self.spent += self.ends.len() as u64 * TOKENS;
-        self.ends.clear();
-        self.node = Node::new("home", "home.2", self.prepaid);
-    }
-}
+/// What they ask for together, in tokens a second.
+const RATE: u64 = TOKENS * 1_000 / GAP_MS;
 
 /// Symptom: twelve seconds after all processes were killed three quarters of the requests are refused, to the
 /// end, "come back", of customers whose budgets were not spent. Sequence: the store is out of reach for
@@ -115,7 +17,7 @@
 fn after_the_loss_of_all_customers_are_served_or_at_their_end() {
     let mut sum = Fared::default();
     for lasts_s in 24..60 {
-        let mut day = Day::open(RATE * lasts_s);
+        let mut day = Day::open(RATE * lasts_s, 1, &[TOKENS]);
         day.play(0, 5_300, true);
         day.play(5_300, 13_500, false);
         day.play(13_500, 24_000, true);
