What news act on stands once, for datagrams and calls between instances alike

No behaviour changes. `Desk` had copies of the five handles that `Effects` bundles, and evacuations that came by a call were taken by a second path beside the one for datagrams: both go through `Effects::take` now. `Config` keeps the `Works` that it was opened with instead of seven fields copied one by one. The list's entries are made of what was found in one place. The pauses between instances that turn to the store are a decision and stand with it, in `relay`.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -35,13 +35,7 @@
 pub(crate) struct Config(Arc<Inner>);
 
 struct Inner {
-    dialect: Arc<dyn Dialect>,
-    bank: Bank,
-    log: Arc<Log>,
-    notices: Notices,
-    relay: Relay,
-    pool: Arc<Mutex<Pool>>,
-    bounds: ColdBounds,
+    works: Works,
     active: RwLock<Option<Arc<Active>>>,
     /// Keys that a version which is not in force here yet no longer holds, by their hashes.
     revoked: RwLock<HashMap<u64, u64>>,
@@ -69,23 +63,8 @@
 
 impl Config {
     pub(crate) fn open(works: Works) -> Config {
-        let Works {
-            dialect,
-            bank,
-            log,
-            notices,
-            relay,
-            pool,
-            bounds,
-        } = works;
         Config(Arc::new(Inner {
-            dialect,
-            bank,
-            log,
-            notices,
-            relay,
-            pool,
-            bounds,
+            works,
             active: RwLock::new(None),
             revoked: RwLock::default(),
         }))
@@ -107,11 +86,11 @@
         if same {
             return;
         }
-        let routing = match self.0.dialect.routing(raw) {
+        let routing = match self.0.works.dialect.routing(raw) {
             Ok(routing) => routing,
             Err(why) => {
                 let detail = format_args!("source={source} why={why}");
-                self.0.log.note(Event::ConfigBroken, detail);
+                self.0.works.log.note(Event::ConfigBroken, detail);
                 return;
             }
         };
@@ -126,7 +105,7 @@
             routing.routes().len(),
             routing.accounts.len(),
         );
-        self.0.bank.set_prepaid(&routing);
+        self.0.works.bank.set_prepaid(&routing);
         self.set_cold(&routing);
         let next = Arc::new(Active {
             routing,
@@ -134,14 +113,14 @@
         });
         let previous = active.replace(Arc::clone(&next));
         drop(active);
-        self.0.log.note(Event::ConfigInForce, detail);
+        self.0.works.log.note(Event::ConfigInForce, detail);
         self.spread(previous.as_deref(), &next);
     }
 
     /// Tells peers what is urgent of a version that is in force now.
     fn spread(&self, previous: Option<&Active>, next: &Active) {
         let version = next.routing.version;
-        self.0.relay.has_version(version);
+        self.0.works.relay.has_version(version);
         self.forget_revoked(version);
         let keys = |a: &Active| -> BTreeSet<u64> {
             let keys = a.routing.accounts.iter().flat_map(|c| &c.keys);
@@ -150,21 +129,21 @@
         if let Some(previous) = previous {
             for key in keys(previous).difference(&keys(next)) {
                 let key = *key;
-                self.0.notices.learn(Notice::Revoked { key, version });
+                self.0.works.notices.learn(Notice::Revoked { key, version });
             }
         }
-        self.0.notices.learn(Notice::Version { version });
+        self.0.works.notices.learn(Notice::Version { version });
     }
 
     fn set_cold(&self, routing: &Routing) {
-        let bounds = self.0.bounds;
+        let bounds = self.0.works.bounds;
         let cold = |s: &conf::Service| Cold {
             lasts_ms: s.cold_ms,
             most: (s.cold_per_sec > 0.0).then_some(s.cold_per_sec * bounds.over + bounds.slack),
         };
         let services = routing.services.iter();
         let cold = services.map(|(name, s)| (name.clone(), cold(s)));
-        let mut pool = self.0.pool.lock().expect("no panic inside");
+        let mut pool = self.0.works.pool.lock().expect("no panic inside");
         pool.set_cold(cold.collect());
     }
 
@@ -180,7 +159,7 @@
         }
         drop(revoked);
         let detail = format_args!("what=revoked version={version}");
-        self.0.log.note(Event::NewsFromPeer, detail);
+        self.0.works.log.note(Event::NewsFromPeer, detail);
     }
 
     fn forget_revoked(&self, version: u64) {
@@ -201,8 +180,9 @@
     pub(crate) fn spawn(&self, store: Arc<dyn Store>, feed: Feed, evacuations: Evacuations) {
         let config = self.clone();
         tokio::spawn(async move {
-            let key = config.0.dialect.config_key().to_string();
-            let prefix = config.0.dialect.operator_prefix().to_string();
+            let dialect = &config.0.works.dialect;
+            let key = dialect.config_key().to_string();
+            let prefix = dialect.operator_prefix().to_string();
             let mut follow = Follow::open(store, feed, Topic::Config, &prefix, WATCH_MS);
             loop {
                 let found = match follow.next().await {
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -17,11 +17,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::bank::{Bank, Settled};
+use crate::bank::Settled;
 use crate::fleet::Fleet;
-use crate::notices::Effects;
+use crate::peers::Desk;
 use crate::relay::Relay;
-use crate::suspects::Suspects;
 use crate::tell::Others;
 
 /// Pause between two rounds of a small fleet: a long prompt is read in some hundred milliseconds.
@@ -80,25 +79,20 @@
 }
 
 /// Tells the others, and listens to them.
-pub(crate) fn spawn(
-    others: &Others,
-    pool: Arc<Mutex<Pool>>,
-    bank: Bank,
-    effects: Effects,
-    suspects: Suspects,
-    clock: Clock,
-) {
+pub(crate) fn spawn(others: &Others, pool: Arc<Mutex<Pool>>, desk: Desk, clock: Clock) {
     let Others { fleet, socket, .. } = others.clone();
     let ears = Ears {
         pool: Arc::clone(&pool),
-        bank,
-        effects: effects.clone(),
-        suspects,
+        desk: desk.clone(),
         fleet: fleet.clone(),
         clock,
     };
     tokio::spawn(ears.listen(Arc::clone(&socket)));
-    tokio::spawn(tell_zone(Arc::clone(&socket), effects.relay, fleet.clone()));
+    tokio::spawn(tell_zone(
+        Arc::clone(&socket),
+        desk.effects.relay,
+        fleet.clone(),
+    ));
     tokio::spawn(tell(socket, pool, fleet, clock));
 }
 
@@ -139,9 +133,7 @@
 /// Whom datagrams are for.
 struct Ears {
     pool: Arc<Mutex<Pool>>,
-    bank: Bank,
-    effects: Effects,
-    suspects: Suspects,
+    desk: Desk,
     fleet: Fleet,
     clock: Clock,
 }
@@ -157,19 +149,19 @@
             };
             match serde_json::from_slice(&buf[..n]) {
                 Ok(Datagram::Loads(word)) => hear(&self.pool, &word, self.clock.now()),
-                Ok(Datagram::Settled(told)) => self.bank.take_settled(&told),
-                Ok(Datagram::Head(head)) => self.effects.relay.hear(from, head),
+                Ok(Datagram::Settled(told)) => self.desk.bank.take_settled(&told),
+                Ok(Datagram::Head(head)) => self.desk.effects.relay.hear(from, head),
                 Ok(Datagram::Suspects(words)) => {
-                    let lacks = self.suspects.hear(&self.fleet, &words);
+                    let lacks = self.desk.suspects.hear(&self.fleet, &words);
                     if !lacks.is_empty() {
                         Datagram::Suspects(lacks).send(&socket, [from]);
                     }
                 }
                 Ok(Datagram::Notices { version, batch }) => {
                     let near = self.fleet.is_near(from);
-                    let lacks = self.effects.receive(from, near, version, batch);
+                    let lacks = self.desk.effects.receive(from, near, version, batch);
                     if !lacks.is_empty() {
-                        let version = self.effects.config.version();
+                        let version = self.desk.effects.config.version();
                         let batch = lacks;
                         Datagram::Notices { version, batch }.send(&socket, [from]);
                     }
--- a/crates/proxy/src/evacuation.rs
+++ b/crates/proxy/src/evacuation.rs
@@ -74,18 +74,6 @@
         }
     }
 
-    /// Takes what a peer knows.
-    pub(crate) fn told(&self, notices: Vec<Notice>) {
-        for notice in self.0.notices.receive(notices).news {
-            if let Notice::Evacuation {
-                zone, evacuated, ..
-            } = notice
-            {
-                self.apply(&zone, evacuated, "peer");
-            }
-        }
-    }
-
     fn learn(&self, zone: &str, revision: i64, evacuated: bool) {
         let notice = Notice::Evacuation {
             zone: zone.to_string(),
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -191,25 +191,20 @@
         listing.spawn(calls.store("upstreams", &store), feed);
         fleet.spawn();
         notices.spawn(&others, &config);
-        let effects = Effects {
-            notices: notices.clone(),
-            config: config.clone(),
-            listing: listing.clone(),
-            evacuations: evacuations.clone(),
-            relay: relay.clone(),
-        };
         let desk = Desk {
             bank: bank.clone(),
-            config,
-            listing,
-            relay,
             suspects: suspects.clone(),
-            notices,
-            evacuations,
+            effects: Effects {
+                notices,
+                config,
+                listing,
+                evacuations,
+                relay,
+            },
         };
         suspects.spawn_tell(&others);
         let kept = Kept {
-            suspects: suspects.clone(),
+            suspects,
             fleet: fleet.clone(),
             store: calls.store("suspects", &store),
             reach: Arc::clone(&reach),
@@ -217,14 +212,7 @@
             revisions: HashMap::new(),
         };
         tokio::spawn(kept.run());
-        datagram::spawn(
-            &others,
-            Arc::clone(&router.pool),
-            bank.clone(),
-            effects,
-            suspects,
-            clock,
-        );
+        datagram::spawn(&others, Arc::clone(&router.pool), desk.clone(), clock);
         let peer = peers::serve(server, desk.clone());
         peers.spawn_news(fleet.clone(), desk, Arc::clone(&reach), Arc::clone(&log));
         bank.spawn(Means {
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -199,11 +199,6 @@
             loop {
                 match follow.next().await {
                     Update::Listed(items, revision) => {
-                        let row = |f: Found| {
-                            let value = Bytes::from(f.value);
-                            let revision = f.revision;
-                            (f.key, Entry { value, revision })
-                        };
                         let items = items.into_iter().map(row).collect();
                         listing.listed(items, revision);
                     }
@@ -243,9 +238,9 @@
                 Some(found) if self.is_removed(&found.key, found.revision) => {}
                 Some(found) => {
                     self.entry(&found.key, &found.value);
-                    let (value, revision) = (Bytes::from(found.value), found.revision);
+                    let (key, entry) = row(found);
                     let mut seen = self.0.seen.lock().expect("no panic inside");
-                    seen.entries.insert(found.key, Entry { value, revision });
+                    seen.entries.insert(key, entry);
                 }
                 None => self.missing(&change.key, change.revision),
             }
@@ -320,3 +315,10 @@
         }
     }
 }
+
+/// Returns the entry that was found under a key.
+fn row(found: Found) -> (String, Entry) {
+    let value = Bytes::from(found.value);
+    let revision = found.revision;
+    (found.key, Entry { value, revision })
+}
--- a/crates/proxy/src/notices.rs
+++ b/crates/proxy/src/notices.rs
@@ -135,6 +135,11 @@
         batch: Vec<Notice>,
     ) -> Vec<Notice> {
         self.relay.hold(from, version, near);
+        self.take(batch)
+    }
+
+    /// Takes notices that a peer knows, and acts on those that are new; returns what that peer lacks.
+    pub(crate) fn take(&self, batch: Vec<Notice>) -> Vec<Notice> {
         let received = self.notices.receive(batch);
         for notice in received.news {
             self.act(notice);
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -18,15 +18,13 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::bank::{Bank, Draw, Drawn};
-use crate::config::Config;
-use crate::evacuation::Evacuations;
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::listing::{Listing, Relayed};
+use crate::listing::Relayed;
 use crate::log::Log;
-use crate::notices::Notices;
+use crate::notices::Effects;
 use crate::reach::Reach;
-use crate::relay::{Ask, Passed, Relay};
+use crate::relay::{Ask, Passed};
 use crate::suspects::{AskTrial, Suspects, Trial};
 
 /// An instance answers within a few milliseconds, or is not there: a request waits for it.
@@ -87,25 +85,21 @@
 #[derive(Clone)]
 pub(crate) struct Desk {
     pub(crate) bank: Bank,
-    pub(crate) config: Config,
-    pub(crate) listing: Listing,
-    pub(crate) relay: Relay,
     pub(crate) suspects: Suspects,
-    pub(crate) notices: Notices,
-    pub(crate) evacuations: Evacuations,
+    pub(crate) effects: Effects,
 }
 
 impl Desk {
     fn news(&self, have: &Have) -> News {
         for id in &have.leaving {
-            self.listing.leaving(id, "peer");
+            self.effects.listing.leaving(id, "peer");
         }
-        let active = self.config.get();
+        let active = self.effects.config.get();
         let newer = active.filter(|a| a.routing.version > have.version);
         News {
             config: newer.map(|a| String::from_utf8_lossy(&a.raw).into_owned()),
-            listing: self.listing.tell(have.revision),
-            evacuations: self.notices.evacuations(),
+            listing: self.effects.listing.tell(have.revision),
+            evacuations: self.effects.notices.evacuations(),
         }
     }
 }
@@ -150,7 +144,7 @@
     news.expect("a new name");
     let lacking = module.register_method("lacking", |params, desk, _| -> RpcResult<Passed> {
         let ask: Ask = params.one()?;
-        Ok(desk.relay.tell(&ask))
+        Ok(desk.effects.relay.tell(&ask))
     });
     lacking.expect("a new name");
     let suspects = module.register_method("suspects", |_, desk, _| -> RpcResult<Vec<Word>> {
@@ -335,7 +329,7 @@
                 turn += 1;
                 // One that is known to have what is lacking here is asked first.
                 let next = others[turn % others.len()].addr;
-                let peer = desk.relay.holder().unwrap_or(next);
+                let peer = desk.effects.relay.holder().unwrap_or(next);
                 peers.fetch(peer, &desk, &log).await;
             }
         });
@@ -343,14 +337,14 @@
 
     async fn fetch(&self, addr: SocketAddr, desk: &Desk, log: &Log) {
         let have = Have {
-            version: desk.config.version(),
-            revision: desk.listing.revision(),
-            leaving: desk.listing.all_leaving(),
+            version: desk.effects.config.version(),
+            revision: desk.effects.listing.revision(),
+            leaving: desk.effects.listing.all_leaving(),
         };
         let news: News = match self.call_briefly(addr, "news", &have).await {
             Ok(news) => news,
             Err(why) => {
-                desk.relay.forget(addr);
+                desk.effects.relay.forget(addr);
                 log.note(
                     Event::NewsFromPeer,
                     format_args!("from={addr} failed={why}"),
@@ -359,12 +353,12 @@
             }
         };
         // Before the configuration, with which this instance may begin to serve.
-        desk.evacuations.told(news.evacuations);
+        desk.effects.take(news.evacuations);
         if let Some(config) = news.config {
             log.note(Event::NewsFromPeer, format_args!("from={addr} what=config"));
-            desk.config.offer(config.as_bytes(), "peer");
+            desk.effects.config.offer(config.as_bytes(), "peer");
         }
-        desk.listing.told(news.listing);
+        desk.effects.listing.told(news.listing);
     }
 }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -30,10 +30,6 @@
 }
 
 const TOPICS: usize = 3;
-/// Instances of a zone that turn to the store for what they lack do so one after the other, so many milliseconds apart, so that
-/// the later ones may have it from the first; the last one begins after `STAGGER_MOST_MS`.
-const STAGGER_MS: u64 = 15;
-const STAGGER_MOST_MS: u64 = 300;
 
 /// What one instance asks another one that reads the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -130,9 +126,8 @@
     fn lack(&self, ask: impl FnOnce(&mut Lack, u64, u64) -> Next) -> Next {
         let now = self.0.clock.now();
         let rank = self.0.readers.lock().expect("no panic inside").rank();
-        let wait_ms = (rank as u64 * STAGGER_MS).min(STAGGER_MOST_MS);
         let mut lack = self.0.lack.lock().expect("no panic inside");
-        ask(&mut lack, now, wait_ms)
+        ask(&mut lack, now, Lack::wait_ms(rank))
     }
 
     fn lacks(&self) -> Next {
--- a/crates/relay/src/lack.rs
+++ b/crates/relay/src/lack.rs
@@ -8,6 +8,10 @@
 const READERS_MS: u64 = 300;
 /// After that time, in milliseconds, the store is read, by one instance after the other: others may have it by then.
 const PEERS_MS: u64 = 300;
+/// Instances of a zone that turn to the store do so one after the other, so many milliseconds apart, so that the later ones may
+/// have it from the first; the last one begins after `STAGGER_MOST_MS`.
+const STAGGER_MS: u64 = 15;
+const STAGGER_MOST_MS: u64 = 300;
 /// Instances that are known to have it.
 const HOLDERS_MOST: usize = 4;
 /// Versions that are lacking, of which the time is kept.
@@ -78,6 +82,11 @@
         self.holders.first().map(|(h, _)| *h)
     }
 
+    /// Returns how much later than the first of its zone an instance of some rank turns to the store, in milliseconds.
+    pub fn wait_ms(rank: usize) -> u64 {
+        (rank as u64 * STAGGER_MS).min(STAGGER_MOST_MS)
+    }
+
     /// Returns where to turn now. An instance that has it is asked once, until it reports it again: it may have it from a source
     /// from which it can't pass it on.
     pub fn turn(&mut self, now: u64, wait_ms: u64) -> Next {
