Tests of the pool share their plainest upstream and call; times since a log's first line and until the first free upstream stand once

No behaviour changes. Five test files of `place` each spelled out all fields of a Spec and a Want, two of them new: a new field had to be written into each. `tests/common` has both; assertions untouched. Three reports computed a line's second by themselves. Whether an upstream is bound by its being cold was asked in two ways. Comments in the field's terms. One assertion more in escrow's ration.rs: without a loss nothing that is owed is refused.

--- a/crates/escrow/tests/fleet/ration.rs
+++ b/crates/escrow/tests/fleet/ration.rs
@@ -53,6 +53,7 @@
     day.play(0, 10_000, true);
     let last = day.play(10_000, 18_000, true);
     assert!(last.served >= last.asked, "{last:?}");
+    assert_eq!(last.refused, 0, "{last:?}");
     assert!(last.large_served > 0);
 }
 
--- a/crates/notice/src/gossip.rs
+++ b/crates/notice/src/gossip.rs
@@ -25,7 +25,7 @@
 pub struct Received {
     /// Those that were new here.
     pub news: Vec<Notice>,
-    /// What is known here in place of those that are outdated: the peer lacks it.
+    /// The newer notices in place of those that are outdated: the peer has not received them.
     pub outdated: Vec<Notice>,
 }
 
--- a/crates/oriolehitch/src/calls.rs
+++ b/crates/oriolehitch/src/calls.rs
@@ -29,7 +29,7 @@
 
 /// Returns the rows: one for each sort of calls, or one for each in each stretch of `every` seconds.
 fn rows(lines: &[(String, Line)], every: Option<u64>) -> Vec<Value> {
-    let first = lines[0].1.timestamp;
+    let first = &lines[0].1;
     let mut before: BTreeMap<&str, Counts> = BTreeMap::new();
     let mut sums: BTreeMap<(u64, String), u64> = BTreeMap::new();
     for (source, line) in lines {
@@ -37,7 +37,7 @@
             // The counts of the process that ran there before don't go on.
             before.remove(source.as_str());
         } else if line.event == Event::StoreCalls.row().id {
-            let at = line.timestamp.duration_since(first).as_secs().max(0) as u64;
+            let at = line.seconds_since(first);
             let second = every.map_or(0, |e| at / e * e);
             let now = parse(&line.detail);
             let old = before.insert(source, now.clone()).unwrap_or_default();
--- a/crates/oriolehitch/src/logs.rs
+++ b/crates/oriolehitch/src/logs.rs
@@ -17,6 +17,14 @@
     pub(crate) detail: String,
 }
 
+impl Line {
+    /// Returns the whole seconds since another line, 0 where that one is later.
+    pub(crate) fn seconds_since(&self, first: &Line) -> u64 {
+        let since = self.timestamp.duration_since(first.timestamp);
+        since.as_secs().max(0) as u64
+    }
+}
+
 /// Prints the rows that a report makes of some logs, as a table or as JSON for programs.
 ///
 /// # Errors
--- a/crates/oriolehitch/src/tokens.rs
+++ b/crates/oriolehitch/src/tokens.rs
@@ -78,10 +78,10 @@
 }
 
 fn rows(lines: &[(String, Line)], every: u64) -> Vec<Value> {
-    let first = lines[0].1.timestamp;
+    let first = &lines[0].1;
     let (mut ledger, mut rows, mut row) = (Ledger::default(), Vec::new(), 0);
     for (source, line) in lines {
-        let at = line.timestamp.duration_since(first).as_secs().max(0) as u64 / every;
+        let at = line.seconds_since(first) / every;
         if at != row {
             rows.extend(ledger.end_row(row * every));
             row = at;
--- a/crates/oriolehitch/src/waits.rs
+++ b/crates/oriolehitch/src/waits.rs
@@ -11,7 +11,7 @@
 use crate::logs::{self, field, number, Line};
 use crate::Outcome;
 
-/// Longest time that is told apart, in milliseconds: longer than any request lasts.
+/// Longest time that is counted, in milliseconds; longer ones count as that.
 const LONGEST_MS: u64 = 600_000;
 /// Digits to which times are counted.
 const DIGITS: u8 = 2;
@@ -105,10 +105,10 @@
 }
 
 fn rows(lines: &[(String, Line)], by: By) -> Vec<Value> {
-    let first = lines[0].1.timestamp;
+    let first = &lines[0].1;
     let mut rows: BTreeMap<String, Row> = BTreeMap::new();
     for (source, line) in lines {
-        let second = line.timestamp.duration_since(first).as_secs().max(0) as u64;
+        let second = line.seconds_since(first);
         let answered = line.event == Event::Answered.row().id;
         if !answered && line.event != Event::Refused.row().id {
             continue;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -18,7 +18,7 @@
 /// Shortest time after which a refused request may come back, in milliseconds.
 const RETRY_LEAST_MS: u64 = 300;
 
-/// Longest time for which an upstream is taken at its word that it wants nothing, in milliseconds: one that names a
+/// Longest time for which an upstream that wants nothing is left alone, in milliseconds: one that names a
 /// year by mistake must not be lost until it ends. It is asked again then, and may say so again.
 const REST_MOST_MS: u64 = 3_600_000;
 
@@ -344,27 +344,21 @@
     fn why_none(&self, now: u64, want: &Want<'_>) -> Result<(), Denied> {
         let of_service = self.listed().filter(|u| u.spec.service == want.service);
         let stay: SmallVec<[&Upstream; 32]> = of_service.filter(|u| !u.leaving).collect();
-        let soonest = |until: &mut dyn Iterator<Item = u64>| {
-            let until = until.filter(|until| *until > now).min();
-            until.map(|until| until - now)
-        };
         if stay.is_empty() {
             return Ok(());
         }
-        let reached: SmallVec<[&Upstream; 32]> = stay
-            .into_iter()
-            .filter(|u| self.may_reach(u, want))
-            .collect();
+        let reached = stay.into_iter().filter(|u| self.may_reach(u, want));
+        let reached: SmallVec<[&Upstream; 32]> = reached.collect();
         if reached.is_empty() {
             return Err(Denied::Outside);
         }
         if reached.iter().all(|u| u.evacuated) {
             return Err(Denied::Evacuated);
         }
-        if let Some(retry_ms) = soonest(&mut reached.iter().map(|u| u.rests_until)) {
+        if let Some(retry_ms) = soonest(now, reached.iter().map(|u| u.rests_until)) {
             return Err(Denied::Resting { retry_ms });
         }
-        let cold = soonest(&mut reached.iter().filter_map(|u| u.cold_until(now)));
+        let cold = soonest(now, reached.iter().filter_map(|u| u.cold_until(now)));
         cold.map_or(Ok(()), |retry_ms| Err(Denied::Cold { retry_ms }))
     }
 
@@ -406,3 +400,9 @@
         self.drop_idle(key);
     }
 }
+
+/// Returns the milliseconds until the first of some times that are not over; none where all are.
+fn soonest(now: u64, until: impl Iterator<Item = u64>) -> Option<u64> {
+    let first = until.filter(|until| *until > now).min();
+    first.map(|until| until - now)
+}
--- a/crates/place/src/said.rs
+++ b/crates/place/src/said.rs
@@ -1,11 +1,11 @@
 //! What incarnations of upstreams have said of themselves, whether they are listed now or not.
 //!
-//! An entry of the list may lapse in an outage and come back as it was before, and other instances pass on words of upstreams
+//! An entry of the list may lapse in an outage and come back as it was before, and peers report upstreams
 //! that are not listed here yet: what an incarnation has said holds until it ends.
 
 use std::collections::HashMap;
 
-/// Lives that are remembered, bounding memory; those that spoke first go. Those that are listed keep it besides.
+/// Incarnations that are remembered, bounding memory; those that spoke first go. Those that are listed keep it besides.
 const INCARNATIONS_MOST: usize = 1_024;
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -256,19 +256,20 @@
         self.cold_from = from;
     }
 
-    /// Returns whether it is warm, or may get one more request from this instance while it is cold.
+    /// Returns whether it takes any number of requests: it is warm, or its service has no bound for cold ones.
+    fn is_unbounded(&self, now: u64, cold: Cold) -> bool {
+        cold.most.is_none() || self.cold_until(now).is_none()
+    }
+
+    /// Returns whether it may get one more request from this instance, as far as it is cold.
     pub(crate) fn is_open(&self, now: u64, cold: Cold) -> bool {
-        if cold.most.is_none() || self.cold_until(now).is_none() {
-            return true;
-        }
-        let sends = self.cold_from.is_some_and(|from| from <= now);
-        sends && self.sent_cold.has_room(now, cold)
+        let sends = || self.cold_from.is_some_and(|from| from <= now);
+        self.is_unbounded(now, cold) || (sends() && self.sent_cold.has_room(now, cold))
     }
 
     /// Returns whether a request that was chosen for it may be sent: it did not turn cold meanwhile.
     pub(crate) fn may_get(&self, now: u64, ticket: Ticket, cold: Cold) -> bool {
-        let warm = cold.most.is_none() || self.cold_until(now).is_none();
-        self.takes(now) && (warm || self.sent_cold.holds(ticket))
+        self.takes(now) && (self.is_unbounded(now, cold) || self.sent_cold.holds(ticket))
     }
 
     /// Returns the name that instances use among each other for this incarnation of it.
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -1,22 +1,19 @@
 //! Which upstream serves a request, under the loads that the choice answers.
 
+mod common;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 
 use place::{Choice, Denied, Held, Listed, Load, Outcome, Part, Pool, Spec, Want};
 
+use crate::common::call;
+
 const ENGINES: u32 = 18;
 
 fn spec(i: u32, service: &str) -> Spec {
     Spec {
-        id: format!("i{i}"),
-        born: None,
         service: service.to_string(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 9000 + i as u16)),
-        zone: format!("z{}", i % 3),
-        slots: 64,
-        leaving: false,
-        cold_ms: None,
+        ..common::spec(&format!("i{i}"), &format!("z{}", i % 3))
     }
 }
 
@@ -32,29 +29,9 @@
 
 fn chat(parts: &[Part]) -> Want<'_> {
     Want {
-        service: "pool",
-        zone: "z0",
         parts,
         prompt: parts.iter().map(|p| p.tokens).sum(),
-        regions: &[],
-        tried: &[],
-        deadline: 1_000_000,
-        repeatable: true,
-        random: 7,
-    }
-}
-
-fn call(zone: &str) -> Want<'_> {
-    Want {
-        service: "pool",
-        zone,
-        parts: &[],
-        prompt: 0,
-        regions: &[],
-        tried: &[],
-        deadline: 1_000_000,
-        repeatable: true,
-        random: 7,
+        ..call("z0")
     }
 }
 
--- a/crates/place/tests/cold.rs
+++ b/crates/place/tests/cold.rs
@@ -1,9 +1,12 @@
 //! Upstreams that come back together, cold: what all instances together send to one of them within a second.
 
+mod common;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 
-use place::{Cold, Denied, Outcome, Pool, Spec, Want};
+use place::{Cold, Denied, Outcome, Pool, Spec};
+
+use crate::common::call;
 
 /// Requests a second that a cold upstream bears, by the service's configuration and the fleet's settings.
 const BOUND: usize = 17;
@@ -17,28 +20,8 @@
 
 fn spec(i: u32, zone: &str, cold_ms: Option<u64>) -> Spec {
     Spec {
-        id: format!("u{i}"),
-        born: None,
-        service: "pool".to_string(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 9000 + i as u16)),
-        zone: zone.to_string(),
-        slots: 64,
-        leaving: false,
         cold_ms,
-    }
-}
-
-fn want<'a>() -> Want<'a> {
-    Want {
-        service: "pool",
-        zone: "a",
-        parts: &[],
-        prompt: 0,
-        regions: &[],
-        tried: &[],
-        deadline: 1_000_000,
-        repeatable: true,
-        random: 7,
+        ..common::spec(&format!("u{i}"), zone)
     }
 }
 
@@ -108,7 +91,7 @@
             pool.end(now, r.choice.key, r.choice.ticket, Outcome::Well);
         }
         for from in 0..self.pools.len() {
-            while let Ok(choice) = self.pools[from].choose(now, &want()) {
+            while let Ok(choice) = self.pools[from].choose(now, &call("a")) {
                 let arrives = now + (self.way_ms)(now);
                 let arrivals = self.arrivals.entry(choice.spec.id.clone());
                 arrivals.or_default().push(arrives);
@@ -223,7 +206,7 @@
     let pool = &mut fleet.pools[0];
     let mut given_up = 0;
     for now in SETTLED_MS..SETTLED_MS + 4_000 {
-        while let Ok(choice) = pool.choose(now, &want()) {
+        while let Ok(choice) = pool.choose(now, &call("a")) {
             pool.end(now, choice.key, choice.ticket, Outcome::Silent);
             given_up += 1;
         }
@@ -239,17 +222,17 @@
     pool.list(0, spec(0, "a", Some(COLD_MS)));
     pool.list(0, spec(1, "a", Some(0)));
     for _ in 0..20 {
-        let choice = pool.choose(10, &want()).unwrap();
+        let choice = pool.choose(10, &call("a")).unwrap();
         assert_eq!(choice.spec.id, "u1");
     }
     // It has become cold as well, by its entry: what was chosen before goes elsewhere, or is refused with the time.
-    let choice = pool.choose(10, &want()).unwrap();
+    let choice = pool.choose(10, &call("a")).unwrap();
     assert!(pool.may_send(10, &choice));
     pool.list(10, spec(1, "a", Some(2_000)));
     assert!(!pool.may_send(10, &choice));
-    let denied = pool.choose(20, &want()).unwrap_err();
+    let denied = pool.choose(20, &call("a")).unwrap_err();
     assert_eq!(denied, Denied::Cold { retry_ms: 1_990 });
-    assert!(pool.choose(2_010, &want()).is_ok(), "warm again");
+    assert!(pool.choose(2_010, &call("a")).is_ok(), "warm again");
 }
 
 /// An entry that says nothing of it means the service's usual time; a service without a bound has no such gate.
@@ -259,11 +242,11 @@
     pool.set_cold(cold());
     pool.list(100, spec(0, "a", None));
     assert_eq!(
-        pool.choose(100, &want()).unwrap_err(),
+        pool.choose(100, &call("a")).unwrap_err(),
         Denied::Cold { retry_ms: COLD_MS }
     );
-    assert!(pool.choose(100 + COLD_MS, &want()).is_ok());
+    assert!(pool.choose(100 + COLD_MS, &call("a")).is_ok());
     let mut free = Pool::default();
     free.list(100, spec(0, "a", Some(COLD_MS)));
-    assert!(free.choose(100, &want()).is_ok());
+    assert!(free.choose(100, &call("a")).is_ok());
 }
--- /dev/null
+++ b/crates/place/tests/common/mod.rs
@@ -0,0 +1,34 @@
+//! An upstream and a request of the plainest kind; tests change what matters to them.
+
+use std::net::SocketAddr;
+
+use place::{Spec, Want};
+
+/// Returns an upstream of the service `pool` in a zone.
+pub(crate) fn spec(id: &str, zone: &str) -> Spec {
+    Spec {
+        id: id.to_string(),
+        born: None,
+        service: "pool".to_string(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        zone: zone.to_string(),
+        slots: 64,
+        leaving: false,
+        cold_ms: None,
+    }
+}
+
+/// Returns a plain call of that service, by an instance in a zone.
+pub(crate) fn call(zone: &str) -> Want<'_> {
+    Want {
+        service: "pool",
+        zone,
+        parts: &[],
+        prompt: 0,
+        regions: &[],
+        tried: &[],
+        deadline: 1_000_000,
+        repeatable: true,
+        random: 7,
+    }
+}
--- a/crates/place/tests/lives.rs
+++ b/crates/place/tests/lives.rs
@@ -1,9 +1,9 @@
 //! Upstreams that start again under the name that they had.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
+mod common;
 
 use place::{Choice, Held, Listed, Load, Outcome, Part, Pool, Spec, Want};
+use std::collections::HashMap;
 
 const PARTS: [Part; 3] = [
     Part {
@@ -19,28 +19,19 @@
 
 fn spec(born: u64) -> Spec {
     Spec {
-        id: "e".to_string(),
         born: Some(born),
-        service: "pool".to_string(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 9000)),
-        zone: "z".to_string(),
         slots: 8,
-        leaving: false,
-        cold_ms: None,
+        ..common::spec("e", "z")
     }
 }
 
 fn choose(pool: &mut Pool, now: u64) -> Choice {
     let want = Want {
-        service: "pool",
-        zone: "z",
         parts: &PARTS,
         prompt: 8_500,
-        regions: &[],
-        tried: &[],
         deadline: now + 10_000,
-        repeatable: true,
         random: 1,
+        ..common::call("z")
     };
     pool.choose(now, &want).expect("one upstream")
 }
--- a/crates/place/tests/said.rs
+++ b/crates/place/tests/said.rs
@@ -1,6 +1,6 @@
 //! What upstreams say of themselves in their answers: that they leave, or want nothing for a while.
 
-use std::net::SocketAddr;
+mod common;
 
 use place::{Choice, Denied, Outcome, Pool, Spec, Want};
 
@@ -8,14 +8,9 @@
 
 fn spec(id: &str) -> Spec {
     Spec {
-        id: id.to_string(),
-        born: None,
         service: "desk".to_string(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 9000)),
-        zone: "z".to_string(),
         slots: 8,
-        leaving: false,
-        cold_ms: None,
+        ..common::spec(id, "z")
     }
 }
 
@@ -30,14 +25,9 @@
 fn choose(pool: &mut Pool, now: u64) -> Result<Choice, Denied> {
     let want = Want {
         service: "desk",
-        zone: "z",
-        parts: &[],
-        prompt: 0,
-        regions: &[],
-        tried: &[],
         deadline: now + 1_000,
-        repeatable: true,
         random: 0,
+        ..common::call("z")
     };
     pool.choose(now, &want)
 }
--- a/crates/place/tests/zones.rs
+++ b/crates/place/tests/zones.rs
@@ -1,34 +1,22 @@
 //! Zones that are evacuated, and regions that a request may not reach.
 
+mod common;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 
 use place::{Cold, Denied, Pool, Spec, Want};
 
 fn spec(id: &str, zone: &str) -> Spec {
     Spec {
-        id: id.to_string(),
-        born: None,
-        service: "pool".to_string(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 9000)),
-        zone: zone.to_string(),
-        slots: 64,
-        leaving: false,
         cold_ms: Some(0),
+        ..common::spec(id, zone)
     }
 }
 
 fn want(regions: &[String]) -> Want<'_> {
     Want {
-        service: "pool",
-        zone: "a",
-        parts: &[],
-        prompt: 0,
         regions,
-        tried: &[],
-        deadline: 1_000_000,
-        repeatable: true,
-        random: 7,
+        ..common::call("a")
     }
 }
 
