Log, expose and count the request rate limit an upstream advertises

The logs did not show whether the limit had been read.

Log event 2410 whenever the limit differs from the last answer's, add `limit_per_sec` to /dump, and add the metric limited_upstreams. An invalid value changes nothing. No decision uses the limit yet.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod health;
 mod known;
+mod limit;
 mod link;
 mod missing;
 mod pool;
@@ -21,6 +22,7 @@
 mod want;
 
 pub use cold::{Cold, Senders};
+pub use limit::RateLimit;
 pub use link::Link;
 pub use missing::Missing;
 pub use pool::{Listed, Pool};
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::cold::{Cold, Senders};
+use crate::limit::RateLimit;
 use crate::rate::{homes, is_full, may_use, rate_one, Rated};
 use crate::said::Said;
 use crate::upstream::{Held, Key, Load, Outcome, Spec, Ticket, Upstream};
@@ -207,6 +208,19 @@
         longer
     }
 
+    /// Sets the request rate limit of an upstream, or clears it; returns whether it changed.
+    pub fn set_limit(&mut self, key: Key, limit: Option<RateLimit>) -> bool {
+        let up = self.get_mut(key);
+        let changed = up.limit != limit;
+        up.limit = limit;
+        changed
+    }
+
+    /// Returns the number of listed upstreams that have a request rate limit.
+    pub fn limited_count(&self) -> usize {
+        self.listed().filter(|u| u.limit.is_some()).count()
+    }
+
     /// Returns the incarnation of an upstream, by its newest entry.
     pub fn incarnation(&self, key: Key) -> String {
         self.get(key).spec.incarnation()
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -7,6 +7,7 @@
 use crate::cold::{Cold, Sent};
 use crate::health::Health;
 use crate::known::Known;
+use crate::limit::RateLimit;
 
 /// A report older than this says nothing any more, in milliseconds.
 const REPORT_STALE_MS: u64 = 3_000;
@@ -141,6 +142,8 @@
     pub leaving: bool,
     /// It wants nothing before this time.
     pub rests_until: u64,
+    /// The request rate limit that it last advertised; an answer without one clears it.
+    pub limit: Option<RateLimit>,
     /// Whether its zone is evacuated.
     pub evacuated: bool,
     /// Until when it is cold, by its entry or by what is known of its zone, in milliseconds.
@@ -184,6 +187,7 @@
             spec,
             inflight: 0,
             rests_until: 0,
+            limit: None,
             evacuated: false,
             cold_until: 0,
             cold_at_least: 0,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -10,12 +10,12 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, Uri};
-use place::{connections, Choice, Denied, Outcome, Want};
+use place::{connections, Choice, Denied, Outcome, RateLimit, Want};
 use suspect::Digest;
 use tokio::time::timeout_at;
 
 use crate::ask::Sending;
-use crate::dialect::{Reading, Rest, Word};
+use crate::dialect::{AdvertisedLimit, Reading, Rest, Word};
 use crate::event::Event;
 use crate::job::Job;
 use crate::refusal::Refusal;
@@ -366,6 +366,7 @@
     if reading.leaving {
         job.router.listing.leaving(&incarnation, "answer");
     }
+    update_limit(job, slot, reading.limit, &incarnation);
     let Some(rest) = reading.rest else {
         return;
     };
@@ -389,6 +390,24 @@
     }
 }
 
+/// Stores the request rate limit from an upstream's answer and logs a change. An invalid value keeps the previous limit.
+fn update_limit(job: &Job, slot: &Slot, advertised: AdvertisedLimit, incarnation: &str) {
+    let limit = match advertised {
+        AdvertisedLimit::Absent => None,
+        AdvertisedLimit::Valid(limit) => Some(limit),
+        AdvertisedLimit::Invalid => return,
+    };
+    let mut pool = job.router.pool.lock().expect("no panic inside");
+    let changed = pool.set_limit(slot.choice.key, limit);
+    drop(pool);
+    if changed {
+        let per_sec = limit.map(RateLimit::as_per_sec);
+        let detail = format_args!("upstream={incarnation} per_sec={per_sec:?} source=answer");
+        let log = &job.router.log;
+        log.request(Event::UpstreamLimit, &job.ask.id, detail);
+    }
+}
+
 /// Returns what silence says of an upstream: nothing while the own link is full.
 fn silence(job: &Job) -> Outcome {
     if job.router.is_crowded() {
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -7,7 +7,7 @@
 use hyper::header::HeaderMap;
 use hyper::http::{request, response};
 use hyper::Response;
-use place::{Load, Spec};
+use place::{Load, RateLimit, Spec};
 
 use crate::ask::{Ask, Sending};
 use crate::refusal::Refusal;
@@ -34,6 +34,17 @@
     Until(SystemTime),
 }
 
+/// The request rate limit in an upstream's answer, shared by all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdvertisedLimit {
+    /// The answer has no limit.
+    Absent,
+    /// The answer has this limit.
+    Valid(RateLimit),
+    /// The answer has a limit that could not be parsed.
+    Invalid,
+}
+
 /// The head of an upstream's answer.
 #[derive(Clone, Debug)]
 pub struct Reading {
@@ -47,6 +58,8 @@
     pub leaving: bool,
     /// For how long it wants nothing more; none where it does not say, or not so that it can be understood.
     pub rest: Option<Rest>,
+    /// The request rate limit that it advertises.
+    pub limit: AdvertisedLimit,
 }
 
 /// Names, formats and calls of one way to speak; it decides nothing.
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -52,6 +52,8 @@
     UpstreamEnded,
     /// An upstream's answer says that it leaves, or wants nothing for a while.
     UpstreamSaid,
+    /// The request rate limit that an upstream advertises in its answers changed.
+    UpstreamLimit,
     /// A zone is evacuated: its upstreams get nothing.
     ZoneEvacuated,
     /// A zone is no longer evacuated: its upstreams get requests again, few while they are cold.
@@ -155,6 +157,12 @@
     ),
     row(Event::ZoneEvacuated, 2408, Level::WARN, "zone evacuated"),
     row(Event::ZoneBack, 2409, Level::INFO, "zone in use again"),
+    row(
+        Event::UpstreamLimit,
+        2410,
+        Level::INFO,
+        "upstream's request rate limit changed",
+    ),
     row(Event::Answered, 2501, Level::INFO, "answered"),
     row(Event::Refused, 2502, Level::INFO, "refused"),
     row(Event::AttemptFailed, 2503, Level::INFO, "attempt failed"),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -38,7 +38,7 @@
 mod tell;
 
 pub use ask::{Ask, Sending};
-pub use dialect::{Dialect, Reading, Rest, Word};
+pub use dialect::{AdvertisedLimit, Dialect, Reading, Rest, Word};
 pub use events::Events;
 pub use instance::{Instance, Parts};
 pub use log::end_on_panic;
--- a/crates/proxy/src/metric.rs
+++ b/crates/proxy/src/metric.rs
@@ -54,6 +54,8 @@
     pub(crate) unread: Counter,
     /// Prompt tokens sent.
     pub(crate) prompt: Counter,
+    /// Listed upstreams that advertise a request rate limit.
+    pub(crate) limited: Gauge,
 }
 
 fn seconds() -> Histogram {
@@ -74,6 +76,7 @@
             tokens: Counter::default(),
             unread: Counter::default(),
             prompt: Counter::default(),
+            limited: Gauge::default(),
         };
         metrics.register(calls, suspects);
         metrics
@@ -104,6 +107,11 @@
         r.register("tokens", "Tokens spent", self.tokens.clone());
         r.register("unread", "Prompt tokens not kept", self.unread.clone());
         r.register("prompt", "Prompt tokens sent", self.prompt.clone());
+        r.register(
+            "limited_upstreams",
+            "Upstreams that name a request rate",
+            self.limited.clone(),
+        );
         r.register("store_calls", "Calls of the store", calls.metric());
         let (ends, refused) = suspects.metrics();
         r.register("request_ends", "Upstreams' ends laid to requests", ends);
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use place::RateLimit;
 use serde_json::json;
 use web::{Req, Res};
 
@@ -25,6 +26,8 @@
 
 impl Ops {
     fn metrics(&self) -> Res {
+        let limited = self.0.pool.lock().expect("no panic inside").limited_count();
+        self.0.metrics.limited.set(limited as i64);
         let media = "application/openmetrics-text; version=1.0.0; charset=utf-8";
         Res::new(200, media, self.0.metrics.text())
     }
@@ -43,6 +46,7 @@
                     "failing": u.health.failing(now), "delay_ms": u.delay(now),
                     "slowness": u.slowness(now), "evacuated": u.evacuated,
                     "cold_ms": u.cold_until(now).map_or(0, |until| until - now),
+                    "limit_per_sec": u.limit.map(RateLimit::as_per_sec),
                 })
             })
             .collect();
