Share the request rate limit that an upstream advertises among instances

No code acted on the limit: each instance sent its usual share. Of 90 requests, 89 were first attempts, from all nine instances, which rules out retries.

A limit is now divided equally among a few instances: one for each request per second plus three more, the highest-ranked ones for that incarnation of the upstream. A request counts against a share from the time it is sent, and for as long as it has no answer. Other instances send nothing to the upstream. An instance starts sending after it has been among the highest-ranked for three seconds. This extends the mechanism for cold upstreams to more than one sender; both now use one table of instances and one count of requests.

The latest answer determines the limit. An answer without a limit removes it, unless its request was sent before the limit was known. Changes are gossiped with a change number, and the stricter of two concurrent changes wins. A starting instance asks two others for the known limits. A limit applies to its incarnation even while the upstream is missing from the list. If all upstreams of a service are limited, requests over the limits are refused immediately (429, not executed) with the time of the next request. An upstream with a limit below 0.1 requests per second still gets one request every ten seconds, to find out whether the limit still applies.

--- a/crates/notice/src/notice.rs
+++ b/crates/notice/src/notice.rs
@@ -22,6 +22,15 @@
         /// The incarnation.
         upstream: String,
     },
+    /// The request rate limit that an upstream's incarnation advertises changed.
+    Limit {
+        /// The incarnation.
+        upstream: String,
+        /// Number of changes so far.
+        changes: u32,
+        /// The limit as a fixed-point number; none if it no longer advertises one.
+        rate: Option<u32>,
+    },
     /// An upstream's entry was removed from the list.
     Gone {
         /// The upstream.
@@ -49,6 +58,8 @@
     Key(u64),
     /// An incarnation of an upstream.
     Incarnation(String),
+    /// The request rate limit of an upstream's incarnation.
+    Limit(String),
     /// An upstream's entry.
     Entry(String),
     /// A zone.
@@ -62,6 +73,7 @@
             Notice::Version { .. } => Subject::Version,
             Notice::Revoked { key, .. } => Subject::Key(*key),
             Notice::Leaving { upstream } => Subject::Incarnation(upstream.clone()),
+            Notice::Limit { upstream, .. } => Subject::Limit(upstream.clone()),
             Notice::Gone { upstream, .. } => Subject::Entry(upstream.clone()),
             Notice::Evacuation { zone, .. } => Subject::Zone(zone.clone()),
         }
@@ -73,6 +85,11 @@
         match self {
             Notice::Version { version } | Notice::Revoked { version, .. } => *version,
             Notice::Leaving { .. } => 0,
+            // The stricter of two concurrent changes wins.
+            Notice::Limit { changes, rate, .. } => {
+                let strictness = rate.map_or(0, |rate| u32::MAX - rate);
+                u64::from(*changes) << 32 | u64::from(strictness)
+            }
             Notice::Gone { revision, .. } | Notice::Evacuation { revision, .. } => {
                 by_revision(*revision)
             }
@@ -84,7 +101,10 @@
         match self {
             Notice::Version { .. } => true,
             Notice::Evacuation { evacuated, .. } => *evacuated,
-            Notice::Revoked { .. } | Notice::Leaving { .. } | Notice::Gone { .. } => false,
+            Notice::Revoked { .. }
+            | Notice::Leaving { .. }
+            | Notice::Limit { .. }
+            | Notice::Gone { .. } => false,
         }
     }
 }
--- a/crates/notice/tests/spread.rs
+++ b/crates/notice/tests/spread.rs
@@ -173,6 +173,25 @@
     }
 }
 
+/// Guards against instances that never converge after concurrent changes of a limit.
+#[test]
+fn the_stricter_of_concurrent_limits_wins_in_any_order() {
+    let limit = |changes, rate| Notice::Limit {
+        upstream: "u".to_string(),
+        changes,
+        rate,
+    };
+    let notices = [limit(3, None), limit(3, Some(2_000)), limit(3, Some(500))];
+    for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0], [1, 0, 2]] {
+        let mut gossip = Gossip::default();
+        for i in order {
+            gossip.learn(notices[i].clone());
+        }
+        assert_eq!(gossip.all(), vec![limit(3, Some(500))]);
+        assert!(gossip.learn(limit(4, None)), "a later change");
+    }
+}
+
 /// A season's worth of upstreams that leave: memory and datagrams stay bounded, and an evacuation is never pushed out.
 #[test]
 fn memory_and_datagrams_stay_bounded() {
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -5,14 +5,16 @@
 
 use smallvec::SmallVec;
 
-use crate::cold::{Cold, Senders};
-use crate::limit::RateLimit;
+use crate::cold::Cold;
 use crate::rate::{homes, is_full, may_use, rate_one, Rated};
 use crate::said::Said;
+use crate::senders::Senders;
 use crate::upstream::{Held, Key, Load, Outcome, Spec, Ticket, Upstream};
 use crate::usual::Usual;
 use crate::want::{Choice, Denied, Want};
 
+mod throttle;
+
 /// At least so many percent of a service's upstreams stay in use, whatever their health: when most
 /// of them seem bad, the fault is elsewhere.
 const KEPT_PCT: usize = 50;
@@ -70,11 +72,7 @@
     /// Takes the hashed names of the listed instances, this one's first.
     pub fn list_senders(&mut self, now: u64, me: u64, names: &[u64]) {
         self.senders.list(now, me, names);
-        for up in self.upstreams.iter_mut().flatten() {
-            if up.cold_until(now).is_some() {
-                up.sends_cold(self.senders.first_from(up.hash()));
-            }
-        }
+        self.update_throttles(now);
     }
 
     /// Takes that a zone is evacuated, or no longer.
@@ -89,7 +87,7 @@
             if up.evacuated && !evacuated {
                 let usual = self.cold.get(&up.spec.service).copied();
                 up.comes_back(now, usual.unwrap_or_default());
-                up.sends_cold(self.senders.first_from(up.hash()));
+                throttle::update(up, now, &self.senders);
             }
             up.evacuated = evacuated;
         }
@@ -142,10 +140,7 @@
         let up = self.get_mut(key);
         up.evacuated = evacuated;
         up.warms_up(now, usual);
-        if up.cold_until(now).is_some() {
-            let from = self.senders.first_from(self.get(key).hash());
-            self.get_mut(key).sends_cold(from);
-        }
+        self.update_throttle(now, key);
     }
 
     fn add(&mut self, now: u64, spec: Spec) -> Key {
@@ -156,6 +151,7 @@
         let incarnation = up.spec.incarnation();
         up.leaving |= self.said.is_leaving(&incarnation);
         up.rests_until = self.said.rests_until(&incarnation);
+        up.set_versioned_limit(now, self.said.versioned_limit(&incarnation));
         let up = Some(up);
         if at == self.upstreams.len() {
             self.upstreams.push(up);
@@ -208,19 +204,6 @@
         longer
     }
 
-    /// Sets the request rate limit of an upstream, or clears it; returns whether it changed.
-    pub fn set_limit(&mut self, key: Key, limit: Option<RateLimit>) -> bool {
-        let up = self.get_mut(key);
-        let changed = up.limit != limit;
-        up.limit = limit;
-        changed
-    }
-
-    /// Returns the number of listed upstreams that have a request rate limit.
-    pub fn limited_count(&self) -> usize {
-        self.listed().filter(|u| u.limit.is_some()).count()
-    }
-
     /// Returns the incarnation of an upstream, by its newest entry.
     pub fn incarnation(&self, key: Key) -> String {
         self.get(key).spec.incarnation()
@@ -272,6 +255,9 @@
     ///
     /// Returns why there is none.
     pub fn choose(&mut self, now: u64, want: &Want<'_>) -> Result<Choice, Denied> {
+        if self.senders.expire(now) {
+            self.update_throttles(now);
+        }
         let rated = self.rate(now, want)?;
         let by_cost = |a: &&Rated, b: &&Rated| {
             let order = a.cost_ms.partial_cmp(&b.cost_ms);
@@ -372,6 +358,14 @@
         if let Some(retry_ms) = soonest(now, reached.iter().map(|u| u.rests_until)) {
             return Err(Denied::Resting { retry_ms });
         }
+        let limited = reached
+            .iter()
+            .filter(|u| u.takes(now) && !u.is_within_limit(now));
+        if let Some(retry_ms) = limited.filter_map(|u| u.limit_retry_ms(now)).min() {
+            let retry_ms = retry_ms.max(RETRY_LEAST_MS);
+            let retry_ms = retry_ms + want.random % retry_ms;
+            return Err(Denied::Limited { retry_ms });
+        }
         let cold = soonest(now, reached.iter().filter_map(|u| u.cold_until(now)));
         cold.map_or(Ok(()), |retry_ms| Err(Denied::Cold { retry_ms }))
     }
--- a/crates/place/src/said.rs
+++ b/crates/place/src/said.rs
@@ -5,6 +5,8 @@
 
 use std::collections::HashMap;
 
+use crate::limit::VersionedLimit;
+
 /// Incarnations that are remembered, bounding memory; those that spoke first go. Those that are listed keep it besides.
 const INCARNATIONS_MOST: usize = 1_024;
 
@@ -12,6 +14,7 @@
 struct Saying {
     leaving: bool,
     rests_until: u64,
+    limit: VersionedLimit,
     turn: u64,
 }
 
@@ -34,6 +37,23 @@
         saying.rests_until = saying.rests_until.max(until);
     }
 
+    /// Merges the state of an incarnation's request rate limit; returns whether it replaced the known one.
+    pub(crate) fn merge_limit(&mut self, incarnation: &str, limit: VersionedLimit) -> bool {
+        let saying = self.saying(incarnation);
+        let replaces = limit.supersedes(&saying.limit);
+        if replaces {
+            saying.limit = limit;
+        }
+        replaces
+    }
+
+    /// Returns the state of an incarnation's request rate limit.
+    pub(crate) fn versioned_limit(&self, incarnation: &str) -> VersionedLimit {
+        self.incarnations
+            .get(incarnation)
+            .map_or_else(VersionedLimit::default, |s| s.limit)
+    }
+
     /// Returns whether an incarnation has said that it leaves.
     pub(crate) fn is_leaving(&self, incarnation: &str) -> bool {
         self.incarnations
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -4,10 +4,11 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::cold::{Cold, Sent};
+use crate::cold::Cold;
 use crate::health::Health;
 use crate::known::Known;
-use crate::limit::RateLimit;
+use crate::limit::{RateLimit, Share, VersionedLimit};
+use crate::sent::Sent;
 
 /// A report older than this says nothing any more, in milliseconds.
 const REPORT_STALE_MS: u64 = 3_000;
@@ -142,8 +143,12 @@
     pub leaving: bool,
     /// It wants nothing before this time.
     pub rests_until: u64,
-    /// The request rate limit that it last advertised; an answer without one clears it.
-    pub limit: Option<RateLimit>,
+    /// The request rate limit that it advertises.
+    versioned_limit: VersionedLimit,
+    /// When this instance last updated the limit, in milliseconds.
+    limit_updated_at: u64,
+    /// This instance's share of the limit; none if it has no share.
+    share: Option<Share>,
     /// Whether its zone is evacuated.
     pub evacuated: bool,
     /// Until when it is cold, by its entry or by what is known of its zone, in milliseconds.
@@ -152,8 +157,8 @@
     cold_at_least: u64,
     /// From when on this instance sends to it while it is cold, in milliseconds; none while another one does.
     cold_from: Option<u64>,
-    /// Requests that were sent there while it was cold.
-    sent_cold: Sent,
+    /// Requests sent while it was throttled.
+    sent: Sent,
     /// Whether it is no longer listed.
     pub gone: bool,
     /// Its health.
@@ -187,12 +192,14 @@
             spec,
             inflight: 0,
             rests_until: 0,
-            limit: None,
+            versioned_limit: VersionedLimit::default(),
+            limit_updated_at: 0,
+            share: None,
             evacuated: false,
             cold_until: 0,
             cold_at_least: 0,
             cold_from: None,
-            sent_cold: Sent::default(),
+            sent: Sent::default(),
             gone: false,
             health: Health::default(),
             known: Known::default(),
@@ -265,15 +272,81 @@
         cold.most.is_none() || self.cold_until(now).is_none()
     }
 
-    /// Returns whether it may get one more request from this instance, as far as it is cold.
+    /// Returns whether this instance may send it one more request while it is cold or limited.
     pub(crate) fn is_open(&self, now: u64, cold: Cold) -> bool {
         let sends = || self.cold_from.is_some_and(|from| from <= now);
-        self.is_unbounded(now, cold) || (sends() && self.sent_cold.has_room(now, cold))
+        let has_room = || {
+            cold.own_part()
+                .is_some_and(|most| self.sent.count(now) < most)
+        };
+        let open = self.is_unbounded(now, cold) || (sends() && has_room());
+        open && self.is_within_limit(now)
+    }
+
+    /// Returns whether one more request stays within this instance's share of the request rate limit.
+    pub(crate) fn is_within_limit(&self, now: u64) -> bool {
+        let has_room = |s: Share| s.starts_at <= now && self.sent.count(now) < s.max_requests;
+        self.limit().is_none() || self.share.is_some_and(has_room)
     }
 
-    /// Returns whether a request that was chosen for it may be sent: it did not turn cold meanwhile.
+    /// Returns the time until this or another instance may send the next request under the limit, in milliseconds.
+    pub(crate) fn limit_retry_ms(&self, now: u64) -> Option<u64> {
+        let limit = self.limit()?;
+        let own = self.share.map(|share| {
+            let room_at = self.sent.next_expiry(now).unwrap_or(now);
+            room_at.max(share.starts_at).saturating_sub(now)
+        });
+        Some(own.unwrap_or(u64::MAX).min(limit.interval_ms()))
+    }
+
+    /// Returns whether a request that was chosen for it may be sent: it has not become cold or limited since.
     pub(crate) fn may_get(&self, now: u64, ticket: Ticket, cold: Cold) -> bool {
-        self.takes(now) && (self.is_unbounded(now, cold) || self.sent_cold.holds(ticket))
+        let unbounded = self.is_unbounded(now, cold) && self.limit().is_none();
+        self.takes(now) && (unbounded || self.sent.holds(ticket))
+    }
+
+    /// Returns the request rate limit that it advertises.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.versioned_limit.rate
+    }
+
+    /// Returns the state of its request rate limit.
+    pub(crate) fn versioned_limit(&self) -> VersionedLimit {
+        self.versioned_limit
+    }
+
+    /// Records the request rate limit in its answer to a request sent at `sent_at`; returns the new state if it changed. A limit
+    /// that allows more is ignored if the request was sent before the last update, because the answer may be older than that.
+    pub(crate) fn update_limit(
+        &mut self,
+        now: u64,
+        sent_at: u64,
+        limit: Option<RateLimit>,
+    ) -> Option<VersionedLimit> {
+        let known = self.versioned_limit;
+        let outdated =
+            VersionedLimit::loosens(limit, known.rate) && sent_at < self.limit_updated_at;
+        if limit == known.rate || outdated {
+            return None;
+        }
+        let changes = known.changes.saturating_add(1);
+        let updated = VersionedLimit {
+            rate: limit,
+            changes,
+        };
+        self.set_versioned_limit(now, updated);
+        Some(updated)
+    }
+
+    /// Sets the state of its request rate limit.
+    pub(crate) fn set_versioned_limit(&mut self, now: u64, limit: VersionedLimit) {
+        self.versioned_limit = limit;
+        self.limit_updated_at = now;
+    }
+
+    /// Sets this instance's share of its request rate limit.
+    pub(crate) fn set_share(&mut self, share: Option<Share>) {
+        self.share = share;
     }
 
     /// Returns the name that instances use among each other for this incarnation of it.
@@ -325,8 +398,11 @@
     pub fn begin(&mut self, now: u64, ticket: Ticket, read_ms: f64) {
         self.inflight += 1;
         self.since_report += 1;
-        if self.cold_until(now).is_some() {
-            self.sent_cold.begin(now, ticket);
+        let cold = self.cold_until(now).is_some();
+        let share = self.share.filter(|_| self.limit().is_some());
+        if cold || share.is_some() {
+            let window_ms = share.map_or(0, |s| s.window_ms);
+            self.sent.begin(now, ticket, window_ms, cold);
         }
         self.reading.push(Reading {
             ticket,
@@ -338,7 +414,7 @@
     /// Takes the first token, or the answer, of a request; `alone_ms` is what it would have taken on
     /// an upstream of its service's usual speed with nothing else to do.
     pub fn first(&mut self, now: u64, ticket: Ticket, alone_ms: f64) {
-        self.sent_cold.end(now, ticket, true);
+        self.sent.end(now, ticket, true);
         let Some(i) = self.reading.iter().position(|r| r.ticket == ticket) else {
             return;
         };
@@ -390,7 +466,7 @@
         self.inflight -= 1;
         self.reading.retain(|r| r.ticket != ticket);
         let answered = matches!(outcome, Outcome::Well | Outcome::Error | Outcome::Refused);
-        self.sent_cold.end(now, ticket, answered);
+        self.sent.end(now, ticket, answered);
         match outcome {
             Outcome::Well => self.health.well(now),
             Outcome::Error => self.health.error(now),
--- a/crates/place/src/want.rs
+++ b/crates/place/src/want.rs
@@ -63,6 +63,11 @@
         /// Milliseconds until the first of them is warm.
         retry_ms: u64,
     },
+    /// All remaining upstreams advertise a request rate limit, and this instance may send no more for now.
+    Limited {
+        /// Milliseconds until one of them accepts the next request.
+        retry_ms: u64,
+    },
     /// They are so busy that the answer would come too late.
     Busy {
         /// Milliseconds after which coming back makes sense.
--- a/crates/place/tests/cold.rs
+++ b/crates/place/tests/cold.rs
@@ -1,12 +1,15 @@
 //! Upstreams that come back together, cold: what all instances together send to one of them within a second.
 
 mod common;
+#[path = "common/fleet.rs"]
+mod fleet;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use place::{Cold, Denied, Outcome, Pool, Spec};
 
 use crate::common::call;
+use crate::fleet::Fleet;
 
 /// Requests a second that a cold upstream bears, by the service's configuration and the fleet's settings.
 const BOUND: usize = 17;
@@ -17,6 +20,8 @@
 const UPSTREAMS: u32 = 6;
 /// Step of the simulation, in milliseconds.
 const STEP_MS: u64 = 10;
+/// Window in which requests are counted, in milliseconds.
+const SECOND_MS: u64 = 1_000;
 
 fn spec(i: u32, zone: &str, cold_ms: Option<u64>) -> Spec {
     Spec {
@@ -33,90 +38,18 @@
     HashMap::from([("pool".to_string(), cold)])
 }
 
-/// A request under way: when it arrives, when its answer is back, and at which instance.
-struct Request {
-    answered_at: u64,
-    from: usize,
-    choice: place::Choice,
-    sent_at: u64,
-}
-
-struct Fleet {
-    pools: Vec<Pool>,
-    under_way: Vec<Request>,
-    /// When requests arrived, by upstream.
-    arrivals: BTreeMap<String, Vec<u64>>,
-    /// How long a request takes to its upstream, in milliseconds: it differs from second to second.
-    way_ms: fn(u64) -> u64,
-}
-
-impl Fleet {
-    fn open(count: usize, way_ms: fn(u64) -> u64) -> Fleet {
-        let mut pools = Vec::new();
-        for _ in 0..count {
-            let mut pool = Pool::default();
-            pool.set_cold(cold());
-            pools.push(pool);
-        }
-        Fleet {
-            pools,
-            under_way: Vec::new(),
-            arrivals: BTreeMap::new(),
-            way_ms,
-        }
-    }
-
-    /// Has an instance see some others.
-    fn see(&mut self, now: u64, who: usize, seen: &[usize]) {
-        let names: Vec<u64> = seen.iter().map(|i| *i as u64).collect();
-        self.pools[who].list_senders(now, who as u64, &names);
-    }
-
-    fn list_all(&mut self, now: u64, cold_ms: Option<u64>) {
-        for pool in &mut self.pools {
-            for i in 0..UPSTREAMS {
-                pool.list(now, spec(i, "a", cold_ms));
-            }
-        }
-    }
-
-    /// Each instance sends whatever it may.
-    fn step(&mut self, now: u64) {
-        let (ended, left): (Vec<_>, Vec<_>) =
-            self.under_way.drain(..).partition(|r| r.answered_at <= now);
-        self.under_way = left;
-        for r in ended {
-            let pool = &mut self.pools[r.from];
-            pool.first(now, &r.choice, r.sent_at);
-            pool.end(now, r.choice.key, r.choice.ticket, Outcome::Well);
-        }
-        for from in 0..self.pools.len() {
-            while let Ok(choice) = self.pools[from].choose(now, &call("a")) {
-                let arrives = now + (self.way_ms)(now);
-                let arrivals = self.arrivals.entry(choice.spec.id.clone());
-                arrivals.or_default().push(arrives);
-                self.under_way.push(Request {
-                    answered_at: arrives + 5,
-                    from,
-                    choice,
-                    sent_at: now,
-                });
-            }
-        }
+/// Returns a fleet whose instances have the settings for cold upstreams.
+fn open(count: usize, way_ms: fn(u64) -> u64) -> Fleet {
+    let mut fleet = Fleet::open(count, way_ms);
+    for pool in &mut fleet.pools {
+        pool.set_cold(cold());
     }
+    fleet
+}
 
-    /// Returns the most requests that arrived at one upstream within a second.
-    fn most_in_a_second(&mut self) -> usize {
-        let mut most = 0;
-        for arrivals in self.arrivals.values_mut() {
-            arrivals.sort_unstable();
-            for (i, at) in arrivals.iter().enumerate() {
-                let within = arrivals[i..].iter().take_while(|a| **a < at + 1_000);
-                most = most.max(within.count());
-            }
-        }
-        most
-    }
+fn list_all(fleet: &mut Fleet, now: u64, cold_ms: Option<u64>) {
+    let specs: Vec<Spec> = (0..UPSTREAMS).map(|i| spec(i, "a", cold_ms)).collect();
+    fleet.list(now, &specs);
 }
 
 fn short(_: u64) -> u64 {
@@ -133,16 +66,16 @@
 fn a_cold_upstream_gets_its_bound_at_most_and_something() {
     for count in [1, 9, 80, 300, 970] {
         for way in [short as fn(u64) -> u64, bunched] {
-            let mut fleet = Fleet::open(count, way);
+            let mut fleet = open(count, way);
             let all: Vec<usize> = (0..count).collect();
             for who in 0..count {
                 fleet.see(0, who, &all);
             }
-            fleet.list_all(SETTLED_MS, Some(COLD_MS));
+            list_all(&mut fleet, SETTLED_MS, Some(COLD_MS));
             for now in (SETTLED_MS..SETTLED_MS + COLD_MS).step_by(STEP_MS as usize) {
                 fleet.step(now);
             }
-            let most = fleet.most_in_a_second();
+            let most = fleet.most_within(SECOND_MS);
             assert!(most <= BOUND / 3, "{count} instances: {most}");
             assert_eq!(fleet.arrivals.len(), UPSTREAMS as usize, "each gets some");
         }
@@ -153,7 +86,7 @@
 #[test]
 fn three_views_of_the_fleet_keep_to_the_bound_together() {
     for count in [80, 300, 970] {
-        let mut fleet = Fleet::open(count, bunched);
+        let mut fleet = open(count, bunched);
         for who in 0..count {
             let known = match who % 3 {
                 0 => count,
@@ -163,11 +96,11 @@
             let seen: Vec<usize> = (0..count).filter(|i| *i < known || *i == who).collect();
             fleet.see(0, who, &seen);
         }
-        fleet.list_all(SETTLED_MS, Some(COLD_MS));
+        list_all(&mut fleet, SETTLED_MS, Some(COLD_MS));
         for now in (SETTLED_MS..SETTLED_MS + COLD_MS).step_by(STEP_MS as usize) {
             fleet.step(now);
         }
-        let most = fleet.most_in_a_second();
+        let most = fleet.most_within(SECOND_MS);
         assert!(most <= BOUND, "{count} instances: {most}");
     }
 }
@@ -176,8 +109,8 @@
 #[test]
 fn instances_that_join_in_turn_keep_to_the_bound() {
     for count in [80, 300] {
-        let mut fleet = Fleet::open(count, bunched);
-        fleet.list_all(0, Some(10_000));
+        let mut fleet = open(count, bunched);
+        list_all(&mut fleet, 0, Some(10_000));
         for now in (0..10_000_u64).step_by(STEP_MS as usize) {
             if now % 200 == 0 {
                 let joined = (count * now as usize / 6_000).min(count);
@@ -192,7 +125,7 @@
             }
             fleet.step(now);
         }
-        let most = fleet.most_in_a_second();
+        let most = fleet.most_within(SECOND_MS);
         assert!(most <= BOUND, "{count} instances: {most}");
     }
 }
@@ -200,9 +133,9 @@
 /// A request that was given up may still arrive, so it counts on.
 #[test]
 fn what_was_given_up_counts_for_seconds() {
-    let mut fleet = Fleet::open(1, short);
+    let mut fleet = open(1, short);
     fleet.see(0, 0, &[0]);
-    fleet.list_all(SETTLED_MS, Some(20_000));
+    list_all(&mut fleet, SETTLED_MS, Some(20_000));
     let pool = &mut fleet.pools[0];
     let mut given_up = 0;
     for now in SETTLED_MS..SETTLED_MS + 4_000 {
@@ -217,7 +150,7 @@
 /// One upstream is cold and the other is warm: the warm one gets the work of those that may not send to the cold one.
 #[test]
 fn the_warm_one_serves_and_nobody_waits_for_the_cold_one() {
-    let mut fleet = Fleet::open(1, short);
+    let mut fleet = open(1, short);
     let pool = &mut fleet.pools[0];
     pool.list(0, spec(0, "a", Some(COLD_MS)));
     pool.list(0, spec(1, "a", Some(0)));
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -124,6 +124,10 @@
                 let message = format!("the upstreams of {} want nothing for now", job.service);
                 Refusal::new(Kind::NoUpstream, message).back_at(retry_ms)
             }
+            Failed::Denied(Denied::Limited { retry_ms }) => {
+                let message = format!("the request rate limits of {} are reached", job.service);
+                Refusal::new(Kind::Overloaded, message).back_in(retry_ms, left)
+            }
             Failed::Denied(Denied::Cold { retry_ms }) => {
                 let message = format!("the upstreams of {} have just started", job.service);
                 Refusal::new(Kind::Overloaded, message).back_in(retry_ms, left)
@@ -390,17 +394,16 @@
     }
 }
 
-/// Stores the request rate limit from an upstream's answer and logs a change. An invalid value keeps the previous limit.
+/// Updates the request rate limit from an upstream's answer and logs a change. An invalid value leaves the limit unchanged.
 fn update_limit(job: &Job, slot: &Slot, advertised: AdvertisedLimit, incarnation: &str) {
     let limit = match advertised {
         AdvertisedLimit::Absent => None,
         AdvertisedLimit::Valid(limit) => Some(limit),
         AdvertisedLimit::Invalid => return,
     };
-    let mut pool = job.router.pool.lock().expect("no panic inside");
-    let changed = pool.set_limit(slot.choice.key, limit);
-    drop(pool);
-    if changed {
+    let listing = &job.router.listing;
+    let changed = listing.set_limit(slot.choice.key, slot.sent_at, limit);
+    if changed.is_some() {
         let per_sec = limit.map(RateLimit::as_per_sec);
         let detail = format_args!("upstream={incarnation} per_sec={per_sec:?} source=answer");
         let log = &job.router.log;
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -203,6 +203,7 @@
             },
         };
         suspects.spawn_tell(&others);
+        desk.effects.spawn_limit_query(&others);
         let kept = Kept {
             suspects,
             fleet: fleet.clone(),
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -8,7 +8,7 @@
 use dial::Dialer;
 use kv::{Change, Found, Store};
 use notice::Notice;
-use place::{Listed, Missing, Pool};
+use place::{Key, Listed, Missing, Pool, RateLimit, VersionedLimit};
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::Dialect;
@@ -167,6 +167,47 @@
         self.0.notices.learn(Notice::Leaving { upstream });
     }
 
+    /// Merges a peer's state of an incarnation's request rate limit and logs a change.
+    pub(crate) fn merge_limit(&self, incarnation: &str, limit: VersionedLimit) {
+        let now = self.0.clock.now();
+        let mut pool = self.0.pool.lock().expect("no panic inside");
+        let changed = pool.merge_limit(now, incarnation, limit);
+        drop(pool);
+        if changed {
+            let per_sec = limit.rate.map(RateLimit::as_per_sec);
+            let detail = format_args!("upstream={incarnation} per_sec={per_sec:?} source=peer");
+            self.0.log.note(Event::UpstreamLimit, detail);
+        }
+    }
+
+    /// Returns a notice for each request rate limit of a listed upstream.
+    pub(crate) fn all_limits(&self) -> Vec<Notice> {
+        let limits = self
+            .0
+            .pool
+            .lock()
+            .expect("no panic inside")
+            .versioned_limits();
+        let notice = |(upstream, limit): (String, VersionedLimit)| limit_notice(upstream, limit);
+        limits.into_iter().map(notice).collect()
+    }
+
+    /// Records the request rate limit, or its absence, in an upstream's answer to a request, and gossips a change.
+    pub(crate) fn set_limit(
+        &self,
+        key: Key,
+        sent_at: u64,
+        limit: Option<RateLimit>,
+    ) -> Option<VersionedLimit> {
+        let now = self.0.clock.now();
+        let mut pool = self.0.pool.lock().expect("no panic inside");
+        let changed = pool.set_limit(now, key, sent_at, limit)?;
+        let incarnation = pool.incarnation(key);
+        drop(pool);
+        self.0.notices.learn(limit_notice(incarnation, changed));
+        Some(changed)
+    }
+
     /// Takes a peer's report that an upstream's entry was removed at a revision.
     pub(crate) fn gone(&self, id: &str, revision: i64) {
         let key = format!("{}{id}", self.0.dialect.upstream_prefix());
@@ -316,6 +357,14 @@
     }
 }
 
+fn limit_notice(upstream: String, limit: VersionedLimit) -> Notice {
+    Notice::Limit {
+        upstream,
+        changes: limit.changes,
+        rate: limit.rate.map(RateLimit::to_bits),
+    }
+}
+
 /// Returns the entry that was found under a key.
 fn row(found: Found) -> (String, Entry) {
     let value = Bytes::from(found.value);
--- a/crates/proxy/src/notices.rs
+++ b/crates/proxy/src/notices.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use notice::{Gossip, Notice, Received, FANOUT};
+use place::{RateLimit, VersionedLimit};
 use rand::seq::IndexedRandom;
 use sha2::{Digest, Sha256};
 use tokio::sync::Notify;
@@ -15,7 +16,7 @@
 use crate::evacuation::Evacuations;
 use crate::listing::Listing;
 use crate::relay::Relay;
-use crate::tell::Others;
+use crate::tell::{Others, StartupPeers};
 
 /// Pause between two rounds in which news are sent: what is learnt meanwhile goes with them.
 const ROUND: Duration = Duration::from_millis(60);
@@ -126,6 +127,20 @@
 }
 
 impl Effects {
+    /// Starts a task that asks peers for the request rate limits of upstreams, for an instance that has just started.
+    pub(crate) fn spawn_limit_query(&self, others: &Others) {
+        let (effects, others) = (self.clone(), others.clone());
+        tokio::spawn(async move {
+            let mut startup_peers = StartupPeers::new();
+            while let Some(addr) = startup_peers.next(&others.fleet).await {
+                if let Ok(limits) = others.peers.limits(addr).await {
+                    startup_peers.record_answer();
+                    effects.take(limits);
+                }
+            }
+        });
+    }
+
     /// Takes a batch from a peer that runs a version of the configuration; returns what that peer lacks.
     pub(crate) fn receive(
         &self,
@@ -152,6 +167,15 @@
             Notice::Version { version } => self.relay.hear_version(version),
             Notice::Revoked { key, version } => self.config.revoke(key, version),
             Notice::Leaving { upstream } => self.listing.leaving(&upstream, "peer"),
+            Notice::Limit {
+                upstream,
+                changes,
+                rate,
+            } => {
+                let rate = rate.map(RateLimit::from_bits);
+                let limit = VersionedLimit { rate, changes };
+                self.listing.merge_limit(&upstream, limit);
+            }
             Notice::Gone { upstream, revision } => self.listing.gone(&upstream, revision),
             Notice::Evacuation {
                 zone, evacuated, ..
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -46,7 +46,7 @@
                     "failing": u.health.failing(now), "delay_ms": u.delay(now),
                     "slowness": u.slowness(now), "evacuated": u.evacuated,
                     "cold_ms": u.cold_until(now).map_or(0, |until| until - now),
-                    "limit_per_sec": u.limit.map(RateLimit::as_per_sec),
+                    "limit_per_sec": u.limit().map(RateLimit::as_per_sec),
                 })
             })
             .collect();
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -79,6 +79,7 @@
     config: Option<String>,
     listing: Relayed,
     evacuations: Vec<Notice>,
+    limits: Vec<Notice>,
 }
 
 /// What the instance answers from.
@@ -100,6 +101,7 @@
             config: newer.map(|a| String::from_utf8_lossy(&a.raw).into_owned()),
             listing: self.effects.listing.tell(have.revision),
             evacuations: self.effects.notices.evacuations(),
+            limits: self.effects.listing.all_limits(),
         }
     }
 }
@@ -151,6 +153,10 @@
         Ok(desk.suspects.list())
     });
     suspects.expect("a new name");
+    let limits = module.register_method("limits", |_, desk, _| -> RpcResult<Vec<Notice>> {
+        Ok(desk.effects.listing.all_limits())
+    });
+    limits.expect("a new name");
     let trial = module.register_method("trial", |params, desk, _| -> RpcResult<Trial> {
         let ask: AskTrial = params.one()?;
         Ok(desk.suspects.try_for(&ask))
@@ -285,6 +291,15 @@
         self.call_briefly(addr, "suspects", &()).await
     }
 
+    /// Asks an instance for the request rate limits of its listed upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub(crate) async fn limits(&self, addr: SocketAddr) -> Result<Vec<Notice>, String> {
+        self.call_briefly(addr, "limits", &()).await
+    }
+
     /// Asks an instance that keeps a request whether it may be tried.
     ///
     /// # Errors
@@ -354,6 +369,7 @@
         };
         // Before the configuration, with which this instance may begin to serve.
         desk.effects.take(news.evacuations);
+        desk.effects.take(news.limits);
         if let Some(config) = news.config {
             log.note(Event::NewsFromPeer, format_args!("from={addr} what=config"));
             desk.effects.config.offer(config.as_bytes(), "peer");
--- a/crates/proxy/src/tell.rs
+++ b/crates/proxy/src/tell.rs
@@ -86,20 +86,12 @@
 
     /// Asks others what all should know: this instance has started a moment ago.
     async fn ask(self, others: Others) {
-        let until = Instant::now() + ASK_FOR;
-        let (mut asked, mut answers) = (Vec::new(), 0);
-        while answers < ASKED && Instant::now() < until {
-            let listed = others.fleet.others();
-            let Some(next) = listed.iter().find(|m| !asked.contains(&m.addr)) else {
-                sleep(ASK_AGAIN).await;
-                continue;
-            };
-            asked.push(next.addr);
-            // Where one does not answer another one may.
-            if let Ok(words) = others.peers.suspects(next.addr).await {
-                answers += 1;
+        let mut startup_peers = StartupPeers::new();
+        while let Some(addr) = startup_peers.next(&others.fleet).await {
+            if let Ok(words) = others.peers.suspects(addr).await {
+                startup_peers.record_answer();
                 if !words.is_empty() {
-                    self.learnt(next.addr, words.len());
+                    self.learnt(addr, words.len());
                 }
                 self.hear(&others.fleet, &words);
             }
@@ -107,6 +99,42 @@
     }
 }
 
+/// The peers that an instance queries when it starts, one after another, until enough of them have answered.
+pub(crate) struct StartupPeers {
+    until: Instant,
+    asked: Vec<SocketAddr>,
+    answers: usize,
+}
+
+impl StartupPeers {
+    pub(crate) fn new() -> StartupPeers {
+        StartupPeers {
+            until: Instant::now() + ASK_FOR,
+            asked: Vec::new(),
+            answers: 0,
+        }
+    }
+
+    /// Counts an answer. A peer that does not answer is not counted, so another one is asked.
+    pub(crate) fn record_answer(&mut self) {
+        self.answers += 1;
+    }
+
+    /// Returns the next peer to query; none after enough answers or the timeout.
+    pub(crate) async fn next(&mut self, fleet: &Fleet) -> Option<SocketAddr> {
+        while self.answers < ASKED && Instant::now() < self.until {
+            let listed = fleet.others();
+            let next = listed.iter().find(|m| !self.asked.contains(&m.addr));
+            if let Some(next) = next {
+                self.asked.push(next.addr);
+                return Some(next.addr);
+            }
+            sleep(ASK_AGAIN).await;
+        }
+        None
+    }
+}
+
 fn send(socket: &UdpSocket, words: &[Word], to: &[SocketAddr]) {
     for words in words.chunks(WORDS_MOST) {
         Datagram::Suspects(words.to_vec()).send(socket, to.iter().copied());
