Recheck entries that are still missing after a store outage

Cause: after an outage, at most a quarter of the entries is dropped at once, because entries expire during an outage and are written again within two seconds. Missing entries beyond that share stayed listed and were checked again only at the next read of the list. An instance that watches the store, or that hears of a removal from a peer, reads the whole list every 30 s. A removal notice received in these seconds was recorded as known and not acted upon later.

Ruled out: lost notices (the same instances had dropped 22 other upstreams on the same notices), and saturated links of readers.

Such entries are now deferred together with the revision at which they were missing. They are checked again 3 s after the store's return, unless they were written at that revision or later.

--- a/crates/place/tests/missing.rs
+++ b/crates/place/tests/missing.rs
@@ -30,3 +30,25 @@
     assert_eq!(listed, 15);
     assert!(missing.is_gone(12_600, 10_000, listed));
 }
+
+/// Guards against missing entries that stay listed indefinitely because they exceed the share that may be dropped at once.
+#[test]
+fn deferred_entries_are_checked_again() {
+    let mut missing = Missing::default();
+    assert_eq!(missing.recheck_at(), None);
+    let names = ["a", "b", "c", "d"];
+    for (i, name) in names.iter().enumerate() {
+        if !missing.is_gone(10_100, 10_000, names.len() - i.min(1)) {
+            missing.defer(name, 7);
+        }
+    }
+    missing.defer("b", 5);
+    let at = missing.recheck_at().expect("deferred entries");
+    assert!((12_500..=13_000).contains(&at), "{at}");
+    assert!(missing.take_due(at - 1).is_empty());
+    let due = missing.take_due(at);
+    let expected = ["b", "c", "d"].map(|name| (name.to_string(), 7));
+    assert_eq!(due.into_iter().collect::<Vec<_>>(), expected);
+    assert!(missing.is_gone(at, 10_000, 3));
+    assert_eq!(missing.recheck_at(), None);
+}
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -1,7 +1,7 @@
 //! The list of upstreams, from the store or from an instance that reaches it.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
 use clock::Clock;
@@ -10,6 +10,8 @@
 use notice::Notice;
 use place::{Key, Listed, Missing, Pool, RateLimit, VersionedLimit};
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::sleep_until;
 
 use crate::dialect::Dialect;
 use crate::event::Event;
@@ -45,6 +47,8 @@
     log: Arc<Log>,
     clock: Clock,
     seen: Mutex<Seen>,
+    /// Wakes the task that checks deferred missing entries again.
+    deferred: Notify,
 }
 
 #[derive(Default)]
@@ -91,17 +95,18 @@
             log,
             clock,
             seen: Mutex::default(),
+            deferred: Notify::new(),
         }))
     }
 
     /// Returns whether the list was ever read.
     pub(crate) fn is_known(&self) -> bool {
-        self.0.seen.lock().expect("no panic inside").revision > 0
+        self.seen().revision > 0
     }
 
     /// Returns the list for another instance that has it up to a revision.
     pub(crate) fn tell(&self, after: i64) -> Relayed {
-        let seen = self.0.seen.lock().expect("no panic inside");
+        let seen = self.seen();
         let newer = seen.revision > after && !self.0.reach.is_out();
         let text = |(k, e): (&String, &Entry)| {
             let value = String::from_utf8_lossy(&e.value).into_owned();
@@ -127,7 +132,7 @@
 
     /// Returns the revision up to which the list is known.
     pub(crate) fn revision(&self) -> i64 {
-        self.0.seen.lock().expect("no panic inside").revision
+        self.seen().revision
     }
 
     /// Takes the word of another instance.
@@ -211,15 +216,7 @@
     /// Takes a peer's report that an upstream's entry was removed at a revision.
     pub(crate) fn gone(&self, id: &str, revision: i64) {
         let key = format!("{}{id}", self.0.dialect.upstream_prefix());
-        let seen = self.0.seen.lock().expect("no panic inside");
-        let known = seen
-            .entries
-            .get(&key)
-            .is_some_and(|e| e.revision < revision);
-        drop(seen);
-        if known {
-            self.missing(&key, revision);
-        }
+        self.missing_unless_rewritten(&key, revision);
     }
 
     /// Returns whether a peer has said that an entry was removed later than it was written.
@@ -233,6 +230,7 @@
 
     /// Follows the store.
     pub(crate) fn spawn(&self, store: Arc<dyn Store>, feed: Feed) {
+        tokio::spawn(self.clone().recheck_deferred());
         let listing = self.clone();
         tokio::spawn(async move {
             let prefix = listing.0.dialect.upstream_prefix().to_string();
@@ -253,7 +251,7 @@
     fn listed(&self, mut items: BTreeMap<String, Entry>, revision: i64) {
         items.retain(|key, entry| !self.is_removed(key, entry.revision));
         let known = {
-            let seen = self.0.seen.lock().expect("no panic inside");
+            let seen = self.seen();
             if revision < seen.revision {
                 return;
             }
@@ -268,7 +266,7 @@
         for key in known.keys().filter(|k| !items.contains_key(*k)) {
             self.missing(key, revision);
         }
-        let mut seen = self.0.seen.lock().expect("no panic inside");
+        let mut seen = self.seen();
         seen.entries.extend(items);
         seen.revision = revision;
     }
@@ -280,13 +278,13 @@
                 Some(found) => {
                     self.entry(&found.key, &found.value);
                     let (key, entry) = row(found);
-                    let mut seen = self.0.seen.lock().expect("no panic inside");
+                    let mut seen = self.seen();
                     seen.entries.insert(key, entry);
                 }
                 None => self.missing(&change.key, change.revision),
             }
         }
-        let mut seen = self.0.seen.lock().expect("no panic inside");
+        let mut seen = self.seen();
         seen.revision = seen.revision.max(revision);
     }
 
@@ -294,10 +292,14 @@
     fn missing(&self, key: &str, revision: i64) {
         let (now, back_at) = (self.0.clock.now(), self.0.reach.back_at());
         let gone = {
-            let mut seen = self.0.seen.lock().expect("no panic inside");
-            let gone = seen.entries.contains_key(key) && seen.is_gone(now, back_at);
+            let mut seen = self.seen();
+            let listed = seen.entries.contains_key(key);
+            let gone = listed && seen.is_gone(now, back_at);
             if gone {
                 seen.entries.remove(key);
+            } else if listed {
+                seen.missing.defer(key, revision);
+                self.0.deferred.notify_one();
             }
             gone
         };
@@ -308,6 +310,34 @@
         }
     }
 
+    /// Checks deferred missing entries again once upstreams have had time to write expired entries again.
+    async fn recheck_deferred(self) {
+        loop {
+            let at = self.seen().missing.recheck_at();
+            let Some(at) = at else {
+                self.0.deferred.notified().await;
+                continue;
+            };
+            sleep_until(self.0.clock.at(at)).await;
+            let due = self.seen().missing.take_due(self.0.clock.now());
+            for (key, revision) in due {
+                self.missing_unless_rewritten(&key, revision);
+            }
+        }
+    }
+
+    /// Treats a listed entry as missing at a revision, unless it was written at that revision or later.
+    fn missing_unless_rewritten(&self, key: &str, revision: i64) {
+        let entry = self.seen().entries.get(key).cloned();
+        if entry.is_some_and(|e| e.revision < revision) {
+            self.missing(key, revision);
+        }
+    }
+
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.0.seen.lock().expect("no panic inside")
+    }
+
     /// Takes an entry. One that can't be read, for others write there too, names no upstream to use.
     fn entry(&self, key: &str, value: &[u8]) {
         let spec = match self.0.dialect.upstream(key, value) {
