--- a/crates/suspect/tests/table.rs
+++ b/crates/suspect/tests/table.rs
@@ -249,3 +249,32 @@
         assert_eq!(end("x"), end("y"), "seed {seed}");
     }
 }
+
+/// Guards against refusing harmless requests that are in flight together with a fatal one: each is
+/// present at no more than two ends, the fatal one at all of them.
+#[test]
+fn only_the_request_present_at_every_end_is_refused() {
+    const CONCURRENT: usize = 20;
+    let fatal = request("fatal");
+    let mut table = Suspects::open("a");
+    for end in 0..8 {
+        let now = START + end * SECOND;
+        let incarnation = format!("u{end}");
+        let concurrent = (0..CONCURRENT).map(|i| request(&format!("{end} {i}")));
+        // Half of the requests that broke at the previous end are retried once.
+        let retried =
+            (0..CONCURRENT / 2).map(|i| request(&format!("{} {i}", end.saturating_sub(1))));
+        for digest in concurrent.chain(retried).chain([fatal]) {
+            table.broke(now, &incarnation, digest);
+        }
+        table.ended(now, &incarnation);
+    }
+    let now = START + 8 * SECOND;
+    assert_eq!(table.refused(), 1);
+    assert!(!is_free(&mut table, now, fatal));
+    for end in 0..8 {
+        for i in 0..CONCURRENT {
+            assert!(is_free(&mut table, now, request(&format!("{end} {i}"))));
+        }
+    }
+}
