Do not pass on deferred entries of the upstream list

Cause: an instance that has deferred a missing entry still holds it, and passed it on with its list to an instance that cannot read the store. The receiver took the entry as present at the list's revision, which is later than the removal, so neither the recheck nor the removal notice dropped it until the receiver's own store connection was back.

Deferred entries are now left out of the list that is passed on. The receiver sees them as missing and applies its own rule for missing entries.

--- a/crates/place/src/missing.rs
+++ b/crates/place/src/missing.rs
@@ -46,6 +46,11 @@
         *at = revision.max(*at);
     }
 
+    /// Returns whether an entry, last written at a revision, is deferred and was missing at a later one.
+    pub fn is_deferred(&self, entry: &str, revision: i64) -> bool {
+        self.deferred.get(entry).is_some_and(|at| *at > revision)
+    }
+
     /// Returns the time in milliseconds at which to check the deferred entries again, or `None` if there are none.
     pub fn recheck_at(&self) -> Option<u64> {
         let at = self.back_at + COME_BACK_MS + READ_DELAY_MS;
--- a/crates/place/tests/missing.rs
+++ b/crates/place/tests/missing.rs
@@ -43,6 +43,9 @@
         }
     }
     missing.defer("b", 5);
+    assert!(missing.is_deferred("b", 6));
+    assert!(!missing.is_deferred("b", 7), "written again");
+    assert!(!missing.is_deferred("a", 6), "dropped");
     let at = missing.recheck_at().expect("deferred entries");
     assert!((12_500..=13_000).contains(&at), "{at}");
     assert!(missing.take_due(at - 1).is_empty());
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -113,7 +113,10 @@
             (k.clone(), value)
         };
         let entries = if newer {
-            seen.entries.iter().map(text).collect()
+            // The receiver takes every entry as present at the list's revision, so deferred ones are left out.
+            let entries = seen.entries.iter();
+            let present = entries.filter(|(k, e)| !seen.missing.is_deferred(k, e.revision));
+            present.map(text).collect()
         } else {
             BTreeMap::new()
         };
