Only a successful answer without a limit removes a limit

Any answer without the header removed the request rate limit of its upstream, at all instances. This included refusals, errors, and answers that are not valid answers of that upstream (no signature, or the id of another request), such as a faulty upstream sends. An overloaded upstream that refuses excess requests would have received its usual load again after each refusal. Found in review before landing.

A limit is now removed only by a successful answer that has the request's id and a signature. It is set by such an answer, and by the upstream's refusals and errors.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::{Request, Uri};
+use hyper::{Request, StatusCode, Uri};
 use place::{connections, Choice, Denied, Outcome, RateLimit, Want};
 use suspect::Digest;
 use tokio::time::timeout_at;
@@ -329,7 +329,7 @@
         pool.report(now, slot.choice.key, load);
     }
     let status = head.status.as_u16();
-    heed(job, &slot, &reading);
+    heed(job, &slot, &reading, head.status);
     match reading.word {
         Word::Ran => Ok(Open {
             slot,
@@ -358,7 +358,7 @@
 }
 
 /// Takes an upstream's word that it leaves, or wants nothing for a while: its answer is the nearest source there is.
-fn heed(job: &Job, slot: &Slot, reading: &Reading) {
+fn heed(job: &Job, slot: &Slot, reading: &Reading, status: StatusCode) {
     // That would be the word of another upstream, which has the address now.
     if reading.word == Word::Misdirected {
         return;
@@ -370,7 +370,7 @@
     if reading.leaving {
         job.router.listing.leaving(&incarnation, "answer");
     }
-    update_limit(job, slot, reading.limit, &incarnation);
+    update_limit(job, slot, reading, status, &incarnation);
     let Some(rest) = reading.rest else {
         return;
     };
@@ -394,12 +394,14 @@
     }
 }
 
-/// Updates the request rate limit from an upstream's answer and logs a change. An invalid value leaves the limit unchanged.
-fn update_limit(job: &Job, slot: &Slot, advertised: AdvertisedLimit, incarnation: &str) {
-    let limit = match advertised {
-        AdvertisedLimit::Absent => None,
-        AdvertisedLimit::Valid(limit) => Some(limit),
-        AdvertisedLimit::Invalid => return,
+/// Updates the request rate limit from an upstream's answer and logs a change. Only a successful answer without a limit removes
+/// it: refusals and errors may lack the header. An invalid value, or an answer not to this request, leaves the limit unchanged.
+fn update_limit(job: &Job, slot: &Slot, reading: &Reading, status: StatusCode, incarnation: &str) {
+    let success = reading.word == Word::Ran && status.is_success();
+    let limit = match (reading.limit, &reading.word) {
+        (AdvertisedLimit::Valid(limit), Word::Ran | Word::NotRun) => Some(limit),
+        (AdvertisedLimit::Absent, _) if success => None,
+        _ => return,
     };
     let listing = &job.router.listing;
     let changed = listing.set_limit(slot.choice.key, slot.sent_at, limit);
