Read the own book again when a record shows a later write of it

Cause: a write that hands tokens back lowers the customer's record. Its answer is lost, it lands; the next list of the records brings the lower sum, but the own book was read once, at the start. The line in the old book is then larger than the sum. Such a plan would have lost at the store, since the book's revision is part of its condition: nothing could be granted twice, but the invariant ended the process.

Now such a customer is left out, and the book is read again before the next plan. The invariant stays for a record that is no newer than the book. Ruled out: a list of which pages are of different times (single pages are newer than the book in each case), a second incarnation (neither instance had restarted).

The test fails before: it can't ask whether the record covers the line, and `Record::with` panics.

--- a/crates/escrow/src/holding.rs
+++ b/crates/escrow/src/holding.rs
@@ -324,6 +324,13 @@
         self.line
     }
 
+    /// Returns whether the record as last read holds the own line. It does not when it shows a later write of the own line, by
+    /// which tokens were handed back and whose answer was lost.
+    pub fn is_covered(&self) -> bool {
+        let covers = |k: &Known| k.record.charged >= self.line.charged();
+        self.known.as_ref().is_none_or(covers)
+    }
+
     /// Returns the tokens that nobody holds, by the record as last read.
     pub fn free(&self) -> u64 {
         let charged = self.known.as_ref().map(|k| k.record.charged);
--- a/crates/escrow/tests/fleet/cases.rs
+++ b/crates/escrow/tests/fleet/cases.rs
@@ -37,6 +37,38 @@
     assert_eq!(store.record.1.charged, line.granted);
 }
 
+/// Guards against an instance that ends itself when tokens that it handed back, in a write whose answer was lost, are missing
+/// from a record that is newer than its book.
+#[test]
+fn a_record_without_returned_tokens_waits_for_the_book() {
+    let (mut store, mut node) = alone(1_000_000);
+    node.holding.ask(0, 50_000);
+    node.read(&store, 0);
+    let line = node.holding.plan(0, ALONE, true).expect("wants tokens");
+    node.commit(&mut store, line, 1);
+    assert!(node.holding.is_covered());
+    let line = node.holding.plan(60_000, ALONE, true);
+    let line = line.expect("hands tokens back");
+    assert!(line.returned > 0);
+    assert!(store.commit(&node.write(line)), "without an answer");
+    let (revision, record) = store.record;
+    node.holding.learn(Known {
+        record,
+        revision,
+        at: 60_010,
+    });
+    assert!(!node.holding.is_covered(), "the book is read again first");
+    let (revision, book) = store.book("one");
+    node.book = Some(revision);
+    node.holding.confirm(book.line(CUSTOMER), revision);
+    assert!(node.holding.is_covered());
+    node.holding.ask(60_020, 50_000);
+    node.holding.lack(50_000);
+    let line = node.holding.plan(60_020, ALONE, true);
+    node.commit(&mut store, line.expect("wants tokens"), 60_030);
+    assert_eq!(store.record.1.charged, node.holding.line().charged());
+}
+
 /// Symptom: an instance ends itself, "a line is part of its sum". Sequence: a take for one customer lands
 /// without an answer; a write for another customer loses, and brings the book, but not the first one's
 /// record. Cause: the new line was taken together with the old record.
--- a/crates/proxy/src/bank/handover.rs
+++ b/crates/proxy/src/bank/handover.rs
@@ -109,8 +109,15 @@
     async fn give_back(&self) -> bool {
         let mut lost = 0;
         while lost < TRIES {
+            if self.is_book_outdated() && !self.read().await {
+                return false;
+            }
             let txn = self.plan(Scope::Leaving);
             if txn.put.is_empty() {
+                if self.is_book_outdated() {
+                    lost += 1;
+                    continue;
+                }
                 return true;
             }
             match self.commit(txn).await {
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -20,7 +20,7 @@
 mod settled;
 
 use std::collections::BTreeMap;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicI64};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -72,6 +72,10 @@
     accounts: Mutex<BTreeMap<String, Account>>,
     /// The revision of the own book in the store, once it was read; 0 when there is none.
     book: Mutex<Option<i64>>,
+    /// The revision of a record that shows a later write of the own book, whose answer was lost; 0 for none.
+    book_doubted: AtomicI64,
+    /// The same when the own book was read last.
+    book_checked: AtomicI64,
     wake: Notify,
     /// Counts the looks that have ended.
     looks: watch::Sender<u64>,
@@ -96,6 +100,8 @@
             log,
             accounts: Mutex::default(),
             book: Mutex::default(),
+            book_doubted: AtomicI64::new(0),
+            book_checked: AtomicI64::new(0),
             wake: Notify::new(),
             looks: watch::channel(0).0,
             ended: Mutex::default(),
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -160,6 +160,9 @@
         }
         for lost in 1..=TRIES {
             let txn = self.plan(scope);
+            if self.is_book_outdated() && self.read().await {
+                continue;
+            }
             if txn.put.is_empty() {
                 return;
             }
@@ -179,6 +182,9 @@
     /// Of most customers an instance of a large fleet is not the home: it draws from others, and what stands in
     /// their records says nothing to it.
     fn must_read(&self) -> bool {
+        if self.is_book_outdated() {
+            return true;
+        }
         let now = self.0.clock.now();
         let fleet = &self.means().fleet;
         let accounts = self.0.accounts.lock().expect("no panic inside");
@@ -197,9 +203,13 @@
     /// Reads all records, and the own book for the first time; returns whether the store answered.
     pub(super) async fn read(&self) -> bool {
         let means = self.means();
-        if self.book().is_none() {
+        let doubted = self.0.book_doubted.load(Ordering::Relaxed);
+        if self.book().is_none() || self.is_book_outdated() {
             match means.store.get(&self.book_key()).await {
-                Ok(found) => self.learn_book(found.as_ref()),
+                Ok(found) => {
+                    self.learn_book(found.as_ref());
+                    self.0.book_checked.store(doubted, Ordering::Relaxed);
+                }
                 Err(_) => return false,
             }
         }
@@ -241,6 +251,12 @@
         }
     }
 
+    /// Returns whether the store has a newer own book than is known.
+    pub(super) fn is_book_outdated(&self) -> bool {
+        let checked = self.0.book_checked.load(Ordering::Relaxed);
+        self.0.book_doubted.load(Ordering::Relaxed) > checked
+    }
+
     fn book(&self) -> Option<i64> {
         *self.0.book.lock().expect("no panic inside")
     }
@@ -250,6 +266,11 @@
     }
 
     /// Returns the transaction that brings the own lines to where they should be; empty when they are.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a record lacks a line of the own book, though it is no newer than that book, or the book was read again since:
+    /// tokens could be spent twice.
     pub(super) fn plan(&self, scope: Scope) -> Txn {
         let (now, sharers) = (self.0.clock.now(), self.means().fleet.sharers() as u64);
         let mut txn = Txn::default();
@@ -260,6 +281,8 @@
             owner: self.me(),
             ..Book::default()
         };
+        let checked = self.0.book_checked.load(Ordering::Relaxed);
+        let mut doubted = 0;
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         for (name, account) in accounts.iter_mut() {
             let holding = &mut account.holding;
@@ -274,6 +297,13 @@
             let Some((record, revision)) = known.filter(|_| chosen) else {
                 continue;
             };
+            if !holding.is_covered() {
+                let newer = revision > book_revision.max(checked);
+                assert!(newer, "a line is part of its sum");
+                // A write whose answer was lost has landed since the book was read.
+                doubted = doubted.max(revision);
+                continue;
+            }
             if txn.put.len() == RECORDS_MOST {
                 continue;
             }
@@ -291,6 +321,11 @@
             let key = format!("{PREFIX}{name}");
             write(&mut txn, key, revision, record.with(old, line).to_bytes());
         }
+        drop(accounts);
+        if doubted > 0 {
+            self.0.book_doubted.store(doubted, Ordering::Relaxed);
+            return Txn::default();
+        }
         if !txn.put.is_empty() {
             book.lines.retain(|_, line| *line != Line::default());
             write(&mut txn, self.book_key(), book_revision, book.to_bytes());
