One home for a customer in a fleet of any size, derived once for each list

Causes, by the logs and by reading: - above 200 instances each customer had a home in each of five zones. A customer of this fleet has some 300,000 tokens, eighteen long prompts: five homes hold parts of it, and their writes meet at one record (3,539 of 5,743 ended writes lost). - each look of an instance ranked the names of all others for each of 333 customers, twice: some 40 ms of processor time, a third of a second at 0.12 cores, where a draw waits 150 ms.

Now a customer has one home whatever the fleet's size, until its draws are more than an instance answers; its home says so, and those that draw turn to the home of their own zone for ten seconds. Two ways weighed: homes by the demand on record, which instances that are no homes never read, and the home's own word, chosen. What follows from the list of instances (others, neighbours, homes, keepers) is worked out once for each list, in `Roster`.

--- a/crates/escrow/src/home.rs
+++ b/crates/escrow/src/home.rs
@@ -5,34 +5,55 @@
 //! customer's record, and in the end a tenth of the budget lay where nobody could use it. So a customer's tokens
 //! are held by one instance, its home, from which the others draw what a request needs. Nothing depends on
 //! everyone agreeing who that is: two homes cost a few writes more.
+//!
+//! A customer whose requests are too many for one instance has a home in each availability zone. What decides that is the
+//! customer's own demand: the size of the fleet says nothing about it.
 
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Fleets of up to so many instances have one home for a customer; larger ones have one in each zone, since the
-/// requests of a whole fleet that ask one small instance would be its main work.
-///
-/// Homes of several zones write to the same record, and of two writes that meet one is for nothing: with five zones that
-/// were 3,033 of 6,929 writes in a minute, with one home 301 of 2,562, and the tokens that a customer has left lie
-/// in one place. The limit is the largest fleet in which what a home does was measured.
-const ONE_HOME_MOST: usize = 200;
+/// Draws a second that one instance answers for a customer; beyond that each availability zone has a home of its own. It is
+/// half of what the smallest instance's share of a processor allows.
+const DRAWS_MOST: u64 = 250;
 /// Instances that are asked: the home, and those that take its place when it does not answer, or is cut off from
 /// the store. With half of a fleet cut off, three of them are in one case of eight.
 pub const ASKED: usize = 3;
 
-/// Returns the instances that hold a customer's tokens for those of a zone, the one to ask first at first.
+/// Returns whether a customer's draws a second are more than one instance answers.
+pub fn is_crowded(draws_per_sec: u64) -> bool {
+    draws_per_sec > DRAWS_MOST
+}
+
+/// Returns which of some instances hold a customer's tokens, the one to ask first at first.
 ///
-/// An instance is known by the name that it keeps over restarts; `of` returns that and its zone.
+/// An instance is known by the hash of the name that it keeps over restarts.
 pub fn homes<'a, T>(
     customer: &str,
-    fleet: &'a [T],
-    zone: &str,
-    of: impl Fn(&T) -> (&str, &str),
+    instances: impl IntoIterator<Item = &'a T>,
+    hash_of: impl Fn(&T) -> u64,
 ) -> SmallVec<[&'a T; ASKED]> {
     let seed = xxh3_64_with_seed(customer.as_bytes(), 0);
-    let small = fleet.len() <= ONE_HOME_MOST;
-    let near = fleet.iter().filter(|t| small || of(t).1 == zone);
-    let mut ranked: Vec<&T> = near.collect();
-    ranked.sort_by_cached_key(|t| xxh3_64_with_seed(of(t).0.as_bytes(), seed));
-    ranked.into_iter().take(ASKED).collect()
+    first_by_rank(seed, instances, hash_of)
+}
+
+/// Returns the first instances of an order that depends on a seed.
+pub fn first_by_rank<'a, T, const N: usize>(
+    seed: u64,
+    instances: impl IntoIterator<Item = &'a T>,
+    hash_of: impl Fn(&T) -> u64,
+) -> SmallVec<[&'a T; N]>
+where
+    [&'a T; N]: smallvec::Array<Item = &'a T>,
+{
+    let mut first: SmallVec<[(u64, &T); 4]> = SmallVec::new();
+    for instance in instances {
+        let rank = xxh3_64_with_seed(&hash_of(instance).to_le_bytes(), seed);
+        if first.len() == N && first.last().is_some_and(|(last, _)| *last <= rank) {
+            continue;
+        }
+        let at = first.partition_point(|(other, _)| *other < rank);
+        first.insert(at, (rank, instance));
+        first.truncate(N);
+    }
+    first.into_iter().map(|(_, instance)| instance).collect()
 }
--- a/crates/escrow/src/lib.rs
+++ b/crates/escrow/src/lib.rs
@@ -18,7 +18,7 @@
 mod totals;
 
 pub use holding::{Holding, Known, Short};
-pub use home::{homes, ASKED};
+pub use home::{first_by_rank, homes, is_crowded, ASKED};
 pub use rate::Rate;
 pub use record::{Book, Line, Record};
 pub use totals::Told;
--- a/crates/proxy/src/bank/draw.rs
+++ b/crates/proxy/src/bank/draw.rs
@@ -11,6 +11,7 @@
 use crate::event::Event;
 use crate::fleet::Member;
 use crate::peers::CALL_TIMEOUT;
+use crate::roster::Area;
 
 /// A home waits so long for the store and for other homes: less than the instance that draws waits for
 /// the home.
@@ -28,6 +29,9 @@
     spent: Told,
     /// What is prepaid by the configuration of the caller.
     prepaid: u64,
+    /// Whether it goes to the home of the caller's availability zone, since the customer's first home has too many.
+    #[serde(default)]
+    zone: bool,
 }
 
 /// A home's answer.
@@ -46,16 +50,21 @@
     CutOff,
     /// This instance does not know the budget as the caller does, or stops.
     NotHere,
+    /// The customer has more draws than one instance answers: the home of the caller's availability zone is to be asked.
+    Crowded,
 }
 
 impl Bank {
     /// Reserves tokens with the help of the customer's homes; `None` when none of them is of help.
     pub(super) async fn reserve_at_home(
         &self,
-        homes: &[Member],
         customer: &str,
         tokens: u64,
     ) -> Option<Result<Charge, Short>> {
+        let mut homes = self.homes(customer);
+        if homes.is_empty() {
+            return None;
+        }
         let mut charge = self.charge(customer);
         charge.reserved = self.reserve_part(customer, tokens);
         let lacking = tokens - charge.reserved;
@@ -63,8 +72,10 @@
             return Some(Ok(charge));
         }
         let mut cut_off = 0;
-        for home in homes {
-            match self.draw_from(home, customer, lacking, tokens).await {
+        let mut asked = 0;
+        while let Some(home) = homes.get(asked).cloned() {
+            asked += 1;
+            match self.draw_from(&home, customer, lacking, tokens).await {
                 Drawn::Tokens(_) if self.try_reserve(customer, lacking) => {
                     charge.reserved = tokens;
                     return Some(Ok(charge));
@@ -75,11 +86,16 @@
                 Drawn::OutOfReach { free } => return Some(Err(Short::OutOfReach { free })),
                 Drawn::CutOff => cut_off += 1,
                 Drawn::NotHere => {}
+                Drawn::Crowded => {
+                    self.crowded(customer);
+                    homes = self.homes(customer);
+                    (asked, cut_off) = (0, 0);
+                }
             }
         }
         // The home has asked all others, unless that is this one: there is nothing to wait for.
-        let asked = cut_off == homes.len() && !self.means().fleet.is_home(customer);
-        let nowhere = asked && self.is_cut_off();
+        let all_cut_off = cut_off == homes.len() && !self.is_home(customer);
+        let nowhere = all_cut_off && self.is_cut_off();
         nowhere.then_some(Err(Short::OutOfReach { free: false }))
     }
 
@@ -120,12 +136,14 @@
     }
 
     fn draw(&self, home: &Member, customer: &str, tokens: u64, size: u64) -> Draw {
+        let zone = self.area(customer) == Area::Zone;
         self.open_holding(customer, |h| Draw {
             customer: customer.to_string(),
             tokens,
             size,
             spent: self.tell(&home.id, h.passed_on(&home.id)),
             prepaid: h.prepaid(),
+            zone,
         })
     }
 
@@ -136,10 +154,13 @@
         if draw.spent.to != me || self.is_leaving() || self.prepaid(&draw.customer) < draw.prepaid {
             return Drawn::NotHere;
         }
+        if self.count_draw(&draw.customer) && !draw.zone {
+            return Drawn::Crowded;
+        }
         let until = Instant::now() + DRAW_WAIT;
         // Those that take a home's place are asked all at once while nobody reaches the store: were each to count
         // the demand, each would take tokens for all of it afterwards.
-        let home = self.means().fleet.is_home(&draw.customer);
+        let home = draw.zone || self.is_home(&draw.customer);
         if home || !self.is_cut_off() {
             self.ask(&draw.customer, draw.tokens, draw.size);
         }
--- a/crates/proxy/src/bank/handover.rs
+++ b/crates/proxy/src/bank/handover.rs
@@ -1,6 +1,7 @@
 //! Tokens between instances, and back to the store at a stop.
 
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use escrow::{Holding, Told};
@@ -13,6 +14,7 @@
 use crate::event::Event;
 use crate::fleet::Member;
 use crate::peers::{Gift, Want};
+use crate::roster::Area;
 
 /// A stopping instance tries the store for so long before it gives its tokens to others.
 const LEAVE_STORE: Duration = Duration::from_millis(250);
@@ -41,12 +43,13 @@
 
     /// Returns the other instances in the order in which they are asked: the customer's homes, those of
     /// the own zone, and among them each time others, since no one knows who has tokens.
-    fn askable(&self, customer: &str) -> Vec<Member> {
+    fn askable(&self, customer: &str) -> Vec<Arc<Member>> {
         let fleet = &self.means().fleet;
-        let homes = fleet.homes_elsewhere(customer);
+        let homes = fleet.homes_besides(customer, Area::Fleet);
         let mut others = fleet.others();
         others.shuffle(&mut rand::rng());
-        others.sort_by_key(|m| (!homes.contains(&m.id), m.zone != fleet.zone()));
+        let is_home = |m: &Member| homes.iter().any(|h| h.id == m.id);
+        others.sort_by_key(|m| (!is_home(m), m.zone != fleet.zone()));
         others
     }
 
@@ -157,7 +160,10 @@
             pings.spawn(async move {
                 // The list may show one that was there before.
                 let id = peers.ping(peer.addr).await?;
-                Some(Member { id, ..peer })
+                Some(Member {
+                    id,
+                    ..Member::clone(&peer)
+                })
             });
         }
         let answered = pings.join_all().await;
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -26,17 +26,17 @@
 
 use clock::Clock;
 use conf::Routing;
-use escrow::{Holding, Short, Told, ASKED};
+use escrow::{is_crowded, Holding, Rate, Short, Told};
 use kv::Store;
-use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::sync::{watch, Notify};
 use tokio::time::{timeout_at, Instant};
 
-use crate::fleet::{Fleet, Member};
+use crate::fleet::Fleet;
 use crate::log::Log;
 use crate::peers::{Peers, Want};
 use crate::reach::Reach;
+use crate::roster::{Area, Homes};
 
 pub(crate) use charge::Charge;
 use charge::Lack;
@@ -47,6 +47,9 @@
 const WAIT_MOST: Duration = Duration::from_millis(600);
 /// After a search that found nothing, requests that lack tokens are refused at once for this time.
 const DRY: Duration = Duration::from_millis(300);
+/// A customer whose home has too many draws has a home in each availability zone for so long: what the home in the zone
+/// holds is handed back some seconds later, so that changing to and fro costs writes.
+const CROWDED_FOR: Duration = Duration::from_secs(10);
 /// How often a transaction that lost against others is tried in one look.
 const TRIES: usize = 6;
 
@@ -91,6 +94,10 @@
 struct Account {
     holding: Holding,
     dry_until: Option<Instant>,
+    /// Draws that came here.
+    draws: Rate,
+    /// Until when the customer has a home in each availability zone.
+    crowded_until: Option<Instant>,
 }
 
 impl Bank {
@@ -137,12 +144,9 @@
         tokens: u64,
         deadline: Instant,
     ) -> Result<Charge, Short> {
-        let homes = self.homes(customer);
-        if !homes.is_empty() {
-            let reserved = self.reserve_at_home(&homes, customer, tokens).await;
-            if let Some(reserved) = reserved {
-                return reserved;
-            }
+        let reserved = self.reserve_at_home(customer, tokens).await;
+        if let Some(reserved) = reserved {
+            return reserved;
         }
         self.ask(customer, tokens, tokens);
         self.reserve_here(customer, tokens, tokens, deadline).await
@@ -168,15 +172,50 @@
     ///
     /// A home that is cut off from the store draws from those that take its place: all callers of a customer may
     /// come to one instance, and nobody else would take tokens for them.
-    fn homes(&self, customer: &str) -> SmallVec<[Member; ASKED]> {
-        let fleet = &self.means().fleet;
-        let homes = fleet.homes(customer);
+    fn homes(&self, customer: &str) -> Homes {
+        let (fleet, area) = (&self.means().fleet, self.area(customer));
+        let homes = fleet.homes(customer, area);
         if homes.is_empty() && self.is_cut_off() {
-            return fleet.homes_besides(customer);
+            return fleet.homes_besides(customer, area);
         }
         homes
     }
 
+    /// Returns whether this instance holds a customer's tokens for others.
+    fn is_home(&self, customer: &str) -> bool {
+        let fleet = &self.means().fleet;
+        fleet.is_home(customer, Area::Fleet) || fleet.is_home(customer, self.area(customer))
+    }
+
+    /// Returns which instances a customer's homes are chosen from.
+    fn area(&self, customer: &str) -> Area {
+        let accounts = self.0.accounts.lock().expect("no panic inside");
+        let until = accounts.get(customer).and_then(|a| a.crowded_until);
+        match until {
+            Some(until) if Instant::now() < until => Area::Zone,
+            _ => Area::Fleet,
+        }
+    }
+
+    /// Takes a home's word that more draw from it than it can answer.
+    fn crowded(&self, customer: &str) {
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        if let Some(account) = accounts.get_mut(customer) {
+            account.crowded_until = Some(Instant::now() + CROWDED_FOR);
+        }
+    }
+
+    /// Counts a draw that came here; returns whether the customer has too many for one instance.
+    fn count_draw(&self, customer: &str) -> bool {
+        let now = self.0.clock.now();
+        let mut accounts = self.0.accounts.lock().expect("no panic inside");
+        let Some(account) = accounts.get_mut(customer) else {
+            return false;
+        };
+        account.draws.add(now, 1);
+        is_crowded(account.draws.get(now))
+    }
+
     fn charge(&self, customer: &str) -> Charge {
         Charge {
             bank: self.clone(),
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -11,6 +11,7 @@
 
 use super::{Account, Bank, Means, TRIES};
 use crate::event::Event;
+use crate::roster::Area;
 
 /// Keys of budgets' records.
 const PREFIX: &str = "oriolehitch/budgets/";
@@ -191,7 +192,7 @@
         let old = |(name, account): (&String, &Account)| {
             let holding = &account.holding;
             match holding.known() {
-                None => holding.has_work(now) || fleet.is_home(name),
+                None => holding.has_work(now) || fleet.is_home(name, Area::Fleet),
                 Some(known) => {
                     holding.missing() > holding.free() && now > known.at + RECORDS_OLD_MS
                 }
@@ -310,7 +311,7 @@
             let line = match scope {
                 Scope::Leaving => holding.leave(),
                 Scope::All | Scope::Missing => {
-                    let home = self.means().fleet.is_home(name);
+                    let home = self.means().fleet.is_home(name, Area::Fleet);
                     holding.plan(now, sharers, home)
                 }
             };
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -102,7 +102,8 @@
         let Some(head) = relay.next_word().await else {
             continue;
         };
-        let to = fleet.neighbours().into_iter().map(|m| m.addr);
+        let roster = fleet.roster();
+        let to = roster.neighbours().iter().map(|m| m.addr);
         Datagram::Head(head).send(&socket, to);
     }
 }
@@ -158,7 +159,7 @@
                     }
                 }
                 Ok(Datagram::Notices { version, batch }) => {
-                    let near = self.fleet.is_near(from);
+                    let near = self.fleet.roster().is_near(from);
                     let lacks = self.desk.effects.receive(from, near, version, batch);
                     if !lacks.is_empty() {
                         let version = self.desk.effects.config.version();
--- a/crates/proxy/src/kept.rs
+++ b/crates/proxy/src/kept.rs
@@ -59,7 +59,7 @@
     async fn reads(&self) -> bool {
         let until = Instant::now() + LISTED_WITHIN;
         while Instant::now() < until {
-            let keepers = self.fleet.keepers(READERS_OF);
+            let keepers = self.fleet.roster().keepers(READERS_OF);
             if keepers.iter().any(|m| m.id == self.fleet.me()) {
                 return true;
             }
@@ -96,7 +96,7 @@
 
     /// Returns whether this instance decides about a request.
     fn decides(&self, digest: Digest) -> bool {
-        let keepers = self.fleet.keepers(digest.number());
+        let keepers = self.fleet.roster().keepers(digest.number());
         keepers.first().is_none_or(|m| m.id == self.fleet.me())
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -32,6 +32,7 @@
 mod reach;
 mod refusal;
 mod relay;
+mod roster;
 mod router;
 mod stream;
 mod suspects;
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -199,9 +199,9 @@
 
     /// Asks the instances that keep a request whether it may be tried: the first of them that answers decides.
     async fn ask_trial(&self, others: &Others, digest: Digest) -> bool {
-        let keepers = others.fleet.keepers(digest.number());
+        let keepers = others.fleet.roster().keepers(digest.number());
         let me = others.fleet.me();
-        let silent = |m: &&Member| m.id != me && others.peers.is_silent(m.addr);
+        let silent = |m: &&Arc<Member>| m.id != me && others.peers.is_silent(m.addr);
         let mut keepers = keepers.iter().filter(|m| !silent(m));
         let Some(first) = keepers.next() else {
             return self.grant(digest);
@@ -264,7 +264,7 @@
     pub(crate) fn hear(&self, fleet: &Fleet, words: &[Word]) -> Vec<Word> {
         let me = fleet.me();
         let keeps = |word: &Word| {
-            let keepers = fleet.keepers(word.digest.number());
+            let keepers = fleet.roster().keepers(word.digest.number());
             keepers.iter().any(|m| m.id == me)
         };
         let heard = words.iter().map(|word| (word, keeps(word)));
--- a/crates/proxy/src/tell.rs
+++ b/crates/proxy/src/tell.rs
@@ -59,7 +59,7 @@
                 let all = others.fleet.others().into_iter().map(|m| m.addr);
                 send(&others.socket, &to_all, &all.collect::<Vec<_>>());
                 for (word, _) in to_keepers {
-                    let keepers = others.fleet.keepers(word.digest.number());
+                    let keepers = others.fleet.roster().keepers(word.digest.number());
                     let keepers = keepers.iter().filter(|m| m.id != others.fleet.me());
                     let keepers: Vec<SocketAddr> = keepers.map(|m| m.addr).collect();
                     send(&others.socket, &[word], &keepers);
