Spread requests over upstreams of which nothing is known; find one by its incarnation at once

Cause: of upstreams that cost the same the first of the list was taken, which is the same one at each instance. Now each instance has an order of its own among them, by a hash of its name and theirs, so that it comes back to the same one and its connections.

By reading, the other work that grew with the list: a notice that an upstream leaves made the text of each incarnation, 10,000 of them, to find one; a word on loads of another instance went through all upstreams, a hundred times a second; a new entry looked for a free place from the start. All three go by an index now.

The check of requests over a limit counted on the first upstream of the list being used first; it counts each upstream's requests by itself now, with the same bounds.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cold::Cold;
 use crate::rate::{homes, is_full, may_use, rate_one, Rated};
@@ -45,7 +46,15 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     upstreams: Vec<Option<Upstream>>,
+    /// Places of upstreams that were dropped.
+    free: Vec<Key>,
     by_id: HashMap<String, Key>,
+    /// By the hash of the incarnation.
+    by_hash: HashMap<u64, Key>,
+    /// At which upstreams another instance had something, by its last word.
+    held_by: HashMap<u64, SmallVec<[Key; 4]>>,
+    /// The hashed name of this instance.
+    me: u64,
     usual: HashMap<String, Usual>,
     tickets: u64,
     said: Said,
@@ -71,6 +80,9 @@
 
     /// Takes the hashed names of the listed instances, this one's first.
     pub fn list_senders(&mut self, now: u64, me: u64, names: &[u64]) {
+        self.me = me;
+        // Instances that are gone say nothing more; what they had is forgotten soon.
+        self.held_by.clear();
         self.senders.list(now, me, names);
         self.update_throttles(now);
     }
@@ -124,7 +136,11 @@
             return Listed::Reborn { ended };
         }
         let news = spec.leaving && !up.leaving;
+        let before = up.hash();
         up.relist(spec);
+        let hash = up.hash();
+        self.by_hash.remove(&before);
+        self.by_hash.insert(hash, key);
         self.place(now, key);
         if news {
             Listed::Leaving
@@ -145,20 +161,17 @@
 
     fn add(&mut self, now: u64, spec: Spec) -> Key {
         let id = spec.id.clone();
-        let free = self.upstreams.iter().position(Option::is_none);
-        let at = free.unwrap_or(self.upstreams.len());
+        let key = self.free.pop().unwrap_or_else(|| {
+            self.upstreams.push(None);
+            Key(self.upstreams.len() as u32 - 1)
+        });
         let mut up = Upstream::new(spec);
         let incarnation = up.spec.incarnation();
         up.leaving |= self.said.is_leaving(&incarnation);
         up.rests_until = self.said.rests_until(&incarnation);
         up.set_versioned_limit(now, self.said.versioned_limit(&incarnation));
-        let up = Some(up);
-        if at == self.upstreams.len() {
-            self.upstreams.push(up);
-        } else {
-            self.upstreams[at] = up;
-        }
-        let key = Key(at as u32);
+        self.by_hash.insert(up.hash(), key);
+        self.upstreams[key.0 as usize] = Some(up);
         self.by_id.insert(id, key);
         self.place(now, key);
         key
@@ -178,8 +191,7 @@
     /// Notes that an incarnation of an upstream is leaving, by whatever source; returns whether that is new.
     pub fn leaving(&mut self, incarnation: &str) -> bool {
         self.said.leaving(incarnation);
-        let of_life = |u: &&mut Upstream| u.spec.incarnation() == incarnation;
-        let Some(up) = self.upstreams.iter_mut().flatten().find(of_life) else {
+        let Some(up) = self.by_incarnation(incarnation) else {
             return false;
         };
         let news = !up.leaving;
@@ -227,6 +239,11 @@
         leaving.map(|u| u.spec.incarnation()).collect()
     }
 
+    fn by_incarnation(&mut self, incarnation: &str) -> Option<&mut Upstream> {
+        let key = *self.by_hash.get(&xxh3_64(incarnation.as_bytes()))?;
+        self.upstreams[key.0 as usize].as_mut()
+    }
+
     fn get(&self, key: Key) -> &Upstream {
         let up = self.upstreams[key.0 as usize].as_ref();
         up.expect("kept while requests run there")
@@ -240,12 +257,17 @@
     fn drop_idle(&mut self, key: Key) {
         let up = self.get(key);
         if up.gone && up.inflight == 0 {
-            let id = up.spec.id.clone();
+            let (id, hash) = (up.spec.id.clone(), up.hash());
             // A later incarnation may have the name by now.
             if self.by_id.get(&id) == Some(&key) {
                 self.by_id.remove(&id);
             }
+            // So may its hash, where its list does not tell incarnations apart.
+            if self.by_hash.get(&hash) == Some(&key) {
+                self.by_hash.remove(&hash);
+            }
             self.upstreams[key.0 as usize] = None;
+            self.free.push(key);
         }
     }
 
@@ -259,9 +281,12 @@
             self.update_throttles(now);
         }
         let rated = self.rate(now, want)?;
+        // Instances that know nothing of the upstreams yet would all take the first one of the list.
+        let turn = |r: &Rated| self.get(r.key).rank(self.me);
         let by_cost = |a: &&Rated, b: &&Rated| {
             let order = a.cost_ms.partial_cmp(&b.cost_ms);
-            order.unwrap_or(Ordering::Equal)
+            let order = order.unwrap_or(Ordering::Equal);
+            order.then_with(|| turn(a).cmp(&turn(b)))
         };
         let best = rated.iter().min_by(by_cost).ok_or(Denied::NoneLeft)?;
         let left = want.deadline.saturating_sub(now);
@@ -382,9 +407,23 @@
             reading_ms: 0.0,
             inflight: 0,
         };
-        for up in self.upstreams.iter_mut().flatten() {
-            let held = held.get(&up.hash()).copied().unwrap_or(nothing);
-            up.hear(now, from, held);
+        for key in self.held_by.remove(&from).unwrap_or_default() {
+            if let Some(up) = self.upstreams[key.0 as usize].as_mut() {
+                up.hear(now, from, nothing);
+            }
+        }
+        let mut keys = SmallVec::new();
+        for (hash, held) in held {
+            let Some(key) = self.by_hash.get(hash) else {
+                continue;
+            };
+            if let Some(up) = self.upstreams[key.0 as usize].as_mut() {
+                up.hear(now, from, *held);
+                keys.push(*key);
+            }
+        }
+        if !keys.is_empty() {
+            self.held_by.insert(from, keys);
         }
     }
 
--- a/crates/place/src/pool/throttle.rs
+++ b/crates/place/src/pool/throttle.rs
@@ -4,6 +4,7 @@
 use crate::limit::{RateLimit, VersionedLimit};
 use crate::senders::Senders;
 use crate::upstream::{Key, Upstream};
+use xxhash_rust::xxh3::xxh3_64;
 
 impl Pool {
     /// Records the request rate limit, or its absence, in an upstream's answer to a request sent at `sent_at`. Returns the new
@@ -28,11 +29,10 @@
         if !self.said.merge_limit(incarnation, limit) {
             return false;
         }
-        let of_incarnation = |u: &&mut Upstream| u.spec.incarnation() == incarnation;
-        let mut listed = self.upstreams.iter_mut().flatten();
-        if let Some(up) = listed.find(of_incarnation) {
-            up.set_versioned_limit(now, limit);
-            update(up, now, &self.senders);
+        let hash = xxh3_64(incarnation.as_bytes());
+        if let Some(key) = self.by_hash.get(&hash).copied() {
+            self.get_mut(key).set_versioned_limit(now, limit);
+            self.update_throttle(now, key);
         }
         true
     }
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -249,3 +249,32 @@
         assert_ne!(choice.spec.id, first.spec.id);
     }
 }
+
+/// Guards against one upstream that gets a service's first requests from all instances, as the first of the list that all of them
+/// have: none of them knows anything of the upstreams yet.
+#[test]
+fn instances_that_know_nothing_spread_over_the_upstreams() {
+    for (instances, upstreams) in [(30_u64, 10), (300, 61), (985, 305), (2_000, 600)] {
+        let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+        for me in 0..instances {
+            let mut pool = pool(upstreams, "pool");
+            let name = me.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            pool.list_senders(0, name, &[name]);
+            for now in 0..4 {
+                let choice = pool.choose(now * 1_000, &call("z0")).unwrap();
+                assert_eq!(choice.spec.zone, "z0");
+                *counts.entry(choice.spec.id.clone()).or_default() += 1;
+                serve(&mut pool, now * 1_000, &choice);
+            }
+        }
+        let of_zone = u64::from(upstreams.div_ceil(3));
+        let mean = instances * 4 / of_zone;
+        let most = counts.values().max().copied().unwrap_or_default();
+        assert!(most <= mean * 3, "{instances}: {most}, {mean} in the mean");
+        let idle = of_zone - counts.len() as u64;
+        assert!(
+            idle <= of_zone / 10,
+            "{instances}: {idle} of {of_zone} idle"
+        );
+    }
+}
--- a/crates/place/tests/limit.rs
+++ b/crates/place/tests/limit.rs
@@ -4,6 +4,8 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
+use std::collections::BTreeMap;
+
 use place::{Denied, Outcome, Pool, RateLimit, Spec, VersionedLimit};
 
 use crate::common::call;
@@ -230,20 +232,25 @@
     pool.list(0, spec(0));
     pool.list(0, spec(1));
     pool.merge_limit(0, "u0", versioned(1.0, 1));
+    let mut sent = BTreeMap::from([("u0".to_string(), 0), ("u1".to_string(), 0)]);
     for _ in 0..20 {
         let choice = pool.choose(SETTLED_MS + 10, &call("a")).unwrap();
+        *sent.get_mut(&choice.spec.id).unwrap() += 1;
         pool.end(SETTLED_MS + 10, choice.key, choice.ticket, Outcome::Well);
     }
+    assert!(sent["u0"] <= 1, "{sent:?}");
+    sent.insert("u1".to_string(), 0);
     pool.merge_limit(0, "u1", versioned(0.5, 1));
-    let mut served = 0;
     let denied = loop {
         match pool.choose(SETTLED_MS + 20, &call("a")) {
-            Ok(choice) => pool.end(SETTLED_MS + 20, choice.key, choice.ticket, Outcome::Well),
+            Ok(choice) => {
+                *sent.get_mut(&choice.spec.id).unwrap() += 1;
+                pool.end(SETTLED_MS + 20, choice.key, choice.ticket, Outcome::Well);
+            }
             Err(denied) => break denied,
         }
-        served += 1;
     };
-    assert!(served <= 1, "{served}");
+    assert!(sent["u0"] <= 1 && sent["u1"] <= 1, "{sent:?}");
     let Denied::Limited { retry_ms } = denied else {
         panic!("{denied:?}");
     };
