Gossip hundreds of leaving upstreams in as many datagrams at once

A round of gossip sent the first 16 notices by their order, three times, before the next 16: 204 upstreams that leave together, as a scale-in of this fleet does, took 2.3 s at each step from instance to instance, and of more than 256 the first ones were forgotten, sent or not. Now all that are due go out in a round, up to eight datagrams of 16, those that were sent least often first; they are kept for as many upstreams as are listed.

--- a/crates/notice/src/gossip.rs
+++ b/crates/notice/src/gossip.rs
@@ -1,5 +1,6 @@
 //! The notices that an instance knows, and which of them it sends next.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::notice::{Notice, Subject};
@@ -8,10 +9,12 @@
 pub const FANOUT: usize = 4;
 /// Rounds in which it is sent: datagrams are lost, and of twelve in all one arrives even where a link drops half of them.
 pub const ROUNDS: u8 = 3;
-/// Notices that are kept and pass with time, bounding memory; those that were learnt first go.
-const PASSING_MOST: usize = 256;
+/// Notices that pass with time are kept for as many upstreams as are listed, but at least so many; those that were learnt first go.
+const PASSING_LEAST: usize = 256;
 /// Notices in a datagram: it fits one packet.
 const BATCH_MOST: usize = 16;
+/// Datagrams of news to a peer in each round, bounding the bytes sent: half of what the narrowest link carries.
+const BATCHES_MOST: usize = 8;
 
 #[derive(Clone, Debug)]
 struct Known {
@@ -33,6 +36,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Gossip {
     known: BTreeMap<Subject, Known>,
+    /// Those that pass with time, in the order in which they were learnt.
+    passing: BTreeMap<u64, Subject>,
+    /// Upstreams that are listed.
+    upstreams: usize,
     /// Notices learnt so far.
     count: u64,
     /// The subject that was sent last in turn.
@@ -40,6 +47,11 @@
 }
 
 impl Gossip {
+    /// Sets how many upstreams are listed: all of them may leave within seconds.
+    pub fn set_upstreams(&mut self, count: usize) {
+        self.upstreams = count;
+    }
+
     /// Takes a notice of this instance's own, or of a peer; returns whether it is new.
     pub fn learn(&mut self, notice: Notice) -> bool {
         let subject = notice.subject();
@@ -48,13 +60,19 @@
             return false;
         }
         self.count += 1;
+        let passes = !notice.is_lasting();
         let known = Known {
             notice,
             rounds_left: ROUNDS,
             learnt: self.count,
         };
-        self.known.insert(subject, known);
-        self.forget_first();
+        if let Some(old) = self.known.insert(subject.clone(), known) {
+            self.passing.remove(&old.learnt);
+        }
+        if passes {
+            self.passing.insert(self.count, subject);
+            self.forget_first();
+        }
         true
     }
 
@@ -72,14 +90,19 @@
         received
     }
 
-    /// Returns what is sent to some peers now; empty when there is nothing new.
-    pub fn due(&mut self) -> Vec<Notice> {
-        let due = self.known.values_mut().filter(|k| k.rounds_left > 0);
-        let due = due.take(BATCH_MOST).map(|k| {
+    /// Returns the datagrams that are sent to some peers now; none when there is nothing new. Those that were sent least often come
+    /// first, so that none waits for all the others' rounds.
+    pub fn due(&mut self) -> Vec<Vec<Notice>> {
+        let mut due: Vec<&mut Known> = self.known.values_mut().collect();
+        due.retain(|k| k.rounds_left > 0);
+        due.sort_by_key(|k| (Reverse(k.rounds_left), k.learnt));
+        due.truncate(BATCH_MOST * BATCHES_MOST);
+        let notices = due.into_iter().map(|k| {
             k.rounds_left -= 1;
             k.notice.clone()
         });
-        due.collect()
+        let notices: Vec<Notice> = notices.collect();
+        notices.chunks(BATCH_MOST).map(<[_]>::to_vec).collect()
     }
 
     /// Returns what is sent to one peer in turn: what holds until it is replaced, and some of the rest.
@@ -87,7 +110,8 @@
         let lasting = self.known.values().map(|k| &k.notice);
         let mut page: Vec<Notice> = lasting.filter(|n| n.is_lasting()).cloned().collect();
         page.truncate(BATCH_MOST);
-        let passing: Vec<&Subject> = self.passing().map(|(s, _)| s).collect();
+        let mut passing: Vec<&Subject> = self.passing.values().collect();
+        passing.sort_unstable();
         let after = passing.partition_point(|s| self.turn.as_ref().is_some_and(|t| *s <= t));
         let rotated = passing[after..].iter().chain(&passing[..after]);
         let chosen: Vec<Subject> = rotated
@@ -113,16 +137,9 @@
         self.known.values().map(|k| k.notice.clone()).collect()
     }
 
-    fn passing(&self) -> impl Iterator<Item = (&Subject, &Known)> {
-        self.known.iter().filter(|(_, k)| !k.notice.is_lasting())
-    }
-
     fn forget_first(&mut self) {
-        if self.passing().count() <= PASSING_MOST {
-            return;
-        }
-        let first = self.passing().min_by_key(|(_, k)| k.learnt);
-        if let Some(subject) = first.map(|(s, _)| s.clone()) {
+        while self.passing.len() > self.upstreams.max(PASSING_LEAST) {
+            let (_, subject) = self.passing.pop_first().expect("more than it keeps");
             self.known.remove(&subject);
         }
     }
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -222,6 +222,7 @@
         self.missing_unless_rewritten(&key, revision);
     }
 
+        self.0.notices.set_upstreams(seen.entries.len());
     /// Returns whether a peer has said that an entry was removed later than it was written.
     fn is_removed(&self, key: &str, revision: i64) -> bool {
         let id = self.0.dialect.upstream_id(key);
@@ -239,6 +240,7 @@
             let prefix = listing.0.dialect.upstream_prefix().to_string();
             let mut follow = Follow::open(store, feed, Topic::Upstreams, &prefix, WATCH_MS);
             loop {
+        self.0.notices.set_upstreams(seen.entries.len());
                 match follow.next().await {
                     Update::Listed(items, revision) => {
                         let items = items.into_iter().map(row).collect();
--- a/crates/proxy/src/notices.rs
+++ b/crates/proxy/src/notices.rs
@@ -58,6 +58,11 @@
         received
     }
 
+    /// Sets how many upstreams are listed.
+    pub(crate) fn set_upstreams(&self, count: usize) {
+        self.gossip().set_upstreams(count);
+    }
+
     /// Returns the notice about an upstream's removal from the list, as the revision of that.
     pub(crate) fn gone_at(&self, upstream: &str) -> Option<i64> {
         self.gossip().gone_at(upstream)
@@ -84,7 +89,9 @@
                 if due.is_empty() {
                     break;
                 }
-                send(&others, &config, due, FANOUT);
+                for batch in due {
+                    send(&others, &config, batch, FANOUT);
+                }
                 sleep(ROUND).await;
             }
         }
