Fetch the list of upstreams from other instances, as differences, in pages

Cause: each instance read the whole list from the store when it started, 50 pages of 200, 3.3 MB with base64: 3.2 GB in all over a link of 125 MB a second. Calls failed under that, each failed call made an instance list everything again, as did each call of an instance that does not usually read, 30 s after its start; and a reader that was asked for what changed had kept 256 changes and passed on everything else in one message of 3 MB to each of its hundred followers, which waited 0.4 s for it and then turned to the store.

Now: - what another instance lacks is told by revision: of each key its newest change, deletions remembered for as many keys as there are; in pages of 32 KB, while what changes meanwhile is newer and fetched later. - an instance that starts reads the list of instances only, and fetches configuration and upstreams from any other of its zone that has them, page by page; it serves with the first page. Only those that go on reading list everything every 30 s. - in an outage an instance fetches what is newer in pages too; it got all entries in one message, whose timeout is 250 ms.

The check that one that is far behind gets everything is replaced: it gets the newest change of each key, and everything where a deletion that it lacks is forgotten.

--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -9,7 +9,7 @@
 
 use crate::peers::Peers;
 use crate::reach::Reach;
-use crate::relay::{Ask, Relay, Source, Topic};
+use crate::relay::{Ask, Passed, Relay, Source, Topic};
 
 /// Longest wait of one watch, in milliseconds: a watch that hangs costs so much time, and each one
 /// is a call that is paid for.
@@ -50,6 +50,27 @@
     list_at: Instant,
     /// No watch begins before this.
     watch_at: Instant,
+    /// A fetch of which pages are left.
+    fetch: Option<Fetch>,
+}
+
+/// How a fetch from another instance ended.
+enum Fetched {
+    /// It brought news, or a page of them.
+    News(Update),
+    /// That instance has nothing yet.
+    Nothing,
+    /// That instance did not answer in time.
+    Failed,
+}
+
+/// What is fetched from another instance in pages.
+struct Fetch {
+    peer: SocketAddr,
+    /// Asks for the next page.
+    ask: Ask,
+    /// The pages so far; the revision is that of the first one.
+    passed: Passed,
 }
 
 /// What a follower works with besides the store.
@@ -78,23 +99,39 @@
             compacted: false,
             list_at: Instant::now(),
             watch_at: Instant::now(),
+            fetch: None,
         }
     }
 
     /// Waits for the next news.
     pub(crate) async fn next(&mut self) -> Update {
+        let relay = self.feed.relay.clone();
+        let mut elsewhere = None;
         loop {
-            let relay = self.feed.relay.clone();
-            let fetched = match relay.source(self.topic) {
+            let peer = self.fetch.as_ref().map(|f| f.peer).or(elsewhere.take());
+            let source = peer.map_or_else(|| relay.source(self.topic), Source::Peer);
+            if source != Source::Store {
+                // Only an instance that goes on reading looks for what a watch did not bring.
+                self.list_at = Instant::now() + LIST_EVERY;
+            }
+            let fetched = match source {
                 Source::Store => None,
-                Source::Peer(addr) => self.fetch(addr).await,
-                Source::Nowhere => {
+                Source::Peer(addr) => Some(self.fetch(addr).await),
+                Source::Nowhere => Some(Fetched::Nothing),
+            };
+            match fetched {
+                Some(Fetched::News(update)) => return update,
+                Some(Fetched::Failed) if relay.revision(self.topic) > 0 => {
+                    elsewhere = self.ahead();
+                    if elsewhere.is_some() {
+                        continue;
+                    }
+                }
+                Some(Fetched::Nothing | Fetched::Failed) => {
                     relay.wait().await;
                     continue;
                 }
-            };
-            if let Some(update) = fetched {
-                return update;
+                None => {}
             }
             if let Some(update) = self.read().await {
                 relay.learn(self.topic, &update);
@@ -103,27 +140,65 @@
         }
     }
 
-    /// Fetches what is newer from another instance; `None` when it does not answer in time: then the store is read.
-    async fn fetch(&mut self, addr: SocketAddr) -> Option<Update> {
+    /// Returns an instance that is known to have what is lacking.
+    fn ahead(&self) -> Option<SocketAddr> {
+        match self.feed.relay.source(self.topic) {
+            Source::Peer(addr) => Some(addr),
+            Source::Store | Source::Nowhere => None,
+        }
+    }
+
+    /// Fetches the next page of what is newer from another instance.
+    async fn fetch(&mut self, addr: SocketAddr) -> Fetched {
         let relay = &self.feed.relay;
-        let ask = Ask {
-            topic: self.topic,
-            revision: relay.revision(self.topic),
+        let (ask, earlier) = match self.fetch.take() {
+            Some(fetch) => (fetch.ask, Some(fetch.passed)),
+            None => {
+                let revision = relay.revision(self.topic);
+                let ask = Ask::first_page(self.topic, revision);
+                (ask, None)
+            }
         };
-        match self.feed.peers.lacking(addr, &ask).await {
-            Ok(passed) => Some(relay.take(self.topic, passed)),
-            Err(_) => {
-                relay.forget(addr);
-                None
+        let Ok(page) = self.feed.peers.lacking(addr, &ask).await else {
+            relay.forget(addr);
+            return Fetched::Failed;
+        };
+        if page.revision == 0 {
+            return Fetched::Nothing;
+        }
+        let changes = page.changes();
+        let (mut passed, next) = match earlier {
+            None => {
+                let next = page.next.clone();
+                (page, next)
             }
+            Some(mut passed) => {
+                // That instance may have forgotten meanwhile what it had kept.
+                if !passed.since.append(page.since) {
+                    return Fetched::Failed;
+                }
+                (passed, page.next)
+            }
+        };
+        if next.is_none() {
+            return Fetched::News(relay.take(self.topic, passed));
         }
+        passed.next = None;
+        self.fetch = Some(Fetch {
+            peer: addr,
+            ask: Ask { after: next, ..ask },
+            passed,
+        });
+        // An instance serves with a part of the list before it has all of it.
+        Fetched::News(Update::Changed(changes, 0))
     }
 
     /// Reads the store.
     async fn read(&mut self) -> Option<Update> {
         // What came from another instance need not be read again.
         let known = self.feed.relay.revision(self.topic);
-        let after = self.after.map(|after| after.max(known));
+        let fetched = (known > 0 && !self.compacted).then_some(known);
+        let after = self.after.map(|after| after.max(known)).or(fetched);
         let late = self.feed.relay.is_late(self.topic) && Instant::now() >= self.watch_at;
         if late {
             self.watch_at = Instant::now() + GAP;
@@ -188,8 +263,6 @@
     }
 
     async fn lost(&mut self) -> Update {
-        // What changed meanwhile may have left the history.
-        self.after = None;
         sleep(AGAIN_AFTER).await;
         self.feed.reach.wait_back().await;
         Update::Lost
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -9,7 +9,6 @@
 use kv::{Change, Found, Store};
 use notice::Notice;
 use place::{Key, Listed, Missing, Pool, RateLimit, VersionedLimit};
-use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
@@ -22,17 +21,6 @@
 use crate::relay::Topic;
 use crate::suspects::Suspects;
 
-/// The list as one instance tells another.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct Relayed {
-    /// The store's revision at which it was read.
-    pub(crate) revision: i64,
-    /// Entries as they stand in the store, by key.
-    pub(crate) entries: BTreeMap<String, String>,
-    /// Lives of upstreams that some source said are leaving.
-    pub(crate) leaving: Vec<String>,
-}
-
 /// A handle on the list of upstreams.
 #[derive(Clone)]
 pub(crate) struct Listing(Arc<Inner>);
@@ -99,32 +87,10 @@
         }))
     }
 
-    /// Returns whether the list was ever read.
+    /// Returns whether the list was ever read, or a part of it.
     pub(crate) fn is_known(&self) -> bool {
-        self.seen().revision > 0
-    }
-
-    /// Returns the list for another instance that has it up to a revision.
-    pub(crate) fn tell(&self, after: i64) -> Relayed {
         let seen = self.seen();
-        let newer = seen.revision > after && !self.0.reach.is_out();
-        let text = |(k, e): (&String, &Entry)| {
-            let value = String::from_utf8_lossy(&e.value).into_owned();
-            (k.clone(), value)
-        };
-        let entries = if newer {
-            // The receiver takes every entry as present at the list's revision, so deferred ones are left out.
-            let entries = seen.entries.iter();
-            let present = entries.filter(|(k, e)| !seen.missing.is_deferred(k, e.revision));
-            present.map(text).collect()
-        } else {
-            BTreeMap::new()
-        };
-        Relayed {
-            revision: if newer { seen.revision } else { 0 },
-            entries,
-            leaving: self.all_leaving(),
-        }
+        seen.revision > 0 || !seen.entries.is_empty()
     }
 
     /// Returns the incarnations of upstreams that some source said are leaving.
@@ -133,27 +99,6 @@
         leaving.into_iter().collect()
     }
 
-    /// Returns the revision up to which the list is known.
-    pub(crate) fn revision(&self) -> i64 {
-        self.seen().revision
-    }
-
-    /// Takes the word of another instance.
-    pub(crate) fn told(&self, told: Relayed) {
-        if told.revision > self.revision() {
-            let entry = |(key, value): (String, String)| {
-                let value = Bytes::from(value.into_bytes());
-                let revision = told.revision;
-                (key, Entry { value, revision })
-            };
-            let entries = told.entries.into_iter().map(entry);
-            self.listed(entries.collect(), told.revision);
-        }
-        for id in &told.leaving {
-            self.leaving(id, "peer");
-        }
-    }
-
     /// Notes that an incarnation of an upstream is leaving, by whatever source.
     pub(crate) fn leaving(&self, incarnation: &str, source: &str) {
         let news = self
@@ -222,7 +167,6 @@
         self.missing_unless_rewritten(&key, revision);
     }
 
-        self.0.notices.set_upstreams(seen.entries.len());
     /// Returns whether a peer has said that an entry was removed later than it was written.
     fn is_removed(&self, key: &str, revision: i64) -> bool {
         let id = self.0.dialect.upstream_id(key);
@@ -240,19 +184,23 @@
             let prefix = listing.0.dialect.upstream_prefix().to_string();
             let mut follow = Follow::open(store, feed, Topic::Upstreams, &prefix, WATCH_MS);
             loop {
-        self.0.notices.set_upstreams(seen.entries.len());
-                match follow.next().await {
-                    Update::Listed(items, revision) => {
-                        let items = items.into_iter().map(row).collect();
-                        listing.listed(items, revision);
-                    }
-                    Update::Changed(changes, revision) => listing.changed(changes, revision),
-                    Update::Lost => {}
-                }
+                listing.update(follow.next().await);
             }
         });
     }
 
+    /// Takes what was read of the store, here or by a peer.
+    pub(crate) fn update(&self, update: Update) {
+        match update {
+            Update::Listed(items, revision) => {
+                let items = items.into_iter().map(row).collect();
+                self.listed(items, revision);
+            }
+            Update::Changed(changes, revision) => self.changed(changes, revision),
+            Update::Lost => {}
+        }
+    }
+
     fn listed(&self, mut items: BTreeMap<String, Entry>, revision: i64) {
         items.retain(|key, entry| !self.is_removed(key, entry.revision));
         let known = {
@@ -274,6 +222,7 @@
         let mut seen = self.seen();
         seen.entries.extend(items);
         seen.revision = revision;
+        self.0.notices.set_upstreams(seen.entries.len());
     }
 
     fn changed(&self, changes: Vec<Change>, revision: i64) {
@@ -291,6 +240,7 @@
         }
         let mut seen = self.seen();
         seen.revision = seen.revision.max(revision);
+        self.0.notices.set_upstreams(seen.entries.len());
     }
 
     /// Takes that an entry is missing at a revision.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -20,11 +20,10 @@
 use crate::bank::{Bank, Draw, Drawn};
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::listing::Relayed;
 use crate::log::Log;
 use crate::notices::Effects;
 use crate::reach::Reach;
-use crate::relay::{Ask, Passed};
+use crate::relay::{Ask, Passed, Relay, Topic};
 use crate::suspects::{AskTrial, Suspects, Trial};
 
 /// An instance answers within a few milliseconds, or is not there: a request waits for it.
@@ -69,7 +68,6 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Have {
     version: u64,
-    revision: i64,
     leaving: Vec<String>,
 }
 
@@ -77,7 +75,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct News {
     config: Option<String>,
-    listing: Relayed,
+    /// The revision up to which the list of upstreams is known there; 0 where it may be old.
+    upstreams: i64,
+    leaving: Vec<String>,
     evacuations: Vec<Notice>,
     limits: Vec<Notice>,
 }
@@ -99,7 +99,8 @@
         let newer = active.filter(|a| a.routing.version > have.version);
         News {
             config: newer.map(|a| String::from_utf8_lossy(&a.raw).into_owned()),
-            listing: self.effects.listing.tell(have.revision),
+            upstreams: self.effects.relay.current_revision(Topic::Upstreams),
+            leaving: self.effects.listing.all_leaving(),
             evacuations: self.effects.notices.evacuations(),
             limits: self.effects.listing.all_limits(),
         }
@@ -353,7 +354,6 @@
     async fn fetch(&self, addr: SocketAddr, desk: &Desk, log: &Log) {
         let have = Have {
             version: desk.effects.config.version(),
-            revision: desk.effects.listing.revision(),
             leaving: desk.effects.listing.all_leaving(),
         };
         let news: News = match self.call_briefly(addr, "news", &have).await {
@@ -374,7 +374,32 @@
             log.note(Event::NewsFromPeer, format_args!("from={addr} what=config"));
             desk.effects.config.offer(config.as_bytes(), "peer");
         }
-        desk.effects.listing.told(news.listing);
+        for upstream in &news.leaving {
+            desk.effects.listing.leaving(upstream, "peer");
+        }
+        let relay = &desk.effects.relay;
+        if news.upstreams > relay.revision(Topic::Upstreams) {
+            if let Some(passed) = self.fetch_upstreams(addr, relay).await {
+                let update = relay.take(Topic::Upstreams, passed);
+                desk.effects.listing.update(update);
+            }
+        }
+    }
+
+    /// Fetches what is newer of the list of upstreams, all pages of it; `None` when an answer is missing.
+    async fn fetch_upstreams(&self, addr: SocketAddr, relay: &Relay) -> Option<Passed> {
+        let revision = relay.revision(Topic::Upstreams);
+        let mut ask = Ask::first_page(Topic::Upstreams, revision);
+        let mut passed = self.lacking(addr, &ask).await.ok()?;
+        while let Some(next) = passed.next.take() {
+            ask.after = Some(next);
+            let page = self.lacking(addr, &ask).await.ok()?;
+            if !passed.since.append(page.since) {
+                return None;
+            }
+            passed.next = page.next;
+        }
+        Some(passed)
     }
 }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -7,7 +7,11 @@
 
 use clock::Clock;
 use kv::{Change, Found};
-use relay::{Board, Candidate, Entry, Head, Lack, Next, Readers, Since, Standing, BEAT_MS};
+use rand::seq::IndexedRandom;
+use relay::{
+    Board, Candidate, Cursor, Entry, First, Head, Lack, Next, Readers, Serving, Since, Standing,
+    BEAT_MS,
+};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -37,14 +41,42 @@
     pub(crate) topic: Topic,
     /// What the asker knows.
     pub(crate) revision: i64,
+    /// The end of the page before, of the same answer.
+    #[serde(default)]
+    pub(crate) after: Option<Cursor>,
+    /// Tells the fetches of one answer apart.
+    #[serde(default)]
+    pub(crate) fetch: u64,
 }
 
-/// The answer.
+impl Ask {
+    /// Returns an ask for the first page of what has changed since a revision.
+    pub(crate) fn first_page(topic: Topic, revision: i64) -> Ask {
+        Ask {
+            topic,
+            revision,
+            after: None,
+            fetch: rand::random(),
+        }
+    }
+}
+
+/// The answer, or a page of it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Passed {
-    since: Since,
-    /// Up to where it tells everything.
-    revision: i64,
+    pub(crate) since: Since,
+    /// Up to where it tells everything, as its first page says; 0 where nothing is known.
+    pub(crate) revision: i64,
+    /// Where the next page begins.
+    #[serde(default)]
+    pub(crate) next: Option<Cursor>,
+}
+
+impl Passed {
+    /// Returns the changes on this page.
+    pub(crate) fn changes(&self) -> Vec<Change> {
+        self.since.entries().iter().cloned().map(change).collect()
+    }
 }
 
 /// Where a topic is read next.
@@ -66,7 +98,11 @@
     clock: Clock,
     reach: Arc<Reach>,
     readers: Mutex<Readers>,
+    /// The other instances of the own zone.
+    neighbours: Mutex<Vec<SocketAddr>>,
     boards: Mutex<[Board; TOPICS]>,
+    /// Fetches of all upstreams by instances that have just started.
+    serving: Mutex<Serving>,
     /// Versions of the configuration that are known to exist and not known here.
     lack: Mutex<Lack>,
     /// Wakes those that wait for a reader's word.
@@ -81,17 +117,27 @@
             clock,
             reach,
             readers: Mutex::new(Readers::open(clock.now())),
+            neighbours: Mutex::default(),
             boards: Mutex::default(),
+            serving: Mutex::default(),
             lack: Mutex::default(),
             heard: Notify::new(),
             learnt: Notify::new(),
         }))
     }
 
-    /// Takes the instances of the own zone.
-    pub(crate) fn place(&self, me: &Candidate<'_>, zone: &[Candidate<'_>]) {
+    /// Takes the instances of the own zone, and the addresses of the others.
+    pub(crate) fn place(
+        &self,
+        me: &Candidate<'_>,
+        zone: &[Candidate<'_>],
+        neighbours: Vec<SocketAddr>,
+    ) {
         let mut readers = self.0.readers.lock().expect("no panic inside");
         readers.place(me, zone);
+        drop(readers);
+        *self.0.neighbours.lock().expect("no panic inside") = neighbours;
+        self.0.heard.notify_waiters();
     }
 
     /// Returns the revision up to which a topic is known; 0 for none.
@@ -100,11 +146,20 @@
         boards[topic as usize].revision()
     }
 
+    /// Returns the revision up to which a topic is known; 0 while the store is out of reach, since it may be old.
+    pub(crate) fn current_revision(&self, topic: Topic) -> i64 {
+        if self.0.reach.is_out() {
+            0
+        } else {
+            self.revision(topic)
+        }
+    }
+
     /// Returns where a topic is read next.
     pub(crate) fn source(&self, topic: Topic) -> Source {
         let known = self.revision(topic);
         if known == 0 {
-            return Source::Store;
+            return self.first_source(topic);
         }
         if topic == Topic::Config {
             match self.lack(Lack::turn) {
@@ -122,6 +177,24 @@
         ahead.map_or(Source::Nowhere, Source::Peer)
     }
 
+    /// Returns where a topic is read of which nothing is known yet.
+    fn first_source(&self, topic: Topic) -> Source {
+        // The list of instances names those that may be asked for the rest.
+        if topic == Topic::Instances {
+            return Source::Store;
+        }
+        let neighbours = self.0.neighbours.lock().expect("no panic inside");
+        let neighbour = neighbours.choose(&mut rand::rng()).copied();
+        drop(neighbours);
+        let now = self.0.clock.now();
+        let readers = self.0.readers.lock().expect("no panic inside");
+        match readers.first(now, topic as usize, neighbour, rand::random()) {
+            First::Store => Source::Store,
+            First::Peer(addr) => Source::Peer(addr),
+            First::Nowhere => Source::Nowhere,
+        }
+    }
+
     /// Asks where to turn for what is known to exist and not known here.
     fn lack(&self, ask: impl FnOnce(&mut Lack, u64, u64) -> Next) -> Next {
         let now = self.0.clock.now();
@@ -198,7 +271,8 @@
     pub(crate) fn learn(&self, topic: Topic, update: &Update) {
         self.update(topic, |board| match update {
             Update::Listed(items, revision) => {
-                board.list(items.iter().map(written).collect(), *revision);
+                let entries: Vec<Entry> = items.iter().map(written).collect();
+                board.list(&entries, *revision);
             }
             Update::Changed(changes, _) => board.change(changes.iter().map(changed)),
             Update::Lost => {}
@@ -217,17 +291,32 @@
         }
     }
 
-    /// Answers an instance that lacks something.
+    /// Answers an instance that lacks something. One that has just started, and asks for everything, may be turned away.
     pub(crate) fn tell(&self, ask: &Ask) -> Passed {
+        let everything = ask.topic == Topic::Upstreams && ask.revision == 0;
+        let now = self.0.clock.now();
+        let mut serving = self.0.serving.lock().expect("no panic inside");
+        if everything && !serving.admit(now, ask.fetch) {
+            return Passed {
+                since: Since::Changed(Vec::new()),
+                revision: 0,
+                next: None,
+            };
+        }
         let boards = self.0.boards.lock().expect("no panic inside");
         let board = &boards[ask.topic as usize];
+        let page = board.page(ask.revision, ask.after.as_ref());
+        if page.next.is_none() {
+            serving.end(ask.fetch);
+        }
         Passed {
-            since: board.since(ask.revision),
+            since: page.since,
             revision: board.revision(),
+            next: page.next,
         }
     }
 
-    /// Takes the answer of an instance that was asked.
+    /// Takes the whole answer of an instance that was asked.
     pub(crate) fn take(&self, topic: Topic, told: Passed) -> Update {
         self.update(topic, |board| board.follow(&told.since, told.revision));
         match told.since {
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -1,12 +1,16 @@
-//! The keys under one prefix as an instance knows them, and what changed lately.
+//! The keys under one prefix as an instance knows them, and what has changed since any revision.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-/// Changes that are kept for instances that are behind; one that is behind further gets all keys. A season's
-/// change of the upstreams of a zone fits.
-const KEPT: usize = 256;
+/// Deleted keys are remembered, as many as there are keys, but at least so many. An instance that lacks an older deletion gets all
+/// keys.
+const DELETED_LEAST: usize = 256;
+/// Keys and values in one page, in bytes: a dozen pages at once pass a narrow link well within the timeout of a call.
+const PAGE_BYTES: usize = 32 << 10;
 
 /// A key as it was written, or deleted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,20 +29,66 @@
 /// What an instance lacks that has read up to some revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Since {
-    /// What has changed since, oldest first.
+    /// The newest change of each key that has changed since, oldest first.
     Changed(Vec<Entry>),
-    /// All keys: what has changed since is not kept.
+    /// All keys: not all deletions since are remembered.
     All(Vec<Entry>),
 }
 
+impl Since {
+    /// Returns its entries.
+    pub fn entries(&self) -> &[Entry] {
+        match self {
+            Since::Changed(entries) | Since::All(entries) => entries,
+        }
+    }
+
+    /// Appends the next page of the same answer; returns whether it is of the same kind.
+    #[must_use]
+    pub fn append(&mut self, page: Since) -> bool {
+        match (self, page) {
+            (Since::Changed(entries), Since::Changed(more))
+            | (Since::All(entries), Since::All(more)) => entries.extend(more),
+            _ => return false,
+        }
+        true
+    }
+}
+
+/// The last entry of a page, after which the next page begins.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    revision: i64,
+    key: String,
+}
+
+/// A part of what an instance lacks. Pages are not a snapshot: what changes while they are fetched is newer than the revision
+/// that came with the first one, and is fetched later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// The entries.
+    pub since: Since,
+    /// Where the next page begins; none for the last one.
+    pub next: Option<Cursor>,
+}
+
+/// The newest change of a key.
+#[derive(Clone, Debug)]
+struct Slot {
+    value: Option<Arc<str>>,
+    revision: i64,
+}
+
 /// The keys under one prefix.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    values: BTreeMap<String, String>,
+    /// Keys that are there, and deleted ones that are remembered.
+    slots: BTreeMap<Arc<str>, Slot>,
+    by_revision: BTreeSet<(i64, Arc<str>)>,
+    deleted: BTreeSet<(i64, Arc<str>)>,
     /// Changes up to this revision are known.
     revision: i64,
-    changes: VecDeque<Entry>,
-    /// All changes after this revision are kept.
+    /// All deletions after this revision are remembered.
     kept_from: i64,
 }
 
@@ -52,86 +102,165 @@
     pub fn change(&mut self, changes: impl IntoIterator<Item = Entry>) {
         // One transaction writes several keys at one revision.
         let known = self.revision;
-        for entry in changes {
-            if entry.revision > known {
-                self.take(entry);
-            }
+        for entry in changes.into_iter().filter(|e| e.revision > known) {
+            self.revision = self.revision.max(entry.revision);
+            self.take(&entry);
         }
     }
 
     /// Takes all keys as they were at a revision.
     ///
     /// A list that is older than what is known says nothing.
-    pub fn list(&mut self, entries: Vec<Entry>, revision: i64) {
+    pub fn list(&mut self, entries: &[Entry], revision: i64) {
         if revision <= self.revision {
             return;
         }
-        // Nothing that was kept of before the first list follows on it.
+        // No deletion before the first list is known.
         let first = self.revision == 0;
-        let listed: BTreeMap<String, Entry> =
-            entries.into_iter().map(|e| (e.key.clone(), e)).collect();
-        let gone = self.values.keys().filter(|k| !listed.contains_key(*k));
-        let gone = gone.map(|key| Entry {
-            key: key.clone(),
-            value: None,
-            revision,
-        });
-        let differs = |e: &&Entry| self.values.get(&e.key) != e.value.as_ref();
-        // Whoever has read up to this list has them, whenever they were written.
-        let news = listed.values().filter(differs).map(|e| Entry {
-            revision,
-            ..e.clone()
-        });
-        let news: Vec<Entry> = gone.chain(news).collect();
-        for entry in news {
-            self.take(entry);
+        let listed: BTreeSet<&str> = entries.iter().map(|e| e.key.as_str()).collect();
+        let present = self.slots.iter().filter(|(_, slot)| slot.value.is_some());
+        let gone = present.filter(|(key, _)| !listed.contains(&***key));
+        let gone: Vec<Entry> = gone
+            .map(|(key, _)| Entry {
+                key: key.to_string(),
+                value: None,
+                revision,
+            })
+            .collect();
+        for entry in gone {
+            self.take(&entry);
+        }
+        for entry in entries {
+            let known = self.slots.get(entry.key.as_str());
+            let known = known.and_then(|slot| slot.value.as_deref());
+            if known != entry.value.as_deref() {
+                // Whoever has read up to this list has it, whenever it was written.
+                self.take(&Entry {
+                    revision,
+                    ..entry.clone()
+                });
+            }
         }
         self.caught_up(revision);
         if first {
             self.kept_from = revision;
-            self.changes.clear();
         }
     }
 
     /// Takes what another board that is known up to a revision had since this one's.
     pub fn follow(&mut self, since: &Since, revision: i64) {
         match since {
-            Since::Changed(changes) => self.change(changes.iter().cloned()),
-            Since::All(entries) => self.list(entries.clone(), revision),
+            Since::Changed(changes) => {
+                // Some may be newer than the revision up to which all are known.
+                let known = self.revision;
+                for entry in changes.iter().filter(|e| e.revision > known) {
+                    self.take(entry);
+                }
+            }
+            Since::All(entries) => self.list(entries, revision),
         }
         // Else it would be asked for again and again where nothing differs.
         self.caught_up(revision);
     }
 
-    /// Takes the word that there is no other change up to a revision.
+    /// Takes that there is no other change up to a revision.
     fn caught_up(&mut self, revision: i64) {
         self.revision = self.revision.max(revision);
     }
 
     /// Returns what an instance lacks that has read up to a revision.
     pub fn since(&self, revision: i64) -> Since {
+        let mut page = self.page(revision, None);
+        while let Some(next) = page.next {
+            let more = self.page(revision, Some(&next));
+            let same = page.since.append(more.since);
+            debug_assert!(same, "nothing changes meanwhile");
+            page.next = more.next;
+        }
+        page.since
+    }
+
+    /// Returns a page of what an instance lacks that has read up to a revision.
+    pub fn page(&self, revision: i64, after: Option<&Cursor>) -> Page {
         if revision >= self.kept_from {
-            let newer = self.changes.iter().filter(|e| e.revision > revision);
-            return Since::Changed(newer.cloned().collect());
+            self.page_changed(revision, after)
+        } else {
+            self.page_all(after)
         }
-        let entry = |(key, value): (&String, &String)| Entry {
-            key: key.clone(),
-            value: Some(value.clone()),
-            revision: self.revision,
+    }
+
+    fn page_changed(&self, revision: i64, after: Option<&Cursor>) -> Page {
+        let from = match after {
+            Some(cursor) => Bound::Excluded((cursor.revision, Arc::from(cursor.key.as_str()))),
+            None => Bound::Included((revision.saturating_add(1), Arc::from(""))),
         };
-        Since::All(self.values.iter().map(entry).collect())
+        let newer = self.by_revision.range((from, Bound::Unbounded));
+        let (entries, next) = fill(newer.map(|(_, key)| self.entry(key)));
+        let since = Since::Changed(entries);
+        Page { since, next }
+    }
+
+    fn page_all(&self, after: Option<&Cursor>) -> Page {
+        let from = after.map_or(Bound::Unbounded, |c| Bound::Excluded(c.key.as_str()));
+        let slots = self.slots.range::<str, _>((from, Bound::Unbounded));
+        let present = slots.filter(|(_, slot)| slot.value.is_some());
+        let (entries, next) = fill(present.map(|(key, _)| self.entry(key)));
+        let since = Since::All(entries);
+        Page { since, next }
     }
 
-    fn take(&mut self, entry: Entry) {
-        match &entry.value {
-            Some(value) => self.values.insert(entry.key.clone(), value.clone()),
-            None => self.values.remove(&entry.key),
+    fn entry(&self, key: &str) -> Entry {
+        let slot = &self.slots[key];
+        Entry {
+            key: key.to_string(),
+            value: slot.value.as_deref().map(str::to_string),
+            revision: slot.revision,
+        }
+    }
+
+    fn take(&mut self, entry: &Entry) {
+        let key: Arc<str> = Arc::from(entry.key.as_str());
+        let slot = Slot {
+            value: entry.value.as_deref().map(Arc::from),
+            revision: entry.revision,
         };
-        self.revision = self.revision.max(entry.revision);
-        self.changes.push_back(entry);
-        while self.changes.len() > KEPT {
-            let oldest = self.changes.pop_front().expect("more than it keeps");
-            self.kept_from = oldest.revision;
+        let deleted = slot.value.is_none();
+        if let Some(old) = self.slots.insert(Arc::clone(&key), slot) {
+            let old = (old.revision, Arc::clone(&key));
+            self.by_revision.remove(&old);
+            self.deleted.remove(&old);
+        }
+        self.by_revision.insert((entry.revision, Arc::clone(&key)));
+        if deleted {
+            self.deleted.insert((entry.revision, key));
+            self.forget_deleted();
+        }
+    }
+
+    fn forget_deleted(&mut self) {
+        while self.deleted.len() > DELETED_LEAST.max(self.slots.len() / 2) {
+            let oldest = self.deleted.pop_first().expect("more than it keeps");
+            self.kept_from = self.kept_from.max(oldest.0);
+            self.slots.remove(&oldest.1);
+            self.by_revision.remove(&oldest);
+        }
+    }
+}
+
+/// Returns the entries of one page, and where the next one begins.
+fn fill(entries: impl Iterator<Item = Entry>) -> (Vec<Entry>, Option<Cursor>) {
+    let (mut page, mut bytes) = (Vec::new(), 0);
+    for entry in entries {
+        if bytes >= PAGE_BYTES {
+            let last: &Entry = page.last().expect("some bytes");
+            let next = Cursor {
+                revision: last.revision,
+                key: last.key.clone(),
+            };
+            return (page, Some(next));
         }
+        bytes += entry.key.len() + entry.value.as_ref().map_or(0, String::len);
+        page.push(entry);
     }
+    (page, None)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,7 +11,9 @@
 mod board;
 mod lack;
 mod readers;
+mod serving;
 
-pub use board::{Board, Entry, Since};
+pub use board::{Board, Cursor, Entry, Page, Since};
 pub use lack::{Lack, Next};
-pub use readers::{Candidate, Head, Readers, Standing, BEAT_MS};
+pub use readers::{Candidate, First, Head, Readers, Standing, BEAT_MS};
+pub use serving::Serving;
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -53,6 +53,17 @@
     Follows,
 }
 
+/// Where something is read of which nothing is known yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum First {
+    /// The store.
+    Store,
+    /// Another instance, which may have it.
+    Peer(SocketAddr),
+    /// Nowhere, as no other instance is known.
+    Nowhere,
+}
+
 /// A reader that was heard.
 #[derive(Clone, Debug)]
 struct Heard {
@@ -63,7 +74,7 @@
 /// Readers as one instance knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Readers {
-    /// Instances of the own zone, this one among them.
+    /// Instances of the own zone, this one among them; 0 while they are not known.
     zone: usize,
     /// How many of them come before this one.
     rank: usize,
@@ -123,7 +134,9 @@
 
     /// Returns what this instance does.
     pub fn standing(&self, now: u64) -> Standing {
-        let named = !self.has_followers() || self.is_named();
+        // Instances that start together would all read everything before they know of each other.
+        let placed = self.zone > 0;
+        let named = placed && (!self.has_followers() || self.is_named());
         let patience = FED_MS + (self.rank as u64 * STAGGER_MS).min(STAGGER_MOST_MS);
         if named || now >= self.fed_at + patience {
             Standing::Reads
@@ -158,6 +171,23 @@
         ahead.get(turn).copied()
     }
 
+    /// Returns where a board is read of which nothing is known yet: a reader, or any other instance of the zone, as `reader_first`
+    /// says. Were all to read the store, or to ask the readers, a fleet that starts together would take half a minute.
+    pub fn first(
+        &self,
+        now: u64,
+        board: usize,
+        neighbour: Option<SocketAddr>,
+        reader_first: bool,
+    ) -> First {
+        if self.standing(now) == Standing::Reads {
+            return First::Store;
+        }
+        let reader = self.ahead(now, board, 0);
+        let peer = reader.filter(|_| reader_first).or(neighbour).or(reader);
+        peer.map_or(First::Nowhere, First::Peer)
+    }
+
     /// Forgets a reader that did not answer, until it is heard again.
     pub fn forget(&mut self, reader: SocketAddr) {
         self.heard.remove(&reader);
--- /dev/null
+++ b/crates/relay/tests/start.rs
@@ -0,0 +1,196 @@
+//! A zone whose instances start together, or one that starts alone: who reads the store, and when all know the list of upstreams.
+
+use std::net::SocketAddr;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use relay::{Candidate, First, Head, Readers, Serving, BEAT_MS};
+
+/// Time in which service is to be back after a loss of all instances, in milliseconds.
+const RECOVERY_MS: u64 = 18_000;
+/// The list of ten thousand upstreams, in bytes.
+const LIST_BYTES: u64 = 3_000_000;
+/// One page of it, in bytes.
+const PAGE_BYTES: u64 = 32 << 10;
+/// What the narrowest link carries in a millisecond, in bytes.
+const LINK_BYTES_PER_MS: u64 = 2_500;
+/// Time in which an instance reads the list from the store, in milliseconds.
+const STORE_MS: u64 = 500;
+/// When an instance knows the others, in milliseconds after its start.
+const PLACED_MS: u64 = 100;
+/// Length of a step of the simulation, in milliseconds.
+const STEP_MS: u64 = 10;
+
+/// What an instance does until it knows the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Does {
+    /// It looks again at a time.
+    Waits(u64),
+    /// It reads the store, until a time.
+    Reads(u64),
+    /// It has fetched so many bytes from an instance.
+    Fetches(usize, u64),
+    Knows,
+}
+
+struct Zone {
+    rng: StdRng,
+    readers: Vec<Readers>,
+    serving: Vec<Serving>,
+    does: Vec<Does>,
+    lists: usize,
+    /// When each instance knew a first page, in milliseconds.
+    first_page: Vec<Option<u64>>,
+}
+
+impl Zone {
+    fn start(count: usize) -> Zone {
+        Zone {
+            rng: StdRng::seed_from_u64(count as u64),
+            readers: (0..count).map(|_| Readers::open(0)).collect(),
+            serving: vec![Serving::default(); count],
+            does: vec![Does::Waits(0); count],
+            lists: 0,
+            first_page: vec![None; count],
+        }
+    }
+
+    fn place(&mut self) {
+        let names: Vec<String> = (0..self.does.len()).map(|i| format!("n{i}")).collect();
+        let zone: Vec<Candidate<'_>> = names
+            .iter()
+            .map(|name| Candidate {
+                name,
+                link_mbps: Some(20),
+            })
+            .collect();
+        for (readers, me) in self.readers.iter_mut().zip(&zone) {
+            readers.place(me, &zone);
+        }
+    }
+
+    fn beat(&mut self, now: u64) {
+        for i in 0..self.does.len() {
+            if !self.readers[i].speaks(now, false) {
+                continue;
+            }
+            let known = self.does[i] == Does::Knows;
+            let head = Head {
+                rank: self.readers[i].rank(),
+                revisions: vec![i64::from(known)],
+                out: false,
+                failing: false,
+                back_ms: None,
+            };
+            for (j, other) in self.readers.iter_mut().enumerate() {
+                if j != i {
+                    other.hear(now, addr(i), head.clone());
+                }
+            }
+        }
+    }
+
+    fn look(&mut self, now: u64, i: usize) {
+        let count = self.does.len();
+        let neighbour = (i + self.rng.random_range(1..count)) % count;
+        let coin = self.rng.random();
+        self.does[i] = match self.readers[i].first(now, 0, Some(addr(neighbour)), coin) {
+            First::Store => {
+                self.lists += 1;
+                Does::Reads(now + STORE_MS)
+            }
+            First::Peer(peer) => {
+                let peer = index(peer);
+                let knows = self.does[peer] == Does::Knows;
+                if knows && self.serving[peer].admit(now, i as u64) {
+                    Does::Fetches(peer, 0)
+                } else {
+                    Does::Waits(now + BEAT_MS)
+                }
+            }
+            First::Nowhere => Does::Waits(now + BEAT_MS),
+        };
+    }
+
+    fn step(&mut self, now: u64) {
+        if now == PLACED_MS {
+            self.place();
+        }
+        if now % BEAT_MS == 0 {
+            self.beat(now);
+        }
+        let mut fetching = vec![0; self.does.len()];
+        for does in &self.does {
+            if let Does::Fetches(peer, _) = does {
+                fetching[*peer] += 1;
+            }
+        }
+        for i in 0..self.does.len() {
+            match self.does[i] {
+                Does::Waits(until) if now >= until => self.look(now, i),
+                Does::Reads(until) if now >= until => self.knows(now, i),
+                Does::Fetches(peer, bytes) => {
+                    let bytes = bytes + LINK_BYTES_PER_MS * STEP_MS / fetching[peer].max(1);
+                    if bytes >= PAGE_BYTES {
+                        self.first_page[i].get_or_insert(now);
+                    }
+                    if bytes >= LIST_BYTES {
+                        self.serving[peer].end(i as u64);
+                        self.knows(now, i);
+                    } else {
+                        assert!(self.serving[peer].admit(now, i as u64));
+                        self.does[i] = Does::Fetches(peer, bytes);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn knows(&mut self, now: u64, i: usize) {
+        self.first_page[i].get_or_insert(now);
+        self.does[i] = Does::Knows;
+    }
+
+    /// Returns when all know the list.
+    fn run(&mut self) -> u64 {
+        for now in (0..10 * RECOVERY_MS).step_by(STEP_MS as usize) {
+            self.step(now);
+            if self.does.iter().all(|d| *d == Does::Knows) {
+                return now;
+            }
+        }
+        panic!("some never know the list");
+    }
+}
+
+fn addr(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (i / 256) as u8, (i % 256) as u8], 1))
+}
+
+fn index(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(addr) = addr else {
+        panic!("an address of the test");
+    };
+    let octets = addr.ip().octets();
+    usize::from(octets[2]) * 256 + usize::from(octets[3])
+}
+
+/// Guards against a fleet that starts together and reads fifty pages of the store at each of its instances, which it does not bear:
+/// instances in five zones, 30, 100, 300, 985 and 2,000 of them.
+#[test]
+fn a_zone_that_starts_together_reads_the_store_twice() {
+    for count in [6, 20, 60, 197, 400] {
+        let mut zone = Zone::start(count);
+        let took = zone.run();
+        let first = zone.first_page.iter().flatten().max().copied();
+        let first = first.expect("all know it");
+        println!(
+            "{count} a zone: {} lists, {first} ms, {took} ms",
+            zone.lists
+        );
+        let lists = if count > 6 { 2 } else { count };
+        assert!(zone.lists <= lists, "{count}: {} lists", zone.lists);
+        assert!(took <= RECOVERY_MS, "{count}: {took} ms");
+    }
+}
