A holder hands back what it was granted alone whatever event comes first

By reading of what a holder does once it has a witness again: all its accounts are to be looked at, the next event of any kind forgets those that nobody uses, and only a tick hands back. Where the record is read, or another instance is taken for gone, before that tick, the grant stays with its holder for good, and a crash strands it whole. An account now stays in sight as long as its holder has more of its own than one with a witness keeps.

The test fails before (the record is read first), and passes now.

--- a/crates/budget/src/home.rs
+++ b/crates/budget/src/home.rs
@@ -302,7 +302,9 @@
             let unwatched = l.joint.as_ref().is_some_and(|j| !j.is_watched);
             let waits = !l.is_quiet() || !l.acts.is_empty() || !l.calls.is_empty() || l.giving > 0;
             let recent = now < l.used_at + HOT_MS;
-            unwatched || waits || recent || self.must_close(n) || self.has_unwritten_transfers(n)
+            let lone = self.lone(now, n) > 0;
+            let unwritten = self.must_close(n) || self.has_unwritten_transfers(n);
+            unwatched || waits || recent || lone || unwritten
         };
         self.hot = hot.into_iter().filter(busy).collect();
     }
--- a/crates/budget/src/joint.rs
+++ b/crates/budget/src/joint.rs
@@ -202,20 +202,31 @@
         }
         let names: Vec<String> = self.hot.iter().cloned().collect();
         for name in names {
-            let own = self.granted(&name).min(self.available(&name));
-            let total = self.stored(&name).map_or(0, Account::total);
-            let jointly = self.grants_jointly(now, &name);
-            let Some(local) = self.locals.get_mut(&name).filter(|_| jointly) else {
+            let lone = self.lone(now, &name);
+            let Some(local) = self.locals.get_mut(&name) else {
                 continue;
             };
-            let steps = (local.rate(now) * STEP_MS / 1000.0 * STEPS_KEPT) as u64;
-            let kept = steps.max(total / PART_KEPT);
-            if own > kept && local.waiting.is_empty() && local.giving == 0 {
-                local.giving = own - kept;
+            if lone > 0 && local.waiting.is_empty() && local.giving == 0 {
+                local.giving = lone;
             }
         }
     }
 
+    /// Returns the tokens that were granted to this holder alone, beyond what a holder with a witness keeps of its own; 0 while it has
+    /// none.
+    pub(crate) fn lone(&self, now: u64, name: &str) -> u64 {
+        if !self.grants_jointly(now, name) {
+            return 0;
+        }
+        let Some(local) = self.locals.get(name) else {
+            return 0;
+        };
+        let own = self.granted(name).min(self.available(name));
+        let total = self.stored(name).map_or(0, Account::total);
+        let steps = (local.rate(now) * STEP_MS / 1000.0 * STEPS_KEPT) as u64;
+        own.saturating_sub(steps.max(total / PART_KEPT))
+    }
+
     /// Takes no further step of joint grants that the next write ends.
     ///
     /// A step that came while the write is on its way would be handed back and spent as well.
--- a/crates/budget/tests/money.rs
+++ b/crates/budget/tests/money.rs
@@ -312,3 +312,37 @@
     assert!(unspent >= 100, "what is reserved stays covered");
     assert!(written_in(&bench.step(Event::Tick)).is_none());
 }
+
+/// Guards against a holder that keeps what it was granted alone for good, since another event than a tick comes first once it has a
+/// witness: accounts that nobody uses were not looked at again.
+#[test]
+fn what_was_granted_without_a_witness_goes_back_whatever_comes_first() {
+    let mut bench = Bench::open("a.1");
+    bench.reserve("r", 100);
+    let out = bench.step(Event::Read(stored(1, record(400_000))));
+    let (_, alone) = written(&out);
+    bench.step(Event::Written { revision: 2 });
+    let settled = post("a.1", 1, "r", 100);
+    bench.step(Event::Settle {
+        ask: None,
+        account: "c".to_string(),
+        post: settled,
+        doubts: Vec::new(),
+    });
+    let out = bench.step(Event::Tick);
+    let mut record = written_in(&out).map_or(alone, |w| w.1);
+    bench.step(Event::Written { revision: 3 });
+    bench.now += 60_000;
+    bench.step(Event::Tick);
+    let peers = vec!["a.1".to_string(), "b.1".to_string()];
+    bench.home.place(Role::Home, peers, Some("b.1".to_string()));
+    bench.step(Event::Read(stored(4, record.clone())));
+    for _ in 0..3 {
+        if let Some((base, next)) = written_in(&bench.step(Event::Tick)) {
+            record = next;
+            bench.step(Event::Written { revision: base + 1 });
+        }
+    }
+    let unspent = record.accounts["c"].unspent("a.1");
+    assert!(unspent < 8_000, "{unspent} would be stranded");
+}
