Count what instances send to others, and show it: oriolehitch load

What a mechanism costs one instance of a large fleet could not be told from its logs. Each instance now counts datagrams, draws and lists that it sends, by purpose and by whether they leave the zone, and logs the sums every five seconds beside its memory, the instances that it knows and its connections (event 2303). `oriolehitch load LOG...` shows for each the sum, the middle and the busiest instance by name.

--- a/crates/oriolehitch/src/flags.rs
+++ b/crates/oriolehitch/src/flags.rs
@@ -115,6 +115,15 @@
             /// Prints JSON.
             optional --json
         }
+        /// Shows what instances carry, by the logs of a fleet: memory, and what each sends to others.
+        ///
+        /// middle and most: of the instances; at: the one with the most; away: to other availability zones.
+        cmd load {
+            /// Logs in JSON of one instance each, or of many with the instance's name before each line.
+            repeated logs: PathBuf
+            /// Prints JSON.
+            optional --json
+        }
         /// Shows where requests waited for their first byte, in milliseconds, by the logs of a fleet.
         ///
         /// here: from the arrival to the last sending, for tokens, upstreams, connections and earlier attempts; there: from
--- a/crates/oriolehitch/src/lib.rs
+++ b/crates/oriolehitch/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod dev;
 pub mod flags;
 pub mod fleet;
+pub mod load;
 pub mod log;
 mod logs;
 pub mod operate;
@@ -79,6 +80,7 @@
         OriolehitchCmd::Check(cmd) => Ok(check::run(&cmd)),
         OriolehitchCmd::Tokens(cmd) => tokens::run(&cmd),
         OriolehitchCmd::Calls(cmd) => calls::run(&cmd),
+        OriolehitchCmd::Load(cmd) => load::run(&cmd),
         OriolehitchCmd::Waits(cmd) => waits::run(&cmd),
         OriolehitchCmd::Stub(cmd) => stubs::run(cmd).await,
         OriolehitchCmd::Dump(cmd) => operate::dump(cmd).await,
--- a/crates/oriolehitch/tests/reports/main.rs
+++ b/crates/oriolehitch/tests/reports/main.rs
@@ -213,3 +213,38 @@
         Outcome::Refused(_)
     ));
 }
+
+#[test]
+fn load_shows_the_middle_and_the_busiest_instance() {
+    let detail = |memory: u64, sent: u64| {
+        format!(
+            "memory_kb={memory} head.zone.messages={sent} head.zone.bytes={}",
+            sent * 80
+        )
+    };
+    let log = [
+        line(1, "a", 2303, &detail(100, 5)),
+        line(6, "a", 2303, &detail(120, 9)),
+        line(7, "a", 2001, "id=a.2"),
+        line(11, "a", 2303, &detail(80, 4)),
+        line(11, "b", 2303, &detail(300, 2)),
+        line(12, "c", 2303, &detail(90, 1)),
+    ]
+    .concat();
+    let file = file("load.log", &log);
+    let file = file.to_str().expect("a name in letters");
+    let Outcome::Done(text) = run(&["load", file, "--json"]) else {
+        panic!("refused");
+    };
+    let rows: Vec<Value> = serde_json::from_str(&text).expect("JSON");
+    let row = |what: &str| {
+        let row = rows.iter().find(|r| r["what"] == what);
+        row.expect("a row").clone()
+    };
+    let sent = row("head.zone.messages");
+    assert_eq!((&sent["sum"], &sent["middle"]), (&16.into(), &2.into()));
+    assert_eq!((&sent["most"], &sent["at"]), (&13.into(), &"a".into()));
+    let memory = row("memory_kb");
+    assert_eq!((&memory["most"], &memory["at"]), (&300.into(), &"b".into()));
+    assert_eq!(memory["middle"], 120);
+}
--- a/crates/proxy/src/bank/draw.rs
+++ b/crates/proxy/src/bank/draw.rs
@@ -8,6 +8,7 @@
 use tokio::time::{timeout, Instant};
 
 use super::{Bank, Charge};
+use crate::datagram::Sender;
 use crate::event::Event;
 use crate::fleet::Member;
 use crate::peers::CALL_TIMEOUT;
@@ -102,6 +103,9 @@
     /// Calls a home.
     async fn draw_from(&self, home: &Member, customer: &str, tokens: u64, size: u64) -> Drawn {
         let draw = self.draw(home, customer, tokens, size);
+        let bytes = serde_json::to_vec(&draw).map_or(0, |d| d.len());
+        let Sender { fleet, traffic, .. } = &self.means().sender;
+        traffic.count(fleet, "draws", home.addr, bytes);
         let (bank, addr) = (self.clone(), home.addr);
         let call = async move {
             let drawn = bank.means().peers.draw(addr, &draw).await?;
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -28,10 +28,10 @@
 use conf::Routing;
 use escrow::{is_crowded, Holding, Rate, Short, Told};
 use kv::Store;
-use tokio::net::UdpSocket;
 use tokio::sync::{watch, Notify};
 use tokio::time::{timeout_at, Instant};
 
+use crate::datagram::Sender;
 use crate::fleet::Fleet;
 use crate::log::Log;
 use crate::peers::{Peers, Want};
@@ -60,7 +60,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) peers: Peers,
     /// For datagrams to other instances.
-    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) sender: Sender,
     /// Time in which service is to be back after a loss of all instances, in milliseconds, where the settings name one.
     pub(crate) recovery_ms: Option<u64>,
 }
--- a/crates/proxy/src/bank/settled.rs
+++ b/crates/proxy/src/bank/settled.rs
@@ -43,13 +43,13 @@
 
     /// Tells homes of requests that have ended.
     pub(super) async fn settle(self) {
-        let socket = &self.means().socket;
+        let sender = &self.means().sender;
         loop {
             self.0.ended_wake.notified().await;
             sleep(TOGETHER).await;
             for (addr, told) in self.untold() {
                 for told in told.chunks(TOLD_MOST) {
-                    Datagram::Settled(told.to_vec()).send(socket, [addr]);
+                    sender.send(&Datagram::Settled(told.to_vec()), [addr]);
                 }
             }
         }
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -22,6 +22,7 @@
 use crate::peers::Desk;
 use crate::relay::Relay;
 use crate::tell::Others;
+use crate::traffic::Traffic;
 
 /// Pause between two rounds of a small fleet: a long prompt is read in some hundred milliseconds.
 const ROUND: Duration = Duration::from_millis(80);
@@ -54,12 +55,35 @@
 }
 
 impl Datagram {
-    /// Sends it to some instances.
-    pub(crate) fn send(&self, socket: &UdpSocket, to: impl IntoIterator<Item = SocketAddr>) {
-        let bytes = serde_json::to_vec(self).expect("numbers and texts that JSON can hold");
+    /// Returns what it is for, as reports name it.
+    fn purpose(&self) -> &'static str {
+        match self {
+            Datagram::Loads(_) => "loads",
+            Datagram::Settled(_) => "settled",
+            Datagram::Head(_) => "head",
+            Datagram::Suspects(_) => "suspects",
+            Datagram::Notices { .. } => "notices",
+        }
+    }
+}
+
+/// Sends datagrams to other instances.
+#[derive(Clone)]
+pub(crate) struct Sender {
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) fleet: Fleet,
+    pub(crate) traffic: Traffic,
+}
+
+impl Sender {
+    /// Sends a datagram to some instances.
+    pub(crate) fn send(&self, datagram: &Datagram, to: impl IntoIterator<Item = SocketAddr>) {
+        let bytes = serde_json::to_vec(datagram).expect("numbers and texts that JSON can hold");
         for addr in to {
+            self.traffic
+                .count(&self.fleet, datagram.purpose(), addr, bytes.len());
             // One that can't be sent is as good as a lost one.
-            let _ = socket.try_send_to(&bytes, addr);
+            let _ = self.socket.try_send_to(&bytes, addr);
         }
     }
 }
@@ -83,39 +107,35 @@
 
 /// Tells the others, and listens to them.
 pub(crate) fn spawn(others: &Others, pool: Arc<Mutex<Pool>>, desk: Desk, clock: Clock) {
-    let Others { fleet, socket, .. } = others.clone();
-    let ears = Ears {
+    let sender = &others.sender;
+    let receiver = Receiver {
         pool: Arc::clone(&pool),
         desk: desk.clone(),
-        fleet: fleet.clone(),
+        sender: sender.clone(),
         clock,
     };
-    tokio::spawn(ears.listen(Arc::clone(&socket)));
-    tokio::spawn(tell_zone(
-        Arc::clone(&socket),
-        desk.effects.relay,
-        fleet.clone(),
-    ));
-    tokio::spawn(tell(socket, pool, fleet, clock));
+    tokio::spawn(receiver.listen());
+    tokio::spawn(tell_zone(sender.clone(), desk.effects.relay));
+    tokio::spawn(tell(sender.clone(), pool, clock));
 }
 
 /// Tells the instances of the own zone how far this one has read the store, while it reads for them.
-async fn tell_zone(socket: Arc<UdpSocket>, relay: Relay, fleet: Fleet) {
+async fn tell_zone(sender: Sender, relay: Relay) {
     loop {
         let Some(head) = relay.next_word().await else {
             continue;
         };
-        let roster = fleet.roster();
+        let roster = sender.fleet.roster();
         let to = roster.neighbours().iter().map(|m| m.addr);
-        Datagram::Head(head).send(&socket, to);
+        sender.send(&Datagram::Head(head), to);
     }
 }
 
-async fn tell(socket: Arc<UdpSocket>, pool: Arc<Mutex<Pool>>, fleet: Fleet, clock: Clock) {
+async fn tell(sender: Sender, pool: Arc<Mutex<Pool>>, clock: Clock) {
     let from = rand::random();
     let mut silent = false;
     loop {
-        let mut hearers = fleet.others();
+        let mut hearers = sender.fleet.others();
         hearers.truncate(HEARERS_MOST);
         let rounds = (hearers.len() / SMALL_FLEET + 1) as u32;
         sleep(ROUND * rounds).await;
@@ -131,20 +151,21 @@
             held: held.into_iter().map(row).collect(),
         };
         let to = hearers.into_iter().map(|m| m.addr);
-        Datagram::Loads(word).send(&socket, to);
+        sender.send(&Datagram::Loads(word), to);
     }
 }
 
-/// Whom datagrams are for.
-struct Ears {
+/// Receives datagrams of other instances, and passes them on to what they are for.
+struct Receiver {
     pool: Arc<Mutex<Pool>>,
     desk: Desk,
-    fleet: Fleet,
+    sender: Sender,
     clock: Clock,
 }
 
-impl Ears {
-    async fn listen(self, socket: Arc<UdpSocket>) {
+impl Receiver {
+    async fn listen(self) {
+        let Sender { socket, fleet, .. } = &self.sender;
         let mut buf = vec![0; DATAGRAM_MOST];
         loop {
             // An error here is another instance's closed port, told by its host.
@@ -157,18 +178,19 @@
                 Ok(Datagram::Settled(told)) => self.desk.bank.take_settled(&told),
                 Ok(Datagram::Head(head)) => self.desk.effects.relay.hear(from, head),
                 Ok(Datagram::Suspects(words)) => {
-                    let lacks = self.desk.suspects.hear(&self.fleet, &words);
+                    let lacks = self.desk.suspects.hear(fleet, &words);
                     if !lacks.is_empty() {
-                        Datagram::Suspects(lacks).send(&socket, [from]);
+                        self.sender.send(&Datagram::Suspects(lacks), [from]);
                     }
                 }
                 Ok(Datagram::Notices { version, batch }) => {
-                    let near = self.fleet.roster().is_near(from);
+                    let near = fleet.roster().is_near(from);
                     let lacks = self.desk.effects.receive(from, near, version, batch);
                     if !lacks.is_empty() {
                         let version = self.desk.effects.config.version();
                         let batch = lacks;
-                        Datagram::Notices { version, batch }.send(&socket, [from]);
+                        self.sender
+                            .send(&Datagram::Notices { version, batch }, [from]);
                     }
                 }
                 // Not one of ours, or of another version.
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -38,6 +38,8 @@
     NewsFromPeer,
     /// The list of instances changed.
     Members,
+    /// What this instance has sent to others so far, and what it keeps.
+    Load,
     /// An upstream is new.
     UpstreamNew,
     /// An upstream started again under its name.
@@ -128,6 +130,7 @@
         "news from another instance",
     ),
     row(Event::Members, 2302, Level::INFO, "instances changed"),
+    row(Event::Load, 2303, Level::INFO, "traffic between instances"),
     row(Event::UpstreamNew, 2401, Level::INFO, "upstream listed"),
     row(
         Event::UpstreamLeaving,
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -18,7 +18,7 @@
 use crate::bank::{Bank, Means};
 use crate::calls::Calls;
 use crate::config::{ColdBounds, Config, Works};
-use crate::datagram;
+use crate::datagram::{self, Sender};
 use crate::dialect::Dialect;
 use crate::evacuation::Evacuations;
 use crate::event::Event;
@@ -37,6 +37,7 @@
 use crate::router::Router;
 use crate::suspects::Suspects;
 use crate::tell::Others;
+use crate::traffic::Traffic;
 
 /// Largest body that the readiness and operators' listeners take, in bytes.
 const OPS_BODY_LIMIT: usize = 1 << 16;
@@ -155,10 +156,15 @@
             Arc::clone(&pool),
             clock,
         );
+        let traffic = Traffic::default();
         let others = Others {
             fleet: fleet.clone(),
             peers: peers.clone(),
-            socket: Arc::new(socket),
+            sender: Sender {
+                socket: Arc::new(socket),
+                fleet: fleet.clone(),
+                traffic: traffic.clone(),
+            },
         };
         let router = Arc::new(Router {
             dialect,
@@ -201,6 +207,7 @@
                 evacuations,
                 relay,
             },
+            traffic: traffic.clone(),
         };
         suspects.spawn_tell(&others);
         desk.effects.spawn_limit_query(&others);
@@ -221,9 +228,10 @@
             reach,
             fleet,
             peers,
-            socket: others.socket,
+            sender: others.sender,
             recovery_ms: fleet_settings.recovery_secs.map(|s| (s * 1000.0) as u64),
         });
+        traffic.spawn(&router.fleet, &dialer, &log);
         spawn_sweep(dialer);
         calls.spawn(Arc::clone(&log));
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -37,6 +37,7 @@
 mod stream;
 mod suspects;
 mod tell;
+mod traffic;
 
 pub use ask::{Ask, Sending};
 pub use dialect::{AdvertisedLimit, Dialect, Reading, Rest, Word};
--- a/crates/proxy/src/notices.rs
+++ b/crates/proxy/src/notices.rs
@@ -114,7 +114,9 @@
     let chosen = listed.choose_multiple(&mut rand::rng(), peers);
     let chosen: Vec<SocketAddr> = chosen.map(|m| m.addr).collect();
     let version = config.version();
-    Datagram::Notices { version, batch }.send(&others.socket, chosen);
+    others
+        .sender
+        .send(&Datagram::Notices { version, batch }, chosen);
 }
 
 /// Returns the name of a key among instances: keys themselves are never sent.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -25,6 +25,7 @@
 use crate::reach::Reach;
 use crate::relay::{Ask, Passed, Relay, Topic};
 use crate::suspects::{AskTrial, Suspects, Trial};
+use crate::traffic::Traffic;
 
 /// An instance answers within a few milliseconds, or is not there: a request waits for it.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(250);
@@ -88,6 +89,7 @@
     pub(crate) bank: Bank,
     pub(crate) suspects: Suspects,
     pub(crate) effects: Effects,
+    pub(crate) traffic: Traffic,
 }
 
 impl Desk {
@@ -147,7 +149,9 @@
     news.expect("a new name");
     let lacking = module.register_method("lacking", |params, desk, _| -> RpcResult<Passed> {
         let ask: Ask = params.one()?;
-        Ok(desk.effects.relay.tell(&ask))
+        let passed = desk.effects.relay.tell(&ask);
+        desk.traffic.count_near("lists", passed.bytes());
+        Ok(passed)
     });
     lacking.expect("a new name");
     let suspects = module.register_method("suspects", |_, desk, _| -> RpcResult<Vec<Word>> {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -73,6 +73,14 @@
 }
 
 impl Passed {
+    /// Returns the bytes of its keys and values.
+    pub(crate) fn bytes(&self) -> usize {
+        let entries = self.since.entries().iter();
+        entries
+            .map(|e| e.key.len() + e.value.as_ref().map_or(0, String::len))
+            .sum()
+    }
+
     /// Returns the changes on this page.
     pub(crate) fn changes(&self) -> Vec<Change> {
         self.since.entries().iter().cloned().map(change).collect()
--- a/crates/proxy/src/tell.rs
+++ b/crates/proxy/src/tell.rs
@@ -1,14 +1,12 @@
 //! Requests under which upstreams end: the other instances are told, and asked.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use suspect::Word;
-use tokio::net::UdpSocket;
 use tokio::time::{sleep, Instant};
 
-use crate::datagram::Datagram;
+use crate::datagram::{Datagram, Sender};
 use crate::fleet::Fleet;
 use crate::peers::Peers;
 use crate::suspects::Suspects;
@@ -34,7 +32,7 @@
 pub(crate) struct Others {
     pub(crate) fleet: Fleet,
     pub(crate) peers: Peers,
-    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) sender: Sender,
 }
 
 impl Suspects {
@@ -57,12 +55,12 @@
                 let (to_all, to_keepers): (Vec<_>, Vec<_>) = due.into_iter().partition(|d| d.1);
                 let to_all: Vec<Word> = to_all.into_iter().map(|d| d.0).collect();
                 let all = others.fleet.others().into_iter().map(|m| m.addr);
-                send(&others.socket, &to_all, &all.collect::<Vec<_>>());
+                send(&others.sender, &to_all, &all.collect::<Vec<_>>());
                 for (word, _) in to_keepers {
                     let keepers = others.fleet.roster().keepers(word.digest.number());
                     let keepers = keepers.iter().filter(|m| m.id != others.fleet.me());
                     let keepers: Vec<SocketAddr> = keepers.map(|m| m.addr).collect();
-                    send(&others.socket, &[word], &keepers);
+                    send(&others.sender, &[word], &keepers);
                 }
                 sleep(TELL_EVERY).await;
             }
@@ -80,7 +78,7 @@
                 continue;
             }
             turn = turn.wrapping_add(1);
-            send(&others.socket, &page, &[listed[turn % listed.len()].addr]);
+            send(&others.sender, &page, &[listed[turn % listed.len()].addr]);
         }
     }
 
@@ -135,8 +133,8 @@
     }
 }
 
-fn send(socket: &UdpSocket, words: &[Word], to: &[SocketAddr]) {
+fn send(sender: &Sender, words: &[Word], to: &[SocketAddr]) {
     for words in words.chunks(WORDS_MOST) {
-        Datagram::Suspects(words.to_vec()).send(socket, to.iter().copied());
+        sender.send(&Datagram::Suspects(words.to_vec()), to.iter().copied());
     }
 }
