Read a customer's record by itself where all take several calls

Where fewer records are wanted than the list takes calls, each is read by itself; up to 200 customers nothing changes. An outdated book is read without any record.

--- a/crates/proxy/src/bank/handover.rs
+++ b/crates/proxy/src/bank/handover.rs
@@ -101,7 +101,7 @@
     pub(crate) async fn leave(&self) -> bool {
         self.0.leaving.store(true, Ordering::Relaxed);
         // A read first: tokens in a write that may yet land can't be given to anybody else.
-        let answers = timeout(LEAVE_STORE, self.read()).await;
+        let answers = timeout(LEAVE_STORE, self.read(&self.holders())).await;
         if answers == Ok(true) {
             self.give_back().await
         } else {
@@ -112,7 +112,7 @@
     async fn give_back(&self) -> bool {
         let mut lost = 0;
         while lost < TRIES {
-            if self.is_book_outdated() && !self.read().await {
+            if self.is_book_outdated() && !self.read_book().await {
                 return false;
             }
             let txn = self.plan(Scope::Leaving);
--- a/crates/proxy/src/bank/refill.rs
+++ b/crates/proxy/src/bank/refill.rs
@@ -1,5 +1,6 @@
 //! The task that keeps the holdings filled: reads records, plans, writes.
 
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
 /// Records older than this are read again before requests are refused by them, in milliseconds: what
 /// others hand back shows a second later at most, and callers come back later than that.
 const RECORDS_OLD_MS: u64 = 1_000;
+/// Records that the store lists in one call, about: where fewer are wanted than that takes calls, each is read by itself.
+const RECORDS_A_CALL: usize = 200;
 /// Shortest pause between two looks that requests ask for.
 const LOOK_LEAST: Duration = Duration::from_millis(20);
 /// The store alone is waited for so long; then other instances are asked beside it.
@@ -156,12 +159,14 @@
     /// What was read last is good enough to begin with: a transaction that loses against another
     /// instance's brings the records as they are now.
     async fn change(&self, scope: Scope) {
-        if self.must_read() && !self.read().await {
+        let unread = self.unread();
+        let read = !unread.is_empty() || self.is_book_outdated();
+        if read && !self.read(&unread).await {
             return;
         }
         for lost in 1..=TRIES {
             let txn = self.plan(scope);
-            if self.is_book_outdated() && self.read().await {
+            if self.is_book_outdated() && self.read_book().await {
                 continue;
             }
             if txn.put.is_empty() {
@@ -177,19 +182,16 @@
         }
     }
 
-    /// Returns whether a record was never read that this instance has to do with, or requests lack tokens that by an
-    /// old one nobody has.
+    /// Returns the customers whose records are to be read: those that were never read and this instance has to do with, and those
+    /// whose requests lack tokens that by an old record nobody has.
     ///
     /// Of most customers an instance of a large fleet is not the home: it draws from others, and what stands in
     /// their records says nothing to it.
-    fn must_read(&self) -> bool {
-        if self.is_book_outdated() {
-            return true;
-        }
+    fn unread(&self) -> Vec<String> {
         let now = self.0.clock.now();
         let fleet = &self.means().fleet;
         let accounts = self.0.accounts.lock().expect("no panic inside");
-        let old = |(name, account): (&String, &Account)| {
+        let old = |(name, account): &(&String, &Account)| {
             let holding = &account.holding;
             match holding.known() {
                 None => holding.has_work(now) || fleet.is_home(name, Area::Fleet),
@@ -198,31 +200,66 @@
                 }
             }
         };
-        accounts.iter().any(old)
+        let old = accounts.iter().filter(old);
+        old.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Reads all records, and the own book for the first time; returns whether the store answered.
-    pub(super) async fn read(&self) -> bool {
-        let means = self.means();
+    /// Reads some customers' records, or all where that takes no more calls, and the own book where it is not known; returns whether
+    /// the store answered.
+    pub(super) async fn read(&self, customers: &[String]) -> bool {
+        let known = self.book().is_some() && !self.is_book_outdated();
+        if !known && !self.read_book().await {
+            return false;
+        }
+        if customers.is_empty() {
+            return true;
+        }
+        let accounts = self.0.accounts.lock().expect("no panic inside").len();
+        if customers.len() >= accounts.div_ceil(RECORDS_A_CALL) {
+            return self.read_all().await;
+        }
+        for customer in customers {
+            let key = format!("{PREFIX}{customer}");
+            let Ok(found) = self.means().store.get(&key).await else {
+                return false;
+            };
+            self.learn_records(&[customer], found.as_slice());
+        }
+        true
+    }
+
+    /// Reads the own book; returns whether the store answered.
+    pub(super) async fn read_book(&self) -> bool {
         let doubted = self.0.book_doubted.load(Ordering::Relaxed);
-        if self.book().is_none() || self.is_book_outdated() {
-            match means.store.get(&self.book_key()).await {
-                Ok(found) => {
-                    self.learn_book(found.as_ref());
-                    self.0.book_checked.store(doubted, Ordering::Relaxed);
-                }
-                Err(_) => return false,
+        match self.means().store.get(&self.book_key()).await {
+            Ok(found) => {
+                self.learn_book(found.as_ref());
+                self.0.book_checked.store(doubted, Ordering::Relaxed);
+                true
             }
+            Err(_) => false,
         }
-        match means.store.list(PREFIX, Reading::Linearizable).await {
+    }
+
+    /// Reads all records; returns whether the store answered.
+    async fn read_all(&self) -> bool {
+        match self.means().store.list(PREFIX, Reading::Linearizable).await {
             Ok(listing) => {
-                self.learn_all(&listing.items);
+                let customers = self.customers();
+                let customers: Vec<&String> = customers.iter().collect();
+                self.learn_records(&customers, &listing.items);
                 true
             }
             Err(_) => false,
         }
     }
 
+    /// Returns all customers that are known here.
+    pub(super) fn customers(&self) -> Vec<String> {
+        let accounts = self.0.accounts.lock().expect("no panic inside");
+        accounts.keys().cloned().collect()
+    }
+
     pub(super) async fn commit(&self, txn: Txn) -> Wrote {
         let means = self.means();
         let written = txn.put.clone();
@@ -360,19 +397,21 @@
         self.0.log.note(Event::LeftBehind, detail);
     }
 
-    /// Takes all records as they are now; those that are missing are empty.
-    fn learn_all(&self, items: &[Found]) {
+    /// Takes some customers' records as they are now; those that are missing are empty.
+    fn learn_records(&self, customers: &[&String], items: &[Found]) {
         let at = self.0.clock.now();
+        let names = items.iter().filter_map(|f| f.key.strip_prefix(PREFIX));
+        let found: HashSet<&str> = names.collect();
         {
             let mut accounts = self.0.accounts.lock().expect("no panic inside");
-            for (name, account) in accounts.iter_mut() {
-                let key = format!("{PREFIX}{name}");
-                if items.iter().all(|f| f.key != key) {
-                    let empty = Known {
-                        record: Record::default(),
-                        revision: 0,
-                        at,
-                    };
+            let missing = customers.iter().filter(|c| !found.contains(c.as_str()));
+            for customer in missing {
+                let empty = Known {
+                    record: Record::default(),
+                    revision: 0,
+                    at,
+                };
+                if let Some(account) = accounts.get_mut(*customer) {
                     account.holding.learn(empty);
                 }
             }
