--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -40,7 +40,7 @@
     Members,
     /// What this instance has sent to others so far, and what it keeps.
     Load,
-    /// An upstream is new.
+    /// An upstream is new; of more than 16 that come together only `count`.
     UpstreamNew,
     /// An upstream started again under its name.
     UpstreamReborn,
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -21,6 +21,9 @@
 use crate::relay::Topic;
 use crate::suspects::Suspects;
 
+/// New upstreams of one change that are logged one by one.
+const LINES_MOST: usize = 16;
+
 /// A handle on the list of upstreams.
 #[derive(Clone)]
 pub(crate) struct Listing(Arc<Inner>);
@@ -210,12 +213,14 @@
             }
             seen.entries.clone()
         };
+        let mut new = Vec::new();
         for (key, entry) in &items {
             let value = &entry.value;
             if known.get(key).map(|e| &e.value) != Some(value) {
-                self.entry(key, value);
+                new.extend(self.entry(key, value));
             }
         }
+        self.log_new(&new);
         for key in known.keys().filter(|k| !items.contains_key(*k)) {
             self.missing(key, revision);
         }
@@ -226,11 +231,12 @@
     }
 
     fn changed(&self, changes: Vec<Change>, revision: i64) {
+        let mut new = Vec::new();
         for change in changes {
             match change.now {
                 Some(found) if self.is_removed(&found.key, found.revision) => {}
                 Some(found) => {
-                    self.entry(&found.key, &found.value);
+                    new.extend(self.entry(&found.key, &found.value));
                     let (key, entry) = row(found);
                     let mut seen = self.seen();
                     seen.entries.insert(key, entry);
@@ -238,6 +244,7 @@
                 None => self.missing(&change.key, change.revision),
             }
         }
+        self.log_new(&new);
         let mut seen = self.seen();
         seen.revision = seen.revision.max(revision);
         self.0.notices.set_upstreams(seen.entries.len());
@@ -293,14 +300,16 @@
         self.0.seen.lock().expect("no panic inside")
     }
 
-    /// Takes an entry. One that can't be read, for others write there too, names no upstream to use.
-    fn entry(&self, key: &str, value: &[u8]) {
+    /// Takes an entry; returns the detail of the log line where it names a new upstream. One that can't be read, for others write there
+    /// too, names no upstream to use.
+    fn entry(&self, key: &str, value: &[u8]) -> Option<String> {
         let spec = match self.0.dialect.upstream(key, value) {
             Ok(spec) => spec,
             Err(why) => {
                 let detail = format_args!("key={key} why={why}");
                 self.0.log.note(Event::UpstreamBroken, detail);
-                return self.delist(key);
+                self.delist(key);
+                return None;
             }
         };
         let incarnation = spec.incarnation();
@@ -315,7 +324,7 @@
         let now = self.0.clock.now();
         let listed = self.0.pool.lock().expect("no panic inside").list(now, spec);
         let event = match listed {
-            Listed::Known => return,
+            Listed::Known => return None,
             Listed::Reborn { ended } => {
                 self.0.dialer.cut(&ended);
                 self.0.suspects.ended(&ended);
@@ -325,9 +334,21 @@
                 self.0.dialer.forget(&incarnation);
                 Event::UpstreamLeaving
             }
-            Listed::New | Listed::Leaving => Event::UpstreamNew,
+            Listed::New | Listed::Leaving => return Some(detail),
         };
         self.0.log.note(event, detail);
+        None
+    }
+
+    /// Logs new upstreams: of many that come together only how many, for their lines would crowd out all others.
+    fn log_new(&self, details: &[String]) {
+        if details.len() > LINES_MOST {
+            let count = format_args!("count={}", details.len());
+            return self.0.log.note(Event::UpstreamNew, count);
+        }
+        for detail in details {
+            self.0.log.note(Event::UpstreamNew, detail);
+        }
     }
 
     fn delist(&self, key: &str) {
