--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -18,6 +18,9 @@
 /// Without it a fleet that starts beside a hundred upstreams makes a call for each of them at each
 /// instance. Short against the two seconds in which a change is in force.
 const GAP: Duration = Duration::from_millis(400);
+/// Pause between the first list of the instances and the first watch: those that start together come with one call then, and
+/// longer than it takes to start would put off what needs to know them.
+const STARTED_TOGETHER: Duration = Duration::from_secs(1);
 /// Pause after a call that failed: short against the two seconds in which a change is in force, long
 /// against a call.
 const AGAIN_AFTER: Duration = Duration::from_millis(250);
@@ -245,6 +248,10 @@
         self.after = Some(listing.revision);
         self.compacted = false;
         self.list_at = Instant::now() + LIST_EVERY;
+        if known == 0 && self.topic == Topic::Instances {
+            // Those that start together are all listed by then.
+            self.watch_at = Instant::now() + STARTED_TOGETHER;
+        }
         // The watch goes on from what is known: one that is older would take back what that brought.
         let newer = listing.revision >= known;
         newer.then_some(Update::Listed(listing.items, listing.revision))
