Pass a version on from any instance that has it

Each of two readers passed 100 KB on to a hundred followers at once, 10 MB; their fetches ended without an answer after 0.4 s, and 0.6 s after the notice they turned to the store.

Now an instance serves four fetches of a configuration at a time. One that is turned away asks others of its zone, one reader in four tries, every 50 ms, as long as it knows that it is behind; the time after which it turns to the store grows with how often a version must be passed on in a zone of that size (0.3 s more from 64 on). Weighed: a tree through the zone, whose inner nodes may be dead, cut or slow, and are noticed 0.9 s later; and any instance that has it, chosen, which needs no agreement.

--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -24,6 +24,8 @@
 /// Pause after a call that failed: short against the two seconds in which a change is in force, long
 /// against a call.
 const AGAIN_AFTER: Duration = Duration::from_millis(250);
+/// Pause before an instance that is behind asks another one, after it was turned away.
+const BEHIND_AGAIN: Duration = Duration::from_millis(50);
 /// All keys are read again after this time: a watch may go on without ever bringing what changed. No such
 /// case is known; it bounds what one would do.
 const LIST_EVERY: Duration = Duration::from_secs(30);
@@ -57,6 +59,8 @@
     fetch: Option<Fetch>,
     /// The store has more keys than one page, and only the first one was read.
     many_calls: bool,
+    /// The last instance that was asked had nothing newer, or turned this one away.
+    turned_away: bool,
 }
 
 /// How a fetch from another instance ended.
@@ -106,6 +110,7 @@
             watch_at: Instant::now(),
             fetch: None,
             many_calls: false,
+            turned_away: false,
         }
     }
 
@@ -126,15 +131,23 @@
                 Source::Nowhere => Some(Fetched::Nothing),
             };
             match fetched {
-                Some(Fetched::News(update)) => return update,
-                Some(Fetched::Failed) if relay.revision(self.topic) > 0 => {
+                Some(Fetched::News(update)) => {
+                    self.turned_away = false;
+                    return update;
+                }
+                Some(Fetched::Failed) if self.may_read() => {
                     elsewhere = self.ahead();
                     if elsewhere.is_some() {
                         continue;
                     }
                 }
                 Some(Fetched::Nothing | Fetched::Failed) => {
-                    relay.wait().await;
+                    self.turned_away = true;
+                    if relay.is_behind(self.topic) {
+                        sleep(BEHIND_AGAIN).await;
+                    } else {
+                        relay.wait().await;
+                    }
                     continue;
                 }
                 None => {}
@@ -151,9 +164,19 @@
         if self.many_calls && relay.revision(self.topic) == 0 {
             return relay.first_source(self.topic, true);
         }
+        if self.turned_away {
+            return relay.other_source(self.topic);
+        }
         relay.source(self.topic)
     }
 
+    /// Returns whether the store is read where another instance did not answer: not while others may have what is lacking, nor where
+    /// that takes many calls.
+    fn may_read(&self) -> bool {
+        let relay = &self.feed.relay;
+        relay.revision(self.topic) > 0 && !relay.is_behind(self.topic)
+    }
+
     /// Returns an instance that is known to have what is lacking.
     fn ahead(&self) -> Option<SocketAddr> {
         match self.feed.relay.source(self.topic) {
@@ -177,7 +200,9 @@
             relay.forget(addr);
             return Fetched::Failed;
         };
-        if page.revision == 0 {
+        // Such an answer would be asked for again at once.
+        let newer = page.revision > ask.revision;
+        if !newer && earlier.is_none() {
             return Fetched::Nothing;
         }
         let changes = page.changes();
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -109,8 +109,10 @@
     /// The other instances of the own zone.
     neighbours: Mutex<Vec<SocketAddr>>,
     boards: Mutex<[Board; TOPICS]>,
-    /// Fetches of all upstreams by instances that have just started.
-    serving: Mutex<Serving>,
+    /// Fetches of all upstreams, by instances that have just started.
+    lists: Mutex<Serving>,
+    /// Fetches of the configuration.
+    configs: Mutex<Serving>,
     /// Versions of the configuration that are known to exist and not known here.
     lack: Mutex<Lack>,
     /// Wakes those that wait for a reader's word.
@@ -127,7 +129,8 @@
             readers: Mutex::new(Readers::open(clock.now())),
             neighbours: Mutex::default(),
             boards: Mutex::default(),
-            serving: Mutex::default(),
+            lists: Mutex::new(Serving::lists()),
+            configs: Mutex::new(Serving::configs()),
             lack: Mutex::default(),
             heard: Notify::new(),
             learnt: Notify::new(),
@@ -191,9 +194,7 @@
         if topic == Topic::Instances {
             return Source::Store;
         }
-        let neighbours = self.0.neighbours.lock().expect("no panic inside");
-        let neighbour = neighbours.choose(&mut rand::rng()).copied();
-        drop(neighbours);
+        let neighbour = self.neighbour();
         let now = self.0.clock.now();
         let readers = self.0.readers.lock().expect("no panic inside");
         match readers.first(now, topic as usize, many_calls, neighbour, rand::random()) {
@@ -203,12 +204,42 @@
         }
     }
 
+    /// Returns any other instance of the zone.
+    fn neighbour(&self) -> Option<SocketAddr> {
+        let neighbours = self.0.neighbours.lock().expect("no panic inside");
+        neighbours.choose(&mut rand::rng()).copied()
+    }
+
+    /// Returns where a topic is read by an instance that is behind and was turned away, or asked one that is behind too.
+    pub(crate) fn other_source(&self, topic: Topic) -> Source {
+        if !self.is_behind(topic) || self.is_late(topic) {
+            return self.source(topic);
+        }
+        let (known, neighbour) = (self.revision(topic), self.neighbour());
+        let now = self.0.clock.now();
+        let readers = self.0.readers.lock().expect("no panic inside");
+        if readers.standing(now) == Standing::Reads {
+            return Source::Store;
+        }
+        let peer = readers.peer(now, topic as usize, known, neighbour, rand::random());
+        peer.map_or(Source::Nowhere, Source::Peer)
+    }
+
+    /// Returns whether something newer of a topic is known to exist.
+    pub(crate) fn is_behind(&self, topic: Topic) -> bool {
+        let lack = self.0.lack.lock().expect("no panic inside");
+        topic == Topic::Config && lack.is_behind()
+    }
+
     /// Asks where to turn for what is known to exist and not known here.
     fn lack(&self, ask: impl FnOnce(&mut Lack, u64, u64) -> Next) -> Next {
         let now = self.0.clock.now();
-        let rank = self.0.readers.lock().expect("no panic inside").rank();
+        let wait_ms = {
+            let readers = self.0.readers.lock().expect("no panic inside");
+            Lack::wait_ms(readers.rank(), readers.zone())
+        };
         let mut lack = self.0.lack.lock().expect("no panic inside");
-        ask(&mut lack, now, Lack::wait_ms(rank))
+        ask(&mut lack, now, wait_ms)
     }
 
     fn lacks(&self) -> Next {
@@ -299,23 +330,25 @@
         }
     }
 
-    /// Answers an instance that lacks something. One that has just started, and asks for everything, may be turned away.
+    /// Answers an instance that lacks something. Where that is large, it may be turned away.
     pub(crate) fn tell(&self, ask: &Ask) -> Passed {
-        let everything = ask.topic == Topic::Upstreams && ask.revision == 0;
-        let now = self.0.clock.now();
-        let mut serving = self.0.serving.lock().expect("no panic inside");
-        if everything && !serving.admit(now, ask.fetch) {
+        let boards = self.0.boards.lock().expect("no panic inside");
+        let board = &boards[ask.topic as usize];
+        let serving = match ask.topic {
+            Topic::Config if board.revision() > ask.revision => Some(&self.0.configs),
+            Topic::Upstreams if ask.revision == 0 => Some(&self.0.lists),
+            _ => None,
+        };
+        if serving.is_some_and(|s| !self.admits(s, ask)) {
             return Passed {
                 since: Since::Changed(Vec::new()),
                 revision: 0,
                 next: None,
             };
         }
-        let boards = self.0.boards.lock().expect("no panic inside");
-        let board = &boards[ask.topic as usize];
         let page = board.page(ask.revision, ask.after.as_ref());
-        if page.next.is_none() {
-            serving.end(ask.fetch);
+        if page.next.is_none() && ask.topic == Topic::Upstreams {
+            self.0.lists.lock().expect("no panic inside").end(ask.fetch);
         }
         Passed {
             since: page.since,
@@ -324,6 +357,12 @@
         }
     }
 
+    fn admits(&self, serving: &Mutex<Serving>, ask: &Ask) -> bool {
+        let now = self.0.clock.now();
+        let mut serving = serving.lock().expect("no panic inside");
+        serving.admit(now, ask.fetch)
+    }
+
     /// Takes the whole answer of an instance that was asked.
     pub(crate) fn take(&self, topic: Topic, told: Passed) -> Update {
         self.update(topic, |board| board.follow(&told.since, told.revision));
--- a/crates/relay/src/lack.rs
+++ b/crates/relay/src/lack.rs
@@ -12,6 +12,8 @@
 /// have it from the first; the last one begins after `STAGGER_MOST_MS`.
 const STAGGER_MS: u64 = 15;
 const STAGGER_MOST_MS: u64 = 300;
+/// Of a zone, one in so many gets it in each stretch of that time.
+const PASSED_ON: usize = 4;
 /// Instances that are known to have it.
 const HOLDERS_MOST: usize = 4;
 /// Versions that are lacking, of which the time is kept.
@@ -82,9 +84,17 @@
         self.holders.first().map(|(h, _)| *h)
     }
 
-    /// Returns how much later than the first of its zone an instance of some rank turns to the store, in milliseconds.
-    pub fn wait_ms(rank: usize) -> u64 {
-        (rank as u64 * STAGGER_MS).min(STAGGER_MOST_MS)
+    /// Returns how much later than the first one of a small zone an instance turns to the store, in milliseconds: by its rank, and by
+    /// how often what the readers have is passed on until all of its zone have it.
+    pub fn wait_ms(rank: usize, zone: usize) -> u64 {
+        let passes = zone.max(1).ilog(PASSED_ON).saturating_sub(1);
+        let stagger = (rank as u64 * STAGGER_MS).min(STAGGER_MOST_MS);
+        stagger + PEERS_MS * u64::from(passes.saturating_sub(1))
+    }
+
+    /// Returns whether something newer exists than what is known here.
+    pub fn is_behind(&self) -> bool {
+        !self.heard.is_empty()
     }
 
     /// Returns where to turn now. An instance that has it is asked once, until it reports it again: it may have it from a source
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -133,6 +133,11 @@
         self.rank
     }
 
+    /// Returns how many instances the zone has, as far as known.
+    pub fn zone(&self) -> usize {
+        self.zone
+    }
+
     /// Returns whether readers were heard lately, and the store is out of reach for all of them.
     pub fn says_out(&self, now: u64) -> bool {
         let mut fresh = self.fresh(now).peekable();
@@ -193,14 +198,25 @@
         if self.standing(now) == Standing::Reads && (settled || !many_calls) {
             return First::Store;
         }
-        let reader = self.ahead(now, board, 0);
-        let peer = reader
-            .filter(|_| random % READER_PART == 0)
-            .or(neighbour)
-            .or(reader);
+        let peer = self.peer(now, board, 0, neighbour, random);
         peer.map_or(First::Nowhere, First::Peer)
     }
 
+    /// Returns an instance that may know more of a board than up to a revision: a reader, or any other one of the zone, as a random
+    /// number says.
+    pub fn peer(
+        &self,
+        now: u64,
+        board: usize,
+        revision: i64,
+        neighbour: Option<SocketAddr>,
+        random: u64,
+    ) -> Option<SocketAddr> {
+        let reader = self.ahead(now, board, revision);
+        let first = reader.filter(|_| random % READER_PART == 0);
+        first.or(neighbour).or(reader)
+    }
+
     /// Forgets a reader that did not answer, until it is heard again.
     pub fn forget(&mut self, reader: SocketAddr) {
         self.heard.remove(&reader);
--- a/crates/relay/tests/start.rs
+++ b/crates/relay/tests/start.rs
@@ -50,7 +50,7 @@
         Zone {
             rng: StdRng::seed_from_u64(count as u64),
             readers: (0..count).map(|_| Readers::open(0)).collect(),
-            serving: vec![Serving::default(); count],
+            serving: vec![Serving::lists(); count],
             does: vec![Does::Waits(0); count],
             lists: 0,
             first_page: vec![None; count],
