Take a part of a list for a part; read the own zone's instances first

- A reader sent 537 MB in 50 s and the readers of five zones most of 5.7 GB: nearly all instances fetched all upstreams from the two readers of their zone, at once.
Cause: the first page was learnt like a change, so that the list counted as known up to its newest entry; the rest was fetched as what a follower lacks, from readers only, without the bound on fetches at once.
Where no other entry was newer than that page, the rest would never have come.
A part of a list has its own kind of update now, which says nothing of a revision.
- 0.67 GB between zones, of which other instances' messages are 60 MB: the list of instances, read from the store by each of them, 286 KB, once as a list or as the watch after it.
An instance reads those of its own zone, whose keys lie together now, and fetches the others from its neighbours once it knows them.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -183,7 +183,7 @@
             let dialect = &config.0.works.dialect;
             let key = dialect.config_key().to_string();
             let prefix = dialect.operator_prefix().to_string();
-            let mut follow = Follow::open(store, feed, Topic::Config, &prefix, WATCH_MS);
+            let mut follow = Follow::open(store, feed, Topic::Config, &prefix, None, WATCH_MS);
             loop {
                 let found = match follow.next().await {
                     Update::Listed(items, revision) => {
@@ -194,7 +194,7 @@
                         evacuations.changed(&changes);
                         newest(changes, &key)
                     }
-                    Update::Lost => None,
+                    Update::Part(_) | Update::Lost => None,
                 };
                 if let Some(found) = found {
                     config.offer(&found.value, "store");
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -21,7 +21,7 @@
 use crate::relay::Topic;
 use crate::roster::{Area, Homes, Roster};
 
-/// Keys of instances.
+/// Keys of instances, by availability zone and name.
 const PREFIX: &str = "oriolehitch/instances/";
 /// A lease outlives an outage of the store and a partition of its holder: the others need the list
 /// most just then. An instance that crashed is listed that much longer, which costs a message.
@@ -81,6 +81,11 @@
     u64::from_str_radix(start, 16).ok()
 }
 
+/// Returns the prefix of the keys of the instances of an availability zone.
+fn zone_prefix(zone: &str) -> String {
+    format!("{PREFIX}{zone}/")
+}
+
 impl Fleet {
     pub(crate) fn open(
         name: &str,
@@ -103,7 +108,7 @@
             })
         };
         let seeds = seeds.iter().filter(|a| **a != own).map(seed);
-        let key = format!("{PREFIX}{name}");
+        let key = format!("{}{name}", zone_prefix(&me.zone));
         let roster = Roster::new(&BTreeMap::new(), &key, &me);
         Fleet(Arc::new(Inner {
             roster: RwLock::new(Arc::new(roster)),
@@ -202,7 +207,8 @@
         tokio::spawn(async move {
             let store = Arc::clone(&fleet.0.store);
             let feed = fleet.0.feed.clone();
-            let mut follow = Follow::open(store, feed, Topic::Instances, PREFIX, WATCH_MS);
+            let near = Some(zone_prefix(fleet.zone()));
+            let mut follow = Follow::open(store, feed, Topic::Instances, PREFIX, near, WATCH_MS);
             loop {
                 fleet.update(follow.next().await);
             }
@@ -285,7 +291,7 @@
                     .filter_map(|f| Some((f.key.clone(), parse(f)?)));
                 *members = rows.collect();
             }
-            Update::Changed(changes, _) => {
+            Update::Changed(changes, _) | Update::Part(changes) => {
                 for change in changes {
                     match change.now.as_ref().and_then(parse) {
                         Some(member) => members.insert(change.key, member),
@@ -327,9 +333,10 @@
 
     /// Takes which instances of the own zone may read the store for it, and which of all may send to cold upstreams.
     fn place(&self, members: &BTreeMap<String, Arc<Member>>, roster: &Roster) {
+        let near = zone_prefix(&self.0.me.zone);
         let zone = members.iter().filter(|(_, m)| m.zone == self.0.me.zone);
         let zone = zone.map(|(key, m)| Candidate {
-            name: key.strip_prefix(PREFIX).unwrap_or(key),
+            name: key.strip_prefix(&near).unwrap_or(key),
             link_mbps: m.link_mbps,
         });
         let zone: Vec<Candidate<'_>> = zone.collect();
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -35,8 +35,10 @@
 pub(crate) enum Update {
     /// All keys as they are now, and the revision at which they were read.
     Listed(Vec<Found>, i64),
-    /// Some keys have changed.
+    /// Some keys have changed: this is everything up to a revision.
     Changed(Vec<Change>, i64),
+    /// Some keys as they are now; others may have changed too.
+    Part(Vec<Change>),
     /// The store did not answer.
     Lost,
 }
@@ -47,6 +49,10 @@
     feed: Feed,
     topic: Topic,
     prefix: String,
+    /// The prefix of the keys that matter most, where that is a part of them.
+    near: Option<String>,
+    /// Only those are watched next: a large zone has readers for the rest.
+    watch_near: bool,
     /// Longest wait of one watch, in milliseconds.
     wait_ms: u64,
     after: Option<i64>,
@@ -96,6 +102,7 @@
         feed: Feed,
         topic: Topic,
         prefix: &str,
+        near: Option<String>,
         wait_ms: u64,
     ) -> Follow {
         Follow {
@@ -103,6 +110,8 @@
             feed,
             topic,
             prefix: prefix.to_string(),
+            near,
+            watch_near: false,
             wait_ms,
             after: None,
             compacted: false,
@@ -229,7 +238,7 @@
             passed,
         });
         // An instance serves with a part of the list before it has all of it.
-        Fetched::News(Update::Changed(changes, 0))
+        Fetched::News(Update::Part(changes))
     }
 
     /// Reads the store.
@@ -252,14 +261,9 @@
     async fn list(&mut self, known: i64) -> Option<Update> {
         if known == 0 && !self.many_calls {
             match self.store.first_page(&self.prefix, self.reading()).await {
-                Ok(page) if page.more && self.topic == Topic::Upstreams => {
-                    // An instance serves with a part of the list before it has all of it.
-                    self.many_calls = true;
-                    let changes = page.items.into_iter().map(listed);
-                    return Some(Update::Changed(changes.collect(), 0));
-                }
-                Ok(page) if !page.more => return self.listed(page, known),
-                Ok(_) => {}
+                // An instance serves with a part of the list before it has all of it.
+                Ok(page) if page.more => return Some(self.part(page).await),
+                Ok(page) => return self.listed(page, known),
                 Err(_) => return Some(self.lost().await),
             }
         }
@@ -269,13 +273,29 @@
         }
     }
 
+    /// Takes the first of several pages, or the first one of the keys that matter most in its place.
+    async fn part(&mut self, first: Listing) -> Update {
+        let near = match &self.near {
+            Some(near) => self.store.first_page(near, self.reading()).await,
+            None => Ok(first),
+        };
+        match near {
+            Ok(page) => {
+                self.many_calls = true;
+                Update::Part(page.items.into_iter().map(listed).collect())
+            }
+            Err(_) => self.lost().await,
+        }
+    }
+
     fn listed(&mut self, listing: Listing, known: i64) -> Option<Update> {
         self.after = Some(listing.revision);
         self.compacted = false;
         self.list_at = Instant::now() + LIST_EVERY;
-        if known == 0 && self.topic == Topic::Instances {
+        if known == 0 && self.near.is_some() {
             // Those that start together are all listed by then.
             self.watch_at = Instant::now() + STARTED_TOGETHER;
+            self.watch_near = true;
         }
         // The watch goes on from what is known: one that is older would take back what that brought.
         let newer = listing.revision >= known;
@@ -298,12 +318,16 @@
     async fn watch(&mut self, after: i64) -> Option<Update> {
         sleep_until(self.watch_at).await;
         let relay = self.feed.relay.clone();
+        let part = std::mem::take(&mut self.watch_near);
+        let prefix = self.near.as_ref().filter(|_| part).unwrap_or(&self.prefix);
+        let wait_ms = if part { 0 } else { self.wait_ms };
         let news = tokio::select! {
-            news = self.store.watch(&self.prefix, after, self.wait_ms) => news,
+            news = self.store.watch(prefix, after, wait_ms) => news,
             // It brings nothing of what others have read.
             () = relay.wait_lacking(self.topic) => return None,
         };
         match news {
+            Ok(News::Changes { changes, .. }) if part => Some(Update::Part(changes)),
             Ok(News::Changes { changes, revision }) => {
                 if !changes.is_empty() {
                     self.watch_at = Instant::now() + GAP;
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -185,7 +185,7 @@
         let listing = self.clone();
         tokio::spawn(async move {
             let prefix = listing.0.dialect.upstream_prefix().to_string();
-            let mut follow = Follow::open(store, feed, Topic::Upstreams, &prefix, WATCH_MS);
+            let mut follow = Follow::open(store, feed, Topic::Upstreams, &prefix, None, WATCH_MS);
             loop {
                 listing.update(follow.next().await);
             }
@@ -200,6 +200,7 @@
                 self.listed(items, revision);
             }
             Update::Changed(changes, revision) => self.changed(changes, revision),
+            Update::Part(changes) => self.changed(changes, 0),
             Update::Lost => {}
         }
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -314,7 +314,8 @@
                 board.list(&entries, *revision);
             }
             Update::Changed(changes, _) => board.change(changes.iter().map(changed)),
-            Update::Lost => {}
+            // What else has changed is not known.
+            Update::Part(_) | Update::Lost => {}
         });
     }
 
