--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -16,6 +16,7 @@
 mod charge;
 mod draw;
 mod handover;
+mod records;
 mod refill;
 mod settled;
 
