--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -16,7 +16,8 @@
 use crate::follow::{Feed, Follow, Update, WATCH_MS};
 use crate::log::Log;
 use crate::notices::{key_hash, Notices};
-use crate::relay::{Relay, Topic};
+use crate::passed::Topic;
+use crate::relay::Relay;
 
 /// Revoked keys that are remembered until the version that revokes them is in force, bounding memory.
 const REVOKED_MOST: usize = 1_024;
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -18,7 +18,7 @@
 use crate::event::Event;
 use crate::follow::{Feed, Follow, Update};
 use crate::log::Log;
-use crate::relay::Topic;
+use crate::passed::Topic;
 use crate::roster::{Area, Homes, Roster};
 
 /// Keys of instances, by availability zone and name.
--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -7,9 +7,10 @@
 use kv::{Change, Found, Listing, News, Reading, Store};
 use tokio::time::{sleep, sleep_until, Instant};
 
+use crate::passed::{Ask, Passed, Topic};
 use crate::peers::Peers;
 use crate::reach::Reach;
-use crate::relay::{Ask, Passed, Relay, Source, Topic};
+use crate::relay::{Relay, Source};
 
 /// Longest wait of one watch, in milliseconds: a watch that hangs costs so much time, and each one
 /// is a call that is paid for.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 mod metric;
 mod notices;
 mod ops;
+mod passed;
 mod peers;
 mod pipe;
 mod plain;
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -17,8 +17,8 @@
 use crate::follow::{Feed, Follow, Update, WATCH_MS};
 use crate::log::Log;
 use crate::notices::Notices;
+use crate::passed::Topic;
 use crate::reach::Reach;
-use crate::relay::Topic;
 use crate::suspects::Suspects;
 
 /// New upstreams of one change that are logged one by one.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -22,8 +22,9 @@
 use crate::fleet::Fleet;
 use crate::log::Log;
 use crate::notices::Effects;
+use crate::passed::{Ask, Passed, Topic};
 use crate::reach::Reach;
-use crate::relay::{Ask, Passed, Relay, Topic};
+use crate::relay::Relay;
 use crate::suspects::{AskTrial, Suspects, Trial};
 use crate::traffic::Traffic;
 
