--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -145,15 +145,16 @@
 
     /// Returns where a topic is read by an instance that is behind and was turned away, or asked one that is behind too.
     pub(crate) fn other_source(&self, topic: Topic) -> Source {
-        if !self.is_behind(topic) || self.is_late(topic) {
+        let now = self.0.clock.now();
+        let reads = {
+            let readers = self.0.readers.lock().expect("no panic inside");
+            readers.standing(now) == Standing::Reads
+        };
+        if reads || !self.is_behind(topic) || self.is_late(topic) {
             return self.source(topic);
         }
         let (known, neighbour) = (self.revision(topic), self.neighbour());
-        let now = self.0.clock.now();
         let readers = self.0.readers.lock().expect("no panic inside");
-        if readers.standing(now) == Standing::Reads {
-            return Source::Store;
-        }
         let peer = readers.peer(now, topic as usize, known, neighbour, rand::random());
         peer.map_or(Source::Nowhere, Source::Peer)
     }
