Fetch the other zones' instances from the own zone at a start too

An instance that starts in a running fleet read its own zone's page and then the whole list from the store after all: the list of instances always came from there. It asks its neighbours now, as for the upstreams.

--- a/crates/proxy/src/follow.rs
+++ b/crates/proxy/src/follow.rs
@@ -64,7 +64,7 @@
     watch_at: Instant,
     /// A fetch of which pages are left.
     fetch: Option<Fetch>,
-    /// The store has more keys than one page, and only the first one was read.
+    /// The store has more keys than one page, and only the first one was read: the rest takes many calls.
     many_calls: bool,
     /// The last instance that was asked had nothing newer, or turned this one away.
     turned_away: bool,
@@ -169,6 +169,7 @@
         }
     }
 
+    /// Returns where to read next.
     fn source(&self) -> Source {
         let relay = &self.feed.relay;
         if self.many_calls && relay.revision(self.topic) == 0 {
@@ -259,6 +260,7 @@
         }
     }
 
+    /// Lists the keys: the first page of them where nothing is known yet.
     async fn list(&mut self, known: i64) -> Option<Update> {
         if known == 0 && !self.many_calls {
             match self.store.first_page(&self.prefix, self.reading()).await {
@@ -289,6 +291,7 @@
         }
     }
 
+    /// Takes a whole list; none where it is older than what is known.
     fn listed(&mut self, listing: Listing, known: i64) -> Option<Update> {
         self.after = Some(listing.revision);
         self.compacted = false;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -123,8 +123,8 @@
 
     /// Returns where a topic is read that is not known yet, and that takes many calls of the store or not.
     pub(crate) fn first_source(&self, topic: Topic, many_calls: bool) -> Source {
-        // The list of instances names those that may be asked for the rest.
-        if topic == Topic::Instances {
+        // The first page of the list of instances names those that may be asked for the rest.
+        if topic == Topic::Instances && !many_calls {
             return Source::Store;
         }
         let neighbour = self.neighbour();
