--- a/crates/relay/tests/start.rs
+++ b/crates/relay/tests/start.rs
@@ -1,11 +1,13 @@
 //! A zone whose instances start together, or one that starts alone: who reads the store, and when all know the list of upstreams.
 
-use std::net::SocketAddr;
+mod common;
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use relay::{Candidate, First, Head, Readers, Serving, BEAT_MS};
 
+use crate::common::{addr, index};
+
 /// Time in which service is to be back after a loss of all instances, in milliseconds.
 const RECOVERY_MS: u64 = 18_000;
 /// The list of ten thousand upstreams, in bytes.
@@ -169,18 +171,6 @@
     }
 }
 
-fn addr(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (i / 256) as u8, (i % 256) as u8], 1))
-}
-
-fn index(addr: SocketAddr) -> usize {
-    let SocketAddr::V4(addr) = addr else {
-        panic!("an address of the test");
-    };
-    let octets = addr.ip().octets();
-    usize::from(octets[2]) * 256 + usize::from(octets[3])
-}
-
 /// Guards against a fleet that starts together and reads fifty pages of the store at each of its instances, which it does not bear:
 /// instances in five zones, 30, 100, 300, 985 and 2,000 of them.
 #[test]
--- a/crates/relay/tests/version.rs
+++ b/crates/relay/tests/version.rs
@@ -1,11 +1,13 @@
 //! How a version of the configuration reaches the instances of a zone: which of them turn to the store, and when all have it.
 
-use std::net::SocketAddr;
+mod common;
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use relay::{Behind, Candidate, Head, Next, Readers, Serving, BEAT_MS};
 
+use crate::common::{addr, index};
+
 /// Half of the shortest time in which a change is to be in force, in milliseconds.
 const HALF_MS: u64 = 1_000;
 /// A configuration of hundreds of routes and customers, in bytes.
@@ -134,18 +136,6 @@
     }
 }
 
-fn addr(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (i / 256) as u8, (i % 256) as u8], 1))
-}
-
-fn index(addr: SocketAddr) -> usize {
-    let SocketAddr::V4(addr) = addr else {
-        panic!("an address of the test");
-    };
-    let octets = addr.ip().octets();
-    usize::from(octets[2]) * 256 + usize::from(octets[3])
-}
-
 /// Guards against a zone whose instances all turn to the store for a version that a hundred of them want of each reader at once:
 /// instances in five zones, 100, 300, 985 and 2,000 of them.
 #[test]
