--- a/crates/escrow/src/home.rs
+++ b/crates/escrow/src/home.rs
@@ -12,8 +12,8 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Draws a second that one instance answers for a customer; beyond that each availability zone has a home of its own. It is
-/// half of what the smallest instance's share of a processor allows.
+/// Draws a second that one instance answers for a customer, beside its own requests; beyond that each availability zone has a
+/// home of its own.
 const DRAWS_MOST: u64 = 250;
 /// Instances that are asked: the home, and those that take its place when it does not answer, or is cut off from
 /// the store. With half of a fleet cut off, three of them are in one case of eight.
--- a/crates/relay/src/behind.rs
+++ b/crates/relay/src/behind.rs
@@ -12,7 +12,7 @@
 /// have it from the first; the last one begins after `STAGGER_MOST_MS`.
 const STAGGER_MS: u64 = 15;
 const STAGGER_MOST_MS: u64 = 300;
-/// Of a zone, one in so many gets it in each stretch of that time.
+/// Of a zone, so many times as many have it after each stretch of that time.
 const PASSED_ON: usize = 4;
 /// Instances that are known to have it.
 const HOLDERS_MOST: usize = 4;
--- a/crates/relay/src/serving.rs
+++ b/crates/relay/src/serving.rs
@@ -11,7 +11,7 @@
 const LIST_ENDED_MS: u64 = 1_000;
 /// Configurations that are sent at once.
 const CONFIGS_MOST: usize = 4;
-/// One takes so long, in milliseconds, over a narrow link.
+/// So many take so long together, in milliseconds, over a narrow link.
 const CONFIG_ENDED_MS: u64 = 150;
 
 /// A fetch that is served.
