Ask an instance in another zone that has a version before neighbours that may lack it too

Cause, by the logs and by reading: since versions are passed on by any instance of the zone, one that was turned away, or had asked one that is behind too, asked its zone only, all of which lacked it, until it turned to the store, which does not answer there. Those in other zones that had said that they have it were not asked any more, as they had been 0.3 s after the notice; and once the store counted as out of reach, the instances of the own zone were asked first, one in 0.4 s. Now one that is known to have it goes before neighbours, and news in an outage are asked of any instance.

--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -12,6 +12,7 @@
 use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee_server::{RpcModule, Server, ServerBuilder, ServerHandle};
 use notice::Notice;
+use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use suspect::Word;
@@ -340,18 +341,17 @@
     pub(crate) fn spawn_news(&self, fleet: Fleet, desk: Desk, reach: Arc<Reach>, log: Arc<Log>) {
         let peers = self.clone();
         tokio::spawn(async move {
-            let mut turn = 0;
             loop {
                 sleep(NEWS_EVERY).await;
                 let others = fleet.others();
                 if !reach.is_out() || others.is_empty() {
                     continue;
                 }
-                turn += 1;
-                // One that is known to have what is lacking here is asked first.
-                let next = others[turn % others.len()].addr;
-                let peer = desk.effects.relay.holder().unwrap_or(next);
-                peers.fetch(peer, &desk, &log).await;
+                // One that is known to have what is lacking here is asked first, else any: the whole zone may be cut off.
+                let any = others.choose(&mut rand::rng()).map(|m| m.addr);
+                if let Some(peer) = desk.effects.relay.holder().or(any) {
+                    peers.fetch(peer, &desk, &log).await;
+                }
             }
         });
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -150,13 +150,19 @@
             let readers = self.0.readers.lock().expect("no panic inside");
             readers.standing(now) == Standing::Reads
         };
-        if reads || !self.is_behind(topic) || self.is_late(topic) {
+        if reads || !self.is_behind(topic) {
             return self.source(topic);
         }
         let (known, neighbour) = (self.revision(topic), self.neighbour());
-        let readers = self.0.readers.lock().expect("no panic inside");
-        let peer = readers.peer(now, topic as usize, known, neighbour, rand::random());
-        peer.map_or(Source::Nowhere, Source::Peer)
+        let peer = {
+            let readers = self.0.readers.lock().expect("no panic inside");
+            readers.peer(now, topic as usize, known, neighbour, rand::random())
+        };
+        match self.with_behind(|behind, now, wait_ms| behind.elsewhere(now, wait_ms, peer)) {
+            Next::Store => Source::Store,
+            Next::Peer(addr) => Source::Peer(addr),
+            Next::Readers => Source::Nowhere,
+        }
     }
 
     /// Returns whether something newer of a topic is known to exist.
--- a/crates/relay/src/behind.rs
+++ b/crates/relay/src/behind.rs
@@ -107,6 +107,15 @@
         next
     }
 
+    /// Returns where to turn after an instance had nothing newer, or turned this one away: to one that is known to have it, which may be
+    /// in another availability zone, else to any `peer` of the own one.
+    pub fn elsewhere(&mut self, now: u64, wait_ms: u64, peer: Option<SocketAddr>) -> Next {
+        match self.turn(now, wait_ms) {
+            Next::Readers => peer.map_or(Next::Readers, Next::Peer),
+            next => next,
+        }
+    }
+
     /// Returns where to turn; `wait_ms` parts those that turn to the store.
     pub fn next(&self, now: u64, wait_ms: u64) -> Next {
         let Some((_, since)) = self.heard.first() else {
--- a/crates/relay/tests/behind.rs
+++ b/crates/relay/tests/behind.rs
@@ -88,3 +88,20 @@
     behind.hold(addr(1), 8, false);
     assert_eq!(behind.next(400, 0), Next::Peer(addr(1)));
 }
+
+/// Guards against an instance whose whole zone lacks a version, and that asks only its zone: the one in another zone that is known to
+/// have it comes first.
+#[test]
+fn a_holder_in_another_zone_goes_before_neighbours_that_may_lack_it_too() {
+    let (neighbour, holder) = (addr(2), addr(9));
+    let mut behind = Behind::default();
+    behind.has(7);
+    behind.hear(0, 9);
+    behind.hold(holder, 9, false);
+    let peer = Some(neighbour);
+    assert_eq!(behind.elsewhere(100, 0, peer), Next::Peer(neighbour));
+    assert_eq!(behind.elsewhere(350, 0, peer), Next::Peer(holder));
+    // It did not answer.
+    assert_eq!(behind.elsewhere(400, 0, peer), Next::Peer(neighbour));
+    assert_eq!(behind.elsewhere(700, 0, peer), Next::Store);
+}
--- a/crates/relay/tests/version.rs
+++ b/crates/relay/tests/version.rs
@@ -91,16 +91,18 @@
     fn look(&mut self, now: u64, i: usize) {
         let readers = &self.readers[i];
         let wait_ms = Behind::wait_ms(readers.rank(), readers.zone());
-        if self.behind[i].next(now, wait_ms) == Next::Store {
-            self.store += 1;
-            self.does[i] = Does::Has;
-            return;
-        }
         let count = self.does.len();
         let neighbour = (i + self.rng.random_range(1..count)) % count;
-        let random = self.rng.random();
-        let peer = readers.peer(now, 0, 7, Some(addr(neighbour)), random);
-        let peer = index(peer.expect("a neighbour"));
+        let peer = readers.peer(now, 0, 7, Some(addr(neighbour)), self.rng.random());
+        let peer = match self.behind[i].elsewhere(now, wait_ms, peer) {
+            Next::Peer(peer) => index(peer),
+            Next::Store => {
+                self.store += 1;
+                self.does[i] = Does::Has;
+                return;
+            }
+            Next::Readers => panic!("a neighbour is known"),
+        };
         let has = self.does[peer] == Does::Has;
         let id = self.rng.random();
         self.does[i] = if has && self.serving[peer].admit(now, id) {
