One look-up of an incarnation, one count of messages, one simulated zone

- An upstream was found by the hash of its incarnation in two places of the pool: `by_incarnation` serves both.
- Messages to others were counted by three methods, each datagram's receiver looked up in the newest list: one method, and one look-up of the list for all receivers of a datagram.
- Records that are learnt are named by a slice in both cases, without a list of references beside it.
- The two simulations of a zone share its instances and the readers' broadcasts.

--- a/crates/notice/tests/spread.rs
+++ b/crates/notice/tests/spread.rs
@@ -241,7 +241,7 @@
     }
 }
 
-/// Guards against upstreams that leave together, of which the last ones are told of seconds after the first ones.
+/// Guards against upstreams that leave together, of which the last are announced seconds after the first.
 #[test]
 fn hundreds_of_upstreams_that_leave_are_known_within_half_of_the_shortest_bound() {
     let leaving = |i: usize| Notice::Leaving {
--- a/crates/oriolehitch/src/load.rs
+++ b/crates/oriolehitch/src/load.rs
@@ -52,8 +52,8 @@
     rows.collect()
 }
 
-fn parse(word: &str) -> Option<(&str, u64)> {
-    let (what, value) = word.split_once('=')?;
+fn parse(pair: &str) -> Option<(&str, u64)> {
+    let (what, value) = pair.split_once('=')?;
     Some((what, value.parse().ok()?))
 }
 
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -51,7 +51,7 @@
     by_id: HashMap<String, Key>,
     /// By the hash of the incarnation.
     by_hash: HashMap<u64, Key>,
-    /// At which upstreams another instance had something, by its last word.
+    /// At which upstreams another instance had something, by its last report.
     held_by: HashMap<u64, SmallVec<[Key; 4]>>,
     /// The hashed name of this instance.
     me: u64,
@@ -191,9 +191,10 @@
     /// Notes that an incarnation of an upstream is leaving, by whatever source; returns whether that is new.
     pub fn leaving(&mut self, incarnation: &str) -> bool {
         self.said.leaving(incarnation);
-        let Some(up) = self.by_incarnation(incarnation) else {
+        let Some(key) = self.by_incarnation(incarnation) else {
             return false;
         };
+        let up = self.get_mut(key);
         let news = !up.leaving;
         up.leaving = true;
         news
@@ -239,9 +240,9 @@
         leaving.map(|u| u.spec.incarnation()).collect()
     }
 
-    fn by_incarnation(&mut self, incarnation: &str) -> Option<&mut Upstream> {
-        let key = *self.by_hash.get(&xxh3_64(incarnation.as_bytes()))?;
-        self.upstreams[key.0 as usize].as_mut()
+    fn by_incarnation(&self, incarnation: &str) -> Option<Key> {
+        let hash = xxh3_64(incarnation.as_bytes());
+        self.by_hash.get(&hash).copied()
     }
 
     fn get(&self, key: Key) -> &Upstream {
--- a/crates/place/src/pool/throttle.rs
+++ b/crates/place/src/pool/throttle.rs
@@ -4,7 +4,6 @@
 use crate::limit::{RateLimit, VersionedLimit};
 use crate::senders::Senders;
 use crate::upstream::{Key, Upstream};
-use xxhash_rust::xxh3::xxh3_64;
 
 impl Pool {
     /// Records the request rate limit, or its absence, in an upstream's answer to a request sent at `sent_at`. Returns the new
@@ -29,8 +28,7 @@
         if !self.said.merge_limit(incarnation, limit) {
             return false;
         }
-        let hash = xxh3_64(incarnation.as_bytes());
-        if let Some(key) = self.by_hash.get(&hash).copied() {
+        if let Some(key) = self.by_incarnation(incarnation) {
             self.get_mut(key).set_versioned_limit(now, limit);
             self.update_throttle(now, key);
         }
--- a/crates/proxy/src/bank/mod.rs
+++ b/crates/proxy/src/bank/mod.rs
@@ -198,7 +198,7 @@
         }
     }
 
-    /// Takes a home's word that more draw from it than it can answer.
+    /// Records a home's report that it gets more draws of a customer than it answers.
     fn crowded(&self, customer: &str) {
         let mut accounts = self.0.accounts.lock().expect("no panic inside");
         if let Some(account) = accounts.get_mut(customer) {
--- a/crates/proxy/src/bank/records.rs
+++ b/crates/proxy/src/bank/records.rs
@@ -1,6 +1,7 @@
 //! What the store has of budgets: customers' records and the own book, read and learnt.
 
 use std::collections::HashSet;
+use std::slice;
 use std::sync::atomic::Ordering;
 
 use escrow::{Book, Holding, Known, Line, Record};
@@ -62,7 +63,7 @@
             let Ok(found) = self.means().store.get(&key).await else {
                 return false;
             };
-            self.learn_records(&[customer], found.as_slice());
+            self.learn_records(slice::from_ref(customer), found.as_slice());
         }
         true
     }
@@ -84,9 +85,7 @@
     async fn read_all(&self) -> bool {
         match self.means().store.list(PREFIX, Reading::Linearizable).await {
             Ok(listing) => {
-                let customers = self.customers();
-                let customers: Vec<&String> = customers.iter().collect();
-                self.learn_records(&customers, &listing.items);
+                self.learn_records(&self.customers(), &listing.items);
                 true
             }
             Err(_) => false,
@@ -94,13 +93,13 @@
     }
 
     /// Returns all customers that are known here.
-    pub(super) fn customers(&self) -> Vec<String> {
+    fn customers(&self) -> Vec<String> {
         let accounts = self.0.accounts.lock().expect("no panic inside");
         accounts.keys().cloned().collect()
     }
 
     /// Takes some customers' records as they are now; those that are missing are empty.
-    fn learn_records(&self, customers: &[&String], items: &[Found]) {
+    fn learn_records(&self, customers: &[String], items: &[Found]) {
         let at = self.0.clock.now();
         let names = items.iter().filter_map(|f| f.key.strip_prefix(PREFIX));
         let found: HashSet<&str> = names.collect();
@@ -113,7 +112,7 @@
                     revision: 0,
                     at,
                 };
-                if let Some(account) = accounts.get_mut(*customer) {
+                if let Some(account) = accounts.get_mut(customer) {
                     account.holding.learn(empty);
                 }
             }
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -29,8 +29,7 @@
 /// A fleet of more instances than this has longer rounds, so that each sends as many datagrams a
 /// second.
 const SMALL_FLEET: usize = 9;
-/// Instances that are told of loads: so many are told again before the word before has expired. More would be told too late to
-/// go by it.
+/// Instances that get load reports: each of so many gets the next one before the one before has expired.
 const LOAD_PEERS_MOST: usize = 90;
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_MOST: usize = 16 << 10;
@@ -79,9 +78,10 @@
     /// Sends a datagram to some instances.
     pub(crate) fn send(&self, datagram: &Datagram, to: impl IntoIterator<Item = SocketAddr>) {
         let bytes = serde_json::to_vec(datagram).expect("numbers and texts that JSON can hold");
+        let roster = self.fleet.roster();
         for addr in to {
-            self.traffic
-                .count(&self.fleet, datagram.purpose(), addr, bytes.len());
+            let near = roster.is_near(addr);
+            self.traffic.count(datagram.purpose(), near, bytes.len());
             // One that can't be sent is as good as a lost one.
             let _ = self.socket.try_send_to(&bytes, addr);
         }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -151,8 +151,8 @@
     news.expect("a new name");
     let lacking = module.register_method("lacking", |params, desk, _| -> RpcResult<Passed> {
         let ask: Ask = params.one()?;
-        let passed = desk.effects.relay.tell(&ask);
-        desk.traffic.count_near("lists", passed.bytes());
+        let passed = desk.effects.relay.answer(&ask);
+        desk.traffic.count("lists", true, passed.bytes());
         Ok(passed)
     });
     lacking.expect("a new name");
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -276,7 +276,7 @@
     }
 
     /// Answers an instance that lacks something. Where that is large, it may be turned away.
-    pub(crate) fn tell(&self, ask: &Ask) -> Passed {
+    pub(crate) fn answer(&self, ask: &Ask) -> Passed {
         let boards = self.0.boards.lock().expect("no panic inside");
         let board = &boards[ask.topic as usize];
         let serving = match ask.topic {
--- a/crates/proxy/src/traffic.rs
+++ b/crates/proxy/src/traffic.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -39,26 +38,10 @@
 pub(crate) struct Traffic(Arc<Mutex<BTreeMap<Sort, Sum>>>);
 
 impl Traffic {
-    /// Counts a message to an address.
-    pub(crate) fn count(&self, fleet: &Fleet, purpose: &'static str, to: SocketAddr, bytes: usize) {
-        let near = fleet.roster().is_near(to);
-        self.add(Sort { purpose, near }, bytes);
-    }
-
-    /// Counts an answer to an instance of the own zone.
-    pub(crate) fn count_near(&self, purpose: &'static str, bytes: usize) {
-        self.add(
-            Sort {
-                purpose,
-                near: true,
-            },
-            bytes,
-        );
-    }
-
-    fn add(&self, sort: Sort, bytes: usize) {
+    /// Counts a message, to the own availability zone or not.
+    pub(crate) fn count(&self, purpose: &'static str, near: bool, bytes: usize) {
         let mut sums = self.0.lock().expect("no panic inside");
-        let sum = sums.entry(sort).or_default();
+        let sum = sums.entry(Sort { purpose, near }).or_default();
         sum.messages += 1;
         sum.bytes += bytes as u64;
     }
--- a/crates/relay/tests/start.rs
+++ b/crates/relay/tests/start.rs
@@ -4,9 +4,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use relay::{Candidate, First, Head, Readers, Serving, BEAT_MS};
+use relay::{First, Readers, Serving, BEAT_MS};
 
-use crate::common::{addr, index};
+use crate::common::{addr, broadcast, index, names, zone};
 
 /// Time in which service is to be back after a loss of all instances, in milliseconds.
 const RECOVERY_MS: u64 = 18_000;
@@ -61,14 +61,8 @@
 
     /// Has each instance know itself and some others.
     fn place(&mut self, others: usize) {
-        let names: Vec<String> = (0..self.does.len()).map(|i| format!("n{i}")).collect();
-        let zone: Vec<Candidate<'_>> = names
-            .iter()
-            .map(|name| Candidate {
-                name,
-                link_mbps: Some(20),
-            })
-            .collect();
+        let names = names(self.does.len());
+        let zone = zone(&names);
         for (readers, me) in self.readers.iter_mut().zip(&zone) {
             readers.place(me, &zone[..others]);
         }
@@ -80,18 +74,7 @@
                 continue;
             }
             let known = self.does[i] == Does::Knows;
-            let head = Head {
-                rank: self.readers[i].rank(),
-                revisions: vec![i64::from(known)],
-                out: false,
-                failing: false,
-                back_ms: None,
-            };
-            for (j, other) in self.readers.iter_mut().enumerate() {
-                if j != i {
-                    other.hear(now, addr(i), head.clone());
-                }
-            }
+            broadcast(&mut self.readers, now, i, i64::from(known));
         }
     }
 
--- a/crates/relay/tests/version.rs
+++ b/crates/relay/tests/version.rs
@@ -4,9 +4,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use relay::{Behind, Candidate, Head, Next, Readers, Serving, BEAT_MS};
+use relay::{Behind, Candidate, Next, Readers, Serving, BEAT_MS};
 
-use crate::common::{addr, index};
+use crate::common::{addr, broadcast, index, names, zone};
 
 /// Half of the shortest time in which a change is to be in force, in milliseconds.
 const HALF_MS: u64 = 1_000;
@@ -42,12 +42,8 @@
 
 impl Zone {
     fn open(count: usize) -> Zone {
-        let names: Vec<String> = (0..count).map(|i| format!("n{i}")).collect();
-        let zone = names.iter().map(|name| Candidate {
-            name,
-            link_mbps: Some(20),
-        });
-        let zone: Vec<Candidate<'_>> = zone.collect();
+        let names = names(count);
+        let zone = zone(&names);
         let open = |me: &Candidate<'_>| {
             let mut readers = Readers::open(0);
             readers.place(me, &zone);
@@ -73,18 +69,7 @@
                 continue;
             }
             self.does[i] = Does::Has;
-            let head = Head {
-                rank: self.readers[i].rank(),
-                revisions: vec![9],
-                out: false,
-                failing: false,
-                back_ms: None,
-            };
-            for (j, other) in self.readers.iter_mut().enumerate() {
-                if j != i {
-                    other.hear(now, addr(i), head.clone());
-                }
-            }
+            broadcast(&mut self.readers, now, i, 9);
         }
     }
 
