Log panics, grants and the sources of members; keep whole logs of failures

Cause: the failures of stranded.scn and joint-paused.scn could not be traced. The text of a panic was pushed out of the last 3,000 bytes of a log by its backtrace; how an instance had learnt of a member, which grants it had taken and which calls for a budget record had failed was not logged; a failed test removed the logs. Change: events 1006 (a panic with its message, after the backtrace), 1509 (grants of this instance on record, own and joint) and 1510 (a failed call for a record); 1005 has the text of the panic; 1301 names who reported a member, or the list. Result: no change of behaviour; tests of budget, entry and peer pass.

--- a/crates/budget/src/msg.rs
+++ b/crates/budget/src/msg.rs
@@ -472,4 +472,22 @@
         /// Id of the request.
         request_id: String,
     },
+    /// The record shows other grants of this holder than before.
+    GrantChanged {
+        /// Name of the customer's account.
+        account: String,
+        /// The grants before.
+        before: GrantedTokens,
+        /// The grants now.
+        after: GrantedTokens,
+    },
+}
+
+/// Tokens of an account that are granted to one holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GrantedTokens {
+    /// In its ledger entry.
+    pub own: i64,
+    /// In its joint grant.
+    pub joint: u64,
 }
--- a/crates/budget/src/record.rs
+++ b/crates/budget/src/record.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::msg::{AttemptRef, Settlement};
+use crate::msg::{AttemptRef, GrantedTokens, Settlement};
 use crate::range_set::RangeSet;
 
 /// Number of retired holders that a record remembers, so that late settlements of their holds are
@@ -164,6 +164,14 @@
         (i128::from(self.retired_settled) + granted + joint).max(0) as u64
     }
 
+    /// Returns the tokens granted to a holder.
+    pub fn granted_to(&self, holder: &str) -> GrantedTokens {
+        GrantedTokens {
+            own: self.ledger.get(holder).map_or(0, |l| l.granted),
+            joint: self.joint_grant_of(holder).map_or(0, |(_, j)| j.granted),
+        }
+    }
+
     /// Returns the joint grant of a holder.
     pub fn joint_grant_of(&self, holder: &str) -> Option<(&String, &JointGrant)> {
         let is_of_holder = |k: &str| parse_joint_key(k).is_some_and(|(h, _)| h == holder);
--- a/crates/budget/src/record_sync.rs
+++ b/crates/budget/src/record_sync.rs
@@ -4,7 +4,7 @@
 
 use crate::grant::SizingInput;
 use crate::local_account::LocalAccount;
-use crate::msg::{Action, Durability, OperatorCommand, RecordSnapshot};
+use crate::msg::{Action, Durability, OperatorCommand, RecordSnapshot, Warning};
 use crate::record::{Account, BillSegment, ShardRecord};
 use crate::shard::{stored_operator_reply, PlatformCall, Role, Shard, UnresolvedWrite};
 use crate::write_limiter::WriteLimiter;
@@ -371,6 +371,7 @@
         }
         self.resolve_writes(&snapshot);
         self.resolve_segment(&snapshot.record);
+        self.report_grant_changes(&snapshot.record, out);
         self.snapshot = Some((snapshot, started_at));
         self.standby_check_due = true;
         self.drop_retired();
@@ -382,6 +383,22 @@
         self.drop_idle_accounts();
     }
 
+    /// Reports the accounts in which a new record shows other grants of this holder.
+    fn report_grant_changes(&self, record: &ShardRecord, out: &mut Vec<Action>) {
+        for (name, account) in &record.accounts {
+            let before = self.stored_account(name).map(|a| a.granted_to(&self.me));
+            let before = before.unwrap_or_default();
+            let after = account.granted_to(&self.me);
+            if before != after {
+                out.push(Action::Warn(Warning::GrantChanged {
+                    account: name.clone(),
+                    before,
+                    after,
+                }));
+            }
+        }
+    }
+
     /// Forgets the written segment if the record names it now or can no longer name it.
     fn resolve_segment(&mut self, record: &ShardRecord) {
         let Some((name, segment)) = self.written_segment.take() else {
--- a/crates/entry/src/budget_io.rs
+++ b/crates/entry/src/budget_io.rs
@@ -7,6 +7,7 @@
 use kv::{KeyValue, StoreError, SwapResult};
 use serde_json::Value;
 
+use crate::event;
 use crate::messages::{method, OpenStepMsg, RecallMsg, StoreCopyMsg};
 use crate::shared_state::SharedState;
 
@@ -34,10 +35,13 @@
 
 pub(crate) async fn read_record(shared: &SharedState, shard: u32) -> Event {
     let found = shared.kv.get(&record_key(shard)).await;
-    match found.map(parse_snapshot) {
-        Ok(Ok(snapshot)) => Event::RecordRead(snapshot),
-        Ok(Err(_)) | Err(_) => Event::ReadFailed,
-    }
+    let failure = match found.map(parse_snapshot) {
+        Ok(Ok(snapshot)) => return Event::RecordRead(snapshot),
+        Ok(Err(e)) => e,
+        Err(e) => format!("{e:?}"),
+    };
+    log_failure(shared, shard, "read", &failure);
+    Event::ReadFailed
 }
 
 pub(crate) async fn write_record(
@@ -47,19 +51,26 @@
     record: &ShardRecord,
 ) -> Event {
     let value = serde_json::to_vec(record).expect("a record serializes");
-    match shared
+    let swapped = shared
         .kv
         .compare_and_swap(&record_key(shard), base_revision, &value, 0)
-        .await
-    {
-        Ok(SwapResult::Done(revision)) => Event::WriteCommitted { revision },
+        .await;
+    let (event, failure) = match swapped {
+        Ok(SwapResult::Done(revision)) => return Event::WriteCommitted { revision },
         Ok(SwapResult::Conflict(found)) => match parse_snapshot(found) {
-            Ok(snapshot) => Event::WriteConflict(snapshot),
-            Err(_) => Event::WriteRefused,
+            Ok(snapshot) => return Event::WriteConflict(snapshot),
+            Err(e) => (Event::WriteRefused, e),
         },
-        Err(StoreError::Refused(_)) => Event::WriteRefused,
-        Err(StoreError::Unknown(_)) => Event::WriteOutcomeUnknown,
-    }
+        Err(StoreError::Refused(e)) => (Event::WriteRefused, e),
+        Err(StoreError::Unknown(e)) => (Event::WriteOutcomeUnknown, e),
+    };
+    log_failure(shared, shard, "write", &failure);
+    event
+}
+
+fn log_failure(shared: &SharedState, shard: u32, call: &str, failure: &str) {
+    let detail = format!("{call} of shard {shard}: {failure}");
+    shared.log(event::Event::BudgetCallFailed, detail);
 }
 
 pub(crate) async fn recall_tokens(
--- a/crates/entry/src/budget_task.rs
+++ b/crates/entry/src/budget_task.rs
@@ -12,6 +12,7 @@
 use kv::SwapResult;
 use serde_json::{json, Value};
 use tokio::sync::oneshot;
+use tokio::task::JoinError;
 
 use crate::budget_handle::{BudgetHandle, Command, CommandReceiver};
 use crate::budget_io::{
@@ -20,6 +21,7 @@
 use crate::clock::{wall_ms, Clock};
 use crate::event;
 use crate::messages::StoreCopyMsg;
+use crate::panic_log;
 use crate::shared_state::SharedState;
 
 /// Tick interval while reservations, settlements, commands or platform calls are pending.
@@ -59,11 +61,11 @@
     let own_id = shared.own_id.clone();
     tokio::spawn(async move {
         let result = tokio::spawn(task.run(commands)).await;
-        if result.is_err_and(|e| e.is_panic()) {
+        if let Err(Ok(panic)) = result.map_err(JoinError::try_into_panic) {
             // The budget state in memory can't be trusted any more. The grants stay charged in the
             // stored record. Without this task, the instance would look ready but refuse all
             // requests.
-            event::Event::InvariantFailed.log(&own_id, "see the panic message above");
+            event::Event::InvariantFailed.log(&own_id, panic_log::message(&*panic));
             std::process::exit(EXIT_INVARIANT_FAILED);
         }
     });
@@ -395,6 +397,17 @@
                     format!("{account}: {tokens} tokens"),
                 );
             }
+            Action::Warn(Warning::GrantChanged {
+                account,
+                before,
+                after,
+            }) => {
+                let detail = format!(
+                    "{account}: own {} -> {} tokens, joint {} -> {}",
+                    before.own, after.own, before.joint, after.joint
+                );
+                shared.log(event::Event::GrantChanged, detail);
+            }
             Action::Warn(Warning::DuplicateBill {
                 account,
                 request_id,
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -18,6 +18,8 @@
     StopAborted,
     /// An invariant of the budgets failed; the process exits.
     InvariantFailed,
+    /// A task panicked.
+    Panicked,
     /// A newer configuration was applied.
     ConfigApplied,
     /// A configuration is invalid or incomplete.
@@ -50,6 +52,10 @@
     TokensReleased,
     /// An operator topped up a budget.
     BudgetToppedUp,
+    /// The record of a budget shows other grants of this instance.
+    GrantChanged,
+    /// A call to the platform for the record of a budget failed.
+    BudgetCallFailed,
     /// A response was aborted.
     ResponseAborted,
     /// An upstream sent part of the response to another request.
@@ -77,6 +83,7 @@
         Level::ERROR,
         "invariant of the budgets failed, process ends",
     ),
+    row(Event::Panicked, 1006, Level::ERROR, "task panicked"),
     row(
         Event::ConfigApplied,
         1101,
@@ -169,6 +176,13 @@
         "stranded tokens released",
     ),
     row(Event::BudgetToppedUp, 1508, Level::INFO, "budget topped up"),
+    row(Event::GrantChanged, 1509, Level::INFO, "grant changed"),
+    row(
+        Event::BudgetCallFailed,
+        1510,
+        Level::WARN,
+        "call for a budget record failed",
+    ),
     row(
         Event::ResponseAborted,
         1601,
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -105,12 +105,16 @@
 
 fn apply_message(shared: &Arc<SharedState>, msg: GossipMsg, addr: &str) {
     let now = shared.clock.now();
+    let sender = match msg.membership.members.first() {
+        Some(sender) => format!("{} at {addr}", sender.id),
+        None => addr.to_string(),
+    };
     let changed = {
         let mut members = shared.members.lock().expect("lock not poisoned");
         members.merge(now, msg.membership)
     };
     for member in &changed {
-        let detail = format!("{} {:?}", member.id, member.status);
+        let detail = format!("{} {:?}, reported by {sender}", member.id, member.status);
         shared.log(Event::MembershipChanged, detail);
     }
     if !changed.is_empty() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod messages;
 pub mod metrics;
 pub mod model_versions;
+pub mod panic_log;
 pub mod peer_clients;
 pub mod peer_server;
 pub mod pipeline;
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -123,11 +123,19 @@
     let members: Vec<Member> = routers.into_iter().filter_map(parse_entry).collect();
     let specs: Vec<Spec> = others.into_iter().filter_map(parse_entry).collect();
     let now = shared.clock.now();
-    let (present, left) = {
+    let (added, present, left) = {
         let mut table = shared.members.lock().expect("lock not poisoned");
-        table.add_listed(now, members.clone());
-        presence(&table.all(now), &members)
+        let added = table.add_listed(now, members.clone());
+        let (present, left) = presence(&table.all(now), &members);
+        (added, present, left)
     };
+    for member in &added {
+        let detail = format!(
+            "{} {:?}, listed at {}",
+            member.id, member.status, member.peer_addr
+        );
+        shared.log(Event::MembershipChanged, detail);
+    }
     shared.budgets.set_presence(present, left);
     shared
         .pool
--- a/crates/oriolehitch/src/serve.rs
+++ b/crates/oriolehitch/src/serve.rs
@@ -55,6 +55,7 @@
         return serve_platform::run(&flags.settings, settings).await;
     }
     logging::init_stderr(settings.log.as_deref());
+    entry::panic_log::log_panics();
     let mut signals = ShutdownSignals::new()?;
     let instance = Instance::spawn(settings).await?;
     println!(
--- a/crates/oriolehitch/tests/scenario/env.rs
+++ b/crates/oriolehitch/tests/scenario/env.rs
@@ -11,6 +11,8 @@
 use serde_json::{json, Value};
 use tokio::task::JoinHandle;
 
+use crate::kept_logs;
+
 const PROGRAM: &str = env!("CARGO_BIN_EXE_oriolehitch");
 /// Bytes at the end of each process's log that a failure shows.
 const MAX_LOG_BYTES: usize = 3_000;
@@ -171,9 +173,12 @@
         instances.map(|(n, _)| n.clone()).collect()
     }
 
-    /// Returns the ends of the processes' logs, for the message of a failure.
-    pub(crate) fn log_tails(&self) -> String {
-        let mut out = String::new();
+    /// Keeps the whole logs of the processes after a failure; returns where they are, and their ends.
+    pub(crate) fn keep_logs(&self) -> String {
+        let mut out = match kept_logs::keep(&self.dir) {
+            Ok(dir) => format!("whole logs: {}\n", dir.display()),
+            Err(e) => format!("whole logs not kept: {e}\n"),
+        };
         for name in self.processes.keys() {
             let file = self.dir.join(format!("{name}.log"));
             let text = std::fs::read_to_string(file).unwrap_or_default();
--- a/crates/oriolehitch/tests/scenario/main.rs
+++ b/crates/oriolehitch/tests/scenario/main.rs
@@ -3,6 +3,8 @@
 mod actions;
 mod env;
 mod expect;
+#[path = "../support/kept_logs.rs"]
+mod kept_logs;
 mod line;
 
 use std::path::Path;
@@ -10,7 +12,7 @@
 use env::TestEnv;
 use line::Line;
 
-/// Runs one scenario. The message of a failure contains the line and the ends of the processes' logs.
+/// Runs one scenario. The message of a failure contains the line, the folder with the processes' whole logs, and their ends.
 fn run(path: &Path) -> datatest_stable::Result<()> {
     let text = std::fs::read_to_string(path)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -24,7 +26,7 @@
                 continue;
             };
             let result = actions::run_line(&mut env, &line).await;
-            result.map_err(|e| format!("line {}: {text}\n{e}\n{}", number + 1, env.log_tails()))?;
+            result.map_err(|e| format!("line {}: {text}\n{e}\n{}", number + 1, env.keep_logs()))?;
         }
         Ok(())
     })
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -209,14 +209,17 @@
         changed
     }
 
-    /// Adds the instances of the instance list that are not known yet. The list does not show whether
-    /// the known ones are running.
-    pub fn add_listed(&mut self, now: u64, listed: Vec<Member>) {
+    /// Adds the instances of the instance list that are not known yet; returns these. The list does
+    /// not show whether the known ones are running.
+    pub fn add_listed(&mut self, now: u64, listed: Vec<Member>) -> Vec<Member> {
+        let mut added = Vec::new();
         for member in listed {
             if member.id != self.local.id && !self.known.contains_key(&member.id) {
+                added.push(member.clone());
                 self.insert(now, member);
             }
         }
+        added
     }
 
     fn insert(&mut self, now: u64, member: Member) {
