Address each call between instances to an incarnation

An instance settled the requests of another fleet, and answered them from its own budget. Hypotheses: (1) the survivor goes on to gossip with a killed instance at its address, which another fleet has got; (2) a member of the other fleet gossips to the survivor first; (3) the address of the store now leads to another store. Event 1301 of b: "x Live, reported by x at 127.0.0.1:40965", the address that "a, listed at 127.0.0.1:40965" had, 0.2 s after x started there; of x, in the same millisecond: "b Live, reported by b". That is (1); nothing of (2) or (3) is in the logs. Cause: a call went to an address, whatever process had it. An address outlives its process. Change: an HTTP header names the incarnation that a call is for, and any other one refuses the call (error 421, event 1303). It is checked where methods are registered, so for all kinds of calls. Only the configuration that is fetched from an address in the settings is addressed to none. Calls without the header are answered, since earlier versions send none. Why it holds: members enter the table from the own store's list, from a call for the own incarnation, or from the answer of the incarnation that was called. None of them can be the first contact of two fleets. Ruled out as a way: a cluster id in the messages. It would let a later incarnation of the same fleet, at the same address, answer a recall for an earlier one, whose tokens would then be credited twice.

--- a/crates/entry/src/budget_io.rs
+++ b/crates/entry/src/budget_io.rs
@@ -9,6 +9,7 @@
 
 use crate::event;
 use crate::messages::{method, OpenStepMsg, RecallMsg, StoreCopyMsg};
+use crate::peer_clients::PeerRef;
 use crate::shared_state::SharedState;
 
 /// Timeout of a call that cancels an attempt at an upstream.
@@ -79,7 +80,7 @@
     from: &str,
     tokens: u64,
 ) -> Option<u64> {
-    let addr = shared.peer_addr(from)?;
+    let peer = shared.peer(from)?;
     let msg = RecallMsg {
         account: account.to_string(),
         to: shared.own_id.clone(),
@@ -87,7 +88,7 @@
     };
     let reply = shared
         .peers
-        .call(&shared.metrics, &addr, method::RECALL, &msg)
+        .call(&shared.metrics, &peer, method::RECALL, &msg)
         .await;
     reply.unwrap_or(None)
 }
@@ -99,7 +100,7 @@
     key: &str,
     up_to: u64,
 ) -> Option<u64> {
-    let addr = shared.peer_addr(witness)?;
+    let peer = shared.peer(witness)?;
     let msg = OpenStepMsg {
         account: account.to_string(),
         key: key.to_string(),
@@ -107,7 +108,7 @@
     };
     let reply = shared
         .peers
-        .call(&shared.metrics, &addr, method::OPEN_STEP, &msg)
+        .call(&shared.metrics, &peer, method::OPEN_STEP, &msg)
         .await;
     reply.unwrap_or(None)
 }
@@ -125,9 +126,10 @@
         .into_iter()
         .filter(|m| m.zone != *zone)
     {
+        let peer = PeerRef::from(&member);
         let stored = shared
             .peers
-            .call::<_, bool>(&shared.metrics, &member.peer_addr, method::STORE_COPY, &msg)
+            .call::<_, bool>(&shared.metrics, &peer, method::STORE_COPY, &msg)
             .await;
         if stored == Ok(true) {
             return true;
--- a/crates/entry/src/config_sync.rs
+++ b/crates/entry/src/config_sync.rs
@@ -13,6 +13,7 @@
 use crate::clock::wall_ms;
 use crate::event::Event;
 use crate::messages::{method, PullConfigMsg, PullConfigReply};
+use crate::peer_clients::PeerRef;
 use crate::shared_state::{ActiveConfig, SharedState};
 
 /// Store key of the head.
@@ -29,7 +30,11 @@
 pub fn spawn(shared: &Arc<SharedState>) {
     tokio::spawn(watch_head(Arc::clone(shared)));
     for addr in shared.settings.peers.clone().unwrap_or_default() {
-        spawn_pull(Arc::clone(shared), addr.to_string());
+        let peer = PeerRef {
+            addr: addr.to_string(),
+            id: None,
+        };
+        spawn_pull(Arc::clone(shared), peer);
     }
 }
 
@@ -162,7 +167,7 @@
 }
 
 /// Fetches the configuration of a peer in a separate task, and applies it if it is newer.
-pub fn spawn_pull(shared: Arc<SharedState>, addr: String) {
+pub fn spawn_pull(shared: Arc<SharedState>, peer: PeerRef) {
     tokio::spawn(async move {
         let active = shared.active_config();
         let chunk_hashes = active.map(|a| a.bundle.chunks.keys().cloned().collect());
@@ -171,7 +176,7 @@
         };
         let reply = shared
             .peers
-            .call::<_, PullConfigReply>(&shared.metrics, &addr, method::PULL_CONFIG, &msg)
+            .call::<_, PullConfigReply>(&shared.metrics, &peer, method::PULL_CONFIG, &msg)
             .await;
         let Ok(PullConfigReply {
             head: Some(head),
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -34,6 +34,8 @@
     MembershipChanged,
     /// An instance became unresponsive, or has left.
     InstanceUnresponsive,
+    /// A call for another incarnation was refused.
+    CallMisdirected,
     /// An upstream is leaving.
     UpstreamLeaving,
     /// The holder of a hold did not confirm its settlement; other instances are asked to record it.
@@ -126,6 +128,12 @@
         Level::WARN,
         "instance silent",
     ),
+    row(
+        Event::CallMisdirected,
+        1303,
+        Level::WARN,
+        "call for another incarnation refused",
+    ),
     row(
         Event::UpstreamLeaving,
         1401,
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -11,6 +11,7 @@
 use crate::config_sync;
 use crate::event::Event;
 use crate::messages::{method, GossipMsg};
+use crate::peer_clients::PeerRef;
 use crate::shared_state::SharedState;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -72,13 +73,13 @@
 /// Sends an update to a peer and applies its reply.
 async fn exchange(shared: Arc<SharedState>, peer: Member, update: MembershipUpdate) {
     let msg = build_message(&shared, update);
-    let addr = &peer.peer_addr;
+    let peer = PeerRef::from(&peer);
     let reply = shared
         .peers
-        .call::<_, GossipMsg>(&shared.metrics, addr, method::GOSSIP, &msg)
+        .call::<_, GossipMsg>(&shared.metrics, &peer, method::GOSSIP, &msg)
         .await;
     if let Ok(reply) = reply {
-        apply_message(&shared, reply, addr);
+        apply_message(&shared, reply);
     }
 }
 
@@ -92,8 +93,7 @@
 
 /// Applies the message of a peer and returns the reply.
 pub fn handle_message(shared: &Arc<SharedState>, msg: GossipMsg) -> GossipMsg {
-    let addr = msg.membership.members.first().map(|m| m.peer_addr.clone());
-    apply_message(shared, msg, &addr.unwrap_or_default());
+    apply_message(shared, msg);
     let now = shared.clock.now();
     let mut rng = StdRng::from_os_rng();
     let update = {
@@ -103,18 +103,20 @@
     build_message(shared, update)
 }
 
-fn apply_message(shared: &Arc<SharedState>, msg: GossipMsg, addr: &str) {
-    let now = shared.clock.now();
-    let sender = match msg.membership.members.first() {
-        Some(sender) => format!("{} at {addr}", sender.id),
-        None => addr.to_string(),
+fn apply_message(shared: &Arc<SharedState>, msg: GossipMsg) {
+    let Some(sender) = msg.membership.members.first().cloned() else {
+        return;
     };
+    let now = shared.clock.now();
     let changed = {
         let mut members = shared.members.lock().expect("lock not poisoned");
         members.merge(now, msg.membership)
     };
     for member in &changed {
-        let detail = format!("{} {:?}, reported by {sender}", member.id, member.status);
+        let detail = format!(
+            "{} {:?}, reported by {} at {}",
+            member.id, member.status, sender.id, sender.peer_addr
+        );
         shared.log(Event::MembershipChanged, detail);
     }
     if !changed.is_empty() {
@@ -131,7 +133,7 @@
         }
     }
     if msg.revision > shared.config_revision() {
-        config_sync::spawn_pull(Arc::clone(shared), addr.to_string());
+        config_sync::spawn_pull(Arc::clone(shared), PeerRef::from(&sender));
     }
 }
 
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -6,10 +6,11 @@
 use budget::{Durability, ReserveReply};
 use claim::AttemptStatus;
 use jsonrpsee_core::RpcResult;
-use jsonrpsee_server::{RpcModule, ServerBuilder, ServerConfig, ServerHandle};
+use jsonrpsee_server::{RpcModule, ServerConfig, ServerHandle};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
+use crate::event::Event;
 use crate::messages::{
     method, DetachMsg, ExtendMsg, GossipMsg, OpenStepMsg, PullConfigMsg, RecallMsg, ReserveMsg,
     SettleMsg, StoreCopyMsg, VoidMsg,
@@ -25,14 +26,14 @@
 /// # Errors
 ///
 /// Returns why the address can't be bound.
-pub async fn bind(addr: SocketAddr) -> Result<(jsonrpsee_server::Server, SocketAddr), String> {
+pub async fn bind(addr: SocketAddr) -> Result<(rpc::Listener, SocketAddr), String> {
     let config = ServerConfig::builder()
         .http_only()
         .max_connections(MAX_CONNECTIONS)
         .max_request_body_size(MAX_MESSAGE_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
         .build();
-    let built = ServerBuilder::new().set_config(config).build(addr).await;
+    let built = rpc::listener_builder().set_config(config).build(addr).await;
     let server = built.map_err(|e| format!("{addr}: {e}"))?;
     let addr = server.local_addr().map_err(|e| e.to_string())?;
     Ok((server, addr))
@@ -43,7 +44,7 @@
 /// # Panics
 ///
 /// Panics if two methods have the same name.
-pub fn serve(server: jsonrpsee_server::Server, shared: Arc<SharedState>) -> ServerHandle {
+pub fn serve(server: rpc::Listener, shared: Arc<SharedState>) -> ServerHandle {
     let mut module = RpcModule::from_arc(shared);
     register(
         &mut module,
@@ -135,9 +136,13 @@
     F: Fn(Arc<SharedState>, M) -> Fut + Clone + Send + Sync + 'static,
     Fut: std::future::Future<Output = R> + Send,
 {
-    let registered = module.register_async_method(name, move |params, shared, _| {
+    let registered = module.register_async_method(name, move |params, shared, extensions| {
         let handler = handler.clone();
         async move {
+            if let Err(e) = rpc::check_addressee(&extensions, &shared.own_id) {
+                shared.log(Event::CallMisdirected, format!("{name}: {}", e.message()));
+                return Err(e);
+            }
             let msg: M = params.one()?;
             RpcResult::Ok(handler(shared, msg).await)
         }
--- a/crates/entry/src/pipeline/chat.rs
+++ b/crates/entry/src/pipeline/chat.rs
@@ -276,12 +276,12 @@
     if holder == shared.own_id {
         return shared.budgets.detach(msg).await.unwrap_or(true);
     }
-    let Some(addr) = shared.peer_addr(&holder) else {
+    let Some(peer) = shared.peer(&holder) else {
         return true;
     };
     let reply = shared
         .peers
-        .call(&shared.metrics, &addr, method::DETACH, &msg)
+        .call(&shared.metrics, &peer, method::DETACH, &msg)
         .await;
     reply.unwrap_or(true)
 }
--- a/crates/entry/src/pipeline/claims.rs
+++ b/crates/entry/src/pipeline/claims.rs
@@ -185,12 +185,12 @@
             .copied()
             .unwrap_or(AttemptStatus::Unknown);
     }
-    let Some(addr) = shared.peer_addr(&existing.holder) else {
+    let Some(peer) = shared.peer(&existing.holder) else {
         return AttemptStatus::Silent;
     };
     let reply = shared.peers.call(
         &shared.metrics,
-        &addr,
+        &peer,
         method::ATTEMPT_STATUS,
         &existing.attempt,
     );
--- a/crates/entry/src/pipeline/reservation.rs
+++ b/crates/entry/src/pipeline/reservation.rs
@@ -172,10 +172,10 @@
             .reserve(msg.request.clone(), msg.wait_ms)
             .await;
     }
-    let addr = shared.peer_addr(home)?;
+    let peer = shared.peer(home)?;
     shared
         .peers
-        .call(&shared.metrics, &addr, method::RESERVE, msg)
+        .call(&shared.metrics, &peer, method::RESERVE, msg)
         .await
         .ok()
 }
@@ -191,12 +191,12 @@
     };
     tokio::spawn(async move {
         for _ in 0..MAX_VOID_ATTEMPTS {
-            let Some(addr) = shared.peer_addr(&home) else {
+            let Some(peer) = shared.peer(&home) else {
                 return;
             };
             let reply = shared
                 .peers
-                .call::<_, bool>(&shared.metrics, &addr, method::VOID, &msg);
+                .call::<_, bool>(&shared.metrics, &peer, method::VOID, &msg);
             if reply.await.is_ok() {
                 return;
             }
@@ -229,10 +229,10 @@
     let reply = if hold.holder == shared.own_id {
         shared.budgets.extend(msg).await
     } else {
-        let addr = shared.peer_addr(&hold.holder).ok_or_else(not_covered)?;
+        let peer = shared.peer(&hold.holder).ok_or_else(not_covered)?;
         let reply = shared
             .peers
-            .call(&shared.metrics, &addr, method::EXTEND, &msg)
+            .call(&shared.metrics, &peer, method::EXTEND, &msg)
             .await;
         reply.ok()
     };
--- a/crates/entry/src/pipeline/settlement.rs
+++ b/crates/entry/src/pipeline/settlement.rs
@@ -118,10 +118,10 @@
     if to == shared.own_id {
         return shared.budgets.settle(msg.clone()).await;
     }
-    let addr = shared.peer_addr(to)?;
+    let peer = shared.peer(to)?;
     let reply: Result<Option<Durability>, String> = shared
         .peers
-        .call(&shared.metrics, &addr, method::SETTLE, msg)
+        .call(&shared.metrics, &peer, method::SETTLE, msg)
         .await;
     reply.ok().flatten()
 }
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -15,7 +15,7 @@
 use crate::event::Event;
 use crate::journal::RequestJournal;
 use crate::metrics::Metrics;
-use crate::peer_clients::PeerClients;
+use crate::peer_clients::{PeerClients, PeerRef};
 use crate::wait_queues::WaitQueues;
 
 /// The active configuration.
@@ -153,10 +153,10 @@
             .collect()
     }
 
-    /// Returns the address on which an instance listens for its peers.
-    pub fn peer_addr(&self, id: &str) -> Option<String> {
+    /// Returns where calls to an incarnation are sent; `None` if it is not known.
+    pub fn peer(&self, id: &str) -> Option<PeerRef> {
         let members = self.members.lock().expect("lock not poisoned");
-        members.get(id).map(|m| m.peer_addr.clone())
+        members.get(id).map(PeerRef::from)
     }
 
     /// Logs an event.
--- a/crates/oriolehitch/tests/scenario/actions.rs
+++ b/crates/oriolehitch/tests/scenario/actions.rs
@@ -56,7 +56,10 @@
 fn start_engine(env: &mut TestEnv, line: &Line) -> Result<(), String> {
     let name = line.word(1)?;
     let zone = line.field("zone").unwrap_or("hall-keflavik");
-    let url = env.process("p")?.url.clone();
+    let url = env
+        .process(line.field("platform").unwrap_or("p"))?
+        .url
+        .clone();
     let step = line.number("step", 4)?.to_string();
     let slots = line.number("slots", 32)?.to_string();
     let models = line.field("models").unwrap_or("birch-7b");
@@ -79,19 +82,22 @@
     env.start_process(name, zone, args.iter().map(ToString::to_string).collect())
 }
 
-/// Starts an instance. Fields other than `zone` are settings; `peers` names other instances.
+/// Starts an instance. Fields other than `zone` are settings; `platform` names the platform, `peers` other instances,
+/// and `peer_listen` an instance that was killed and whose address is used again.
 fn start_instance(env: &mut TestEnv, line: &Line) -> Result<(), String> {
     let mut settings = json!({});
     for (name, value) in &line.fields {
-        if name == "peers" {
-            let peers: Result<Vec<String>, String> = value
-                .split(',')
-                .map(|n| Ok(env.process(n)?.peer.clone()))
-                .collect();
-            settings["peers"] = json!(peers?);
-        } else if name != "zone" {
-            settings[name] = serde_json::from_str(value).unwrap_or(json!(value));
-        }
+        let setting = match name.as_str() {
+            "zone" => continue,
+            "platform" => json!(env.process(value)?.url),
+            "peer_listen" => json!(env.process(value)?.peer),
+            "peers" => {
+                let peers = value.split(',').map(|n| Ok(env.process(n)?.peer.clone()));
+                json!(peers.collect::<Result<Vec<String>, String>>()?)
+            }
+            _ => serde_json::from_str(value).unwrap_or(json!(value)),
+        };
+        settings[name] = setting;
     }
     env.start_instance(
         line.word(1)?,
--- a/crates/oriolehitch/tests/scenario/expect.rs
+++ b/crates/oriolehitch/tests/scenario/expect.rs
@@ -135,10 +135,13 @@
     Ok(value)
 }
 
-/// Returns the ledgers of all running stubs that execute requests.
-async fn ledgers(env: &TestEnv) -> Vec<Value> {
+/// Returns the ledgers of all running stubs that execute requests, or of those in a list of names.
+async fn ledgers(env: &TestEnv, names: Option<&str>) -> Vec<Value> {
     let mut ledgers = Vec::new();
-    for process in env.processes.values() {
+    for (name, process) in &env.processes {
+        if names.is_some_and(|names| !names.split(',').any(|n| n == name)) {
+            continue;
+        }
         if let Ok(ledger) = get(env, &format!("{}/ledger", process.url)).await {
             if ledger["runs"].is_array() {
                 ledgers.push(ledger);
@@ -156,7 +159,7 @@
         .get(request)
         .cloned()
         .unwrap_or_else(|| request.to_string());
-    let ledgers = ledgers(env).await;
+    let ledgers = ledgers(env, None).await;
     let runs = ledgers
         .iter()
         .flat_map(|l| l["runs"].as_array().cloned().unwrap_or_default());
@@ -184,7 +187,8 @@
     check_field("version", line.field("version"), version)
 }
 
-/// Checks a budget, as its record in the platform's key-value service shows it, against the engines' ledgers.
+/// Checks a budget, as its record in the platform's key-value service shows it, against the ledgers of all engines or of
+/// those that the line names.
 async fn check_budget(env: &TestEnv, line: &Line) -> Result<(), String> {
     let customer = line.word(2)?;
     let at = &env.process(line.field("at").unwrap_or("a"))?.admin;
@@ -192,7 +196,7 @@
     let bills = get(env, &format!("{at}/admin/v1/budgets/{customer}/bills")).await?;
     let bills = bills.as_array().cloned().unwrap_or_default();
     let mut served = 0;
-    for ledger in ledgers(env).await {
+    for ledger in ledgers(env, line.field("engines")).await {
         for run in ledger["runs"].as_array().into_iter().flatten() {
             if run["customer"] == customer {
                 served += run["served"].as_u64().unwrap_or(0);
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,73 @@
+//! JSON-RPC calls that are addressed to an incarnation of an instance.
+//!
+//! The address of an instance outlives its process: later it may be the address of another
+//! incarnation, or of an instance of another fleet. Each call therefore names the incarnation that it
+//! is for in an HTTP header, and any other incarnation refuses it.
+
+use jsonrpsee_core::RpcResult;
+use jsonrpsee_http_client::{HeaderMap, HeaderValue, HttpClientBuilder};
+use jsonrpsee_server::types::ErrorObject;
+use jsonrpsee_server::{Extensions, HttpRequest, Server, ServerBuilder};
+use tower::layer::util::{Identity, Stack};
+use tower::util::MapRequestLayer;
+use tower::ServiceBuilder;
+
+/// Header with the incarnation that a call is for.
+const ADDRESSEE_HEADER: &str = "oriolehitch-incarnation";
+/// Error code of a call for another incarnation: the HTTP status 421, Misdirected Request.
+const MISDIRECTED: i32 = 421;
+
+/// The incarnation that a call is for, as its header names it.
+#[derive(Clone, Debug)]
+struct Addressee(HeaderValue);
+
+type RequestMapper = fn(HttpRequest) -> HttpRequest;
+
+/// Middleware of a listener, which keeps the header of a call for its handler.
+pub type AddresseeLayer = Stack<MapRequestLayer<RequestMapper>, Identity>;
+
+/// A listener for calls of other instances.
+pub type Listener = Server<AddresseeLayer, Identity>;
+
+/// Returns a builder of clients for one incarnation; `None` stands for whichever is at the address.
+///
+/// # Errors
+///
+/// Returns why the incarnation can't be sent in a header.
+pub fn client_builder(to: Option<&str>) -> Result<HttpClientBuilder, String> {
+    let mut headers = HeaderMap::new();
+    if let Some(to) = to {
+        let value = HeaderValue::from_str(to).map_err(|e| e.to_string())?;
+        headers.insert(ADDRESSEE_HEADER, value);
+    }
+    Ok(HttpClientBuilder::default().set_headers(headers))
+}
+
+/// Returns a builder of listeners whose handlers can check the addressees of calls.
+pub fn listener_builder() -> ServerBuilder<AddresseeLayer, Identity> {
+    let mapper: RequestMapper = keep_addressee;
+    ServerBuilder::new().set_http_middleware(ServiceBuilder::new().map_request(mapper))
+}
+
+fn keep_addressee(mut req: HttpRequest) -> HttpRequest {
+    if let Some(to) = req.headers().get(ADDRESSEE_HEADER).cloned() {
+        req.extensions_mut().insert(Addressee(to));
+    }
+    req
+}
+
+/// Checks that a call is for an incarnation. A call without an addressee is for any: the caller knows
+/// only the address, or is an earlier version.
+///
+/// # Errors
+///
+/// Returns the error to answer if the call is for another incarnation.
+pub fn check_addressee(extensions: &Extensions, own_id: &str) -> RpcResult<()> {
+    match extensions.get::<Addressee>() {
+        Some(Addressee(to)) if to.as_bytes() != own_id.as_bytes() => {
+            let text = format!("the call is for {to:?}, this is {own_id}");
+            Err(ErrorObject::owned(MISDIRECTED, text, None::<()>))
+        }
+        Some(_) | None => Ok(()),
+    }
+}
