Take small grants while the witness of a joint grant is absent

Two causes: it takes that much alone, and it does not hand it back in time. Cause: when the only other instance of a zone is late for 4 s, the holder took it for one that does not exist. A zone with a single instance takes a quarter of the free budget alone, or 15 % as a standby, since it has to last through an outage. A witness that is late for 0.2 s had been dealt with: then little is taken. Change: a witness is live, absent (live within the last two minutes, as long as membership remembers it) or none. Without a live one, but not without any, a holder takes what it keeps in its own grant anyway (four steps of demand or a hundredth of the budget) or what requests need, and a standby takes nothing. Ruled out: that the witness does not close the joint grant. What is unopened counts as held, not as stranded. Costs: for two minutes after a planned stop or crash of the only other instance of its zone, a holder asks the store more often, and an outage of the store then leaves it less.

--- a/crates/bench/src/micro.rs
+++ b/crates/bench/src/micro.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use budget::msg::{AttemptRef, RecordSnapshot, ReserveRequest};
-use budget::shard::Params;
+use budget::shard::{Params, Witness};
 use budget::write_limiter::WriteLimiter;
 use budget::{Event, Role, Shard, ShardRecord};
 use conf::bundle::{Change, Head};
@@ -77,7 +77,7 @@
 /// Returns the mean durations of a reservation and of a commit, in microseconds.
 fn reserve_and_commit(record: &ShardRecord) -> (f64, f64) {
     let mut shard = Shard::new("instance-1.0123456789abcdef", Params::default());
-    shard.set_role(Role::Home, Vec::new(), None);
+    shard.set_role(Role::Home, Vec::new(), Witness::None);
     let mut limiter = WriteLimiter::new(0, 1 << 30, 1.0);
     let mut out = Vec::new();
     let mut count = 0;
--- a/crates/budget/src/joint_grant.rs
+++ b/crates/budget/src/joint_grant.rs
@@ -13,15 +13,15 @@
 
 use crate::msg::Action;
 use crate::record::{parse_joint_key, Account, ShardRecord};
-use crate::shard::{Role, Shard};
+use crate::shard::{Role, Shard, Witness};
 
 /// Time for which a step covers the demand, in milliseconds.
 const STEP_DEMAND_MS: f64 = 1_500.0;
 /// Time after which the holder takes grants without a witness that has not replied to a step, in
 /// milliseconds.
 const WITNESS_TIMEOUT_MS: u64 = 200;
-/// Number of steps' worth of tokens that a holder with a witness keeps in its own grant: room for
-/// steps that are opened ahead and for tokens that holds reserved and requests did not spend.
+/// Number of steps' worth of tokens that a holder in a zone with a witness keeps in its own grant: room
+/// for steps that are opened ahead and for tokens that holds reserved and requests did not spend.
 const MAX_UNWITNESSED_STEPS: f64 = 4.0;
 /// The holder keeps at least the whole budget divided by this: returning less is not worth a write.
 const UNWITNESSED_DIVISOR: u64 = 100;
@@ -132,7 +132,14 @@
     pub(crate) fn uses_joint_grant(&self, now: u64, name: &str) -> bool {
         let joint = self.local_accounts.get(name).and_then(|l| l.joint.as_ref());
         let usable = joint.is_none_or(|j| !j.closing && !witness_timed_out(now, j));
-        self.params.joint_grants && self.witness.is_some() && usable
+        self.params.joint_grants && matches!(self.witness, Witness::Live(_)) && usable
+    }
+
+    /// Returns whether new grants of an account have to do without a witness that is late or absent,
+    /// but may be back soon.
+    pub(crate) fn lacks_witness(&self, now: u64, name: &str) -> bool {
+        let expected = self.params.joint_grants && self.witness != Witness::None;
+        expected && !self.uses_joint_grant(now, name)
     }
 
     /// Asks the witness for a step that covers a shortfall, unless one is pending already.
@@ -245,14 +252,20 @@
         if !self.uses_joint_grant(now, name) {
             return 0;
         }
-        let Some(local) = self.local_accounts.get(name) else {
-            return 0;
-        };
         let own = self.granted(name).min(self.available(name));
+        own.saturating_sub(self.max_unwitnessed(now, name))
+    }
+
+    /// Returns the number of tokens that a holder keeps in its own grant, or takes into it, in a zone
+    /// with a witness.
+    pub(crate) fn max_unwitnessed(&self, now: u64, name: &str) -> u64 {
+        let rate = self
+            .local_accounts
+            .get(name)
+            .map_or(0.0, |l| l.demand_rate(now));
+        let steps = (rate * STEP_DEMAND_MS / 1000.0 * MAX_UNWITNESSED_STEPS) as u64;
         let total = self.stored_account(name).map_or(0, Account::total);
-        let kept_steps =
-            (local.demand_rate(now) * STEP_DEMAND_MS / 1000.0 * MAX_UNWITNESSED_STEPS) as u64;
-        own.saturating_sub(kept_steps.max(total / UNWITNESSED_DIVISOR))
+        steps.max(total / UNWITNESSED_DIVISOR)
     }
 
     /// Accepts no more steps of the joint grants that the next write closes.
@@ -331,7 +344,9 @@
             return;
         }
         let key = own.or_else(|| {
-            let witness = self.witness.as_ref()?;
+            let Witness::Live(witness) = &self.witness else {
+                return None;
+            };
             // The key contains the account because one write can create joint grants of several
             // accounts, whose steps must not be mixed up.
             Some(format!("{}+{witness}+{number}+{name}", self.me))
--- a/crates/budget/src/params.rs
+++ b/crates/budget/src/params.rs
@@ -17,6 +17,21 @@
     None,
 }
 
+/// Another instance of the holder's zone, as the witness of new joint grants.
+///
+/// The difference between the first two matters because a crash strands all of a grant that is taken
+/// without a witness.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Witness {
+    /// The zone has had no other instance lately.
+    #[default]
+    None,
+    /// No other instance of the zone is live, but one was lately: it may be late, paused or restarting.
+    Absent,
+    /// This instance approves the steps.
+    Live(String),
+}
+
 /// Parameters of a shard's state machine.
 #[derive(Clone, Copy, Debug)]
 pub struct Params {
--- a/crates/budget/src/record_sync.rs
+++ b/crates/budget/src/record_sync.rs
@@ -119,10 +119,14 @@
             weight,
             rate: local.demand_rate(now),
         });
-        if self.params.joint_grants && self.witness.is_some() && !self.uses_joint_grant(now, name) {
-            // The witness does not answer. All of a grant without it is stranded by a crash, so
-            // take little more than is needed.
-            return size.min(need.saturating_mul(2)).min(account.free());
+        if self.lacks_witness(now, name) {
+            // All of a grant without a witness is stranded by a crash, so take little more than is
+            // needed.
+            let room = self.max_unwitnessed(now, name);
+            let room = room.saturating_sub(self.available(name));
+            return size
+                .min(room.max(need.saturating_mul(2)))
+                .min(account.free());
         }
         size
     }
@@ -132,10 +136,9 @@
         if self.role != Role::Standby || self.params.standby_pct == 0 {
             return 0;
         }
-        let can_be_joint = self.params.joint_grants && self.witness.is_some();
-        if can_be_joint && !self.uses_joint_grant(now, name) {
-            // Its joint grant is being returned. A standby can wait for the next one, and a crash
-            // would strand all of a grant that is not joint.
+        if self.lacks_witness(now, name) {
+            // A standby can wait for its witness, and a crash would strand all of a grant that is not
+            // joint.
             return 0;
         }
         let pct = u128::from(self.params.standby_pct);
--- a/crates/budget/src/shard.rs
+++ b/crates/budget/src/shard.rs
@@ -17,7 +17,7 @@
     Action, AttemptRef, Durability, Event, OperatorCommand, OperatorReply, RecordSnapshot,
     ReserveReply, ReserveRequest, Settlement, UnconfirmedUsage,
 };
-pub use crate::params::{Params, Role};
+pub use crate::params::{Params, Role, Witness};
 use crate::record::{Account, BillSegment, ShardRecord};
 use crate::write_limiter::WriteLimiter;
 
@@ -77,7 +77,7 @@
     /// Live instances of the region, including this one.
     pub(crate) peers: Vec<String>,
     /// Witness of new joint grants.
-    pub(crate) witness: Option<String>,
+    pub(crate) witness: Witness,
     /// State of this instance as a witness of other holders.
     pub(crate) witness_state: WitnessState,
     /// Record as last read or written, and the time at which that call began.
@@ -124,7 +124,7 @@
             params,
             role: Role::None,
             peers: Vec::new(),
-            witness: None,
+            witness: Witness::None,
             witness_state: WitnessState::default(),
             snapshot: None,
             open_call: PlatformCall::Idle,
@@ -148,7 +148,7 @@
 
     /// Sets the role of this instance, the live instances of the region, and the witness of new
     /// joint grants.
-    pub fn set_role(&mut self, role: Role, peers: Vec<String>, witness: Option<String>) {
+    pub fn set_role(&mut self, role: Role, peers: Vec<String>, witness: Witness) {
         self.role = role;
         self.witness_state
             .unresponsive
@@ -165,6 +165,11 @@
         self.role
     }
 
+    /// Returns the witness of new joint grants.
+    pub fn witness(&self) -> &Witness {
+        &self.witness
+    }
+
     /// Returns the record as last read or written.
     pub fn record(&self) -> Option<&ShardRecord> {
         self.snapshot.as_ref().map(|(s, _)| &s.record)
--- a/crates/budget/src/shard_manager.rs
+++ b/crates/budget/src/shard_manager.rs
@@ -6,7 +6,7 @@
 use crate::msg::{Action, Event};
 use crate::placement::{self, Candidate};
 use crate::record::ShardRecord;
-use crate::shard::{Params, Role, Shard};
+use crate::shard::{Params, Role, Shard, Witness};
 use crate::write_limiter::WriteLimiter;
 
 /// Absence after which a holder without unspent tokens is retired, in milliseconds: longer than any
@@ -32,7 +32,10 @@
     writes_per_sec: u64,
     shards: BTreeMap<u32, Shard>,
     write_limiter: WriteLimiter,
+    /// The live instances of the region, including this one.
     members: Vec<Candidate>,
+    /// Those that were live lately.
+    absent: Vec<Candidate>,
     leaving: bool,
     /// Holders that are not present, with the time at which that was noticed.
     absent_since: BTreeMap<String, u64>,
@@ -55,17 +58,19 @@
             shards: BTreeMap::new(),
             write_limiter: WriteLimiter::new(now, writes_per_sec, 1.0),
             members: Vec::new(),
+            absent: Vec::new(),
             leaving: false,
             absent_since: BTreeMap::new(),
         }
     }
 
-    /// Sets the live instances of the region, including this one.
-    pub fn set_members(&mut self, members: Vec<Candidate>) {
-        if self.members == members {
+    /// Sets the live instances of the region, including this one, and those that were live lately.
+    pub fn set_members(&mut self, members: Vec<Candidate>, absent: Vec<Candidate>) {
+        if self.members == members && self.absent == absent {
             return;
         }
         self.members = members;
+        self.absent = absent;
         let mut homes = 0;
         for shard in 0..self.shard_count {
             self.update_role(shard);
@@ -101,15 +106,17 @@
     }
 
     /// Returns the instance of this zone that is the witness of new joint grants.
-    fn witness(&self, shard: u32) -> Option<String> {
-        let zone = self
-            .members
-            .iter()
-            .find(|c| c.id == self.me)
-            .map(|c| &c.zone)?;
-        let ranked = placement::rank_candidates(shard, &self.members);
-        let other = |c: &&&Candidate| c.zone == *zone && c.id != self.me;
-        ranked.iter().find(other).map(|c| c.id.clone())
+    fn witness(&self, shard: u32) -> Witness {
+        let Some(own) = self.members.iter().find(|c| c.id == self.me) else {
+            return Witness::None;
+        };
+        let other = |c: &&Candidate| c.zone == own.zone && c.id != self.me;
+        let mut ranked = placement::rank_candidates(shard, &self.members).into_iter();
+        match ranked.find(other) {
+            Some(live) => Witness::Live(live.id.clone()),
+            None if self.absent.iter().any(|c| other(&c)) => Witness::Absent,
+            None => Witness::None,
+        }
     }
 
     fn update_role(&mut self, shard: u32) {
--- a/crates/budget/tests/decisions.rs
+++ b/crates/budget/tests/decisions.rs
@@ -1,11 +1,13 @@
 //! Tests of the decisions on budgets, one situation each; the crate `trial` tests random ones.
 
 use budget::msg::{AttemptRef, RecordSnapshot, ReserveRequest};
+use budget::placement::Candidate;
 use budget::record::PostOutcome;
-use budget::shard::Params;
+use budget::shard::{Params, Witness};
 use budget::write_limiter::WriteLimiter;
 use budget::{
-    Account, Action, Event, OperatorCommand, ReserveReply, Role, Settlement, Shard, ShardRecord,
+    Account, Action, Event, OperatorCommand, ReserveReply, Role, Settlement, Shard, ShardManager,
+    ShardRecord,
 };
 
 fn settlement(holder: &str, hold: u64, request_id: &str, tokens: u64) -> Settlement {
@@ -30,7 +32,11 @@
 impl Fixture {
     fn new(id: &str) -> Fixture {
         let mut shard = Shard::new(id, Params::default());
-        shard.set_role(Role::Home, vec![id.to_string(), "b.1".to_string()], None);
+        shard.set_role(
+            Role::Home,
+            vec![id.to_string(), "b.1".to_string()],
+            Witness::None,
+        );
         Fixture {
             shard,
             limiter: WriteLimiter::new(0, 1_000, 1.0),
@@ -154,7 +160,9 @@
     let mut next = granted;
     next.post("c", &settlement("a.1", 1, "r", 60), false);
     fixture.step(Event::WriteCommitted { revision: 3 });
-    fixture.shard.set_role(Role::None, Vec::new(), None);
+    fixture
+        .shard
+        .set_role(Role::None, Vec::new(), Witness::None);
     let out = fixture.step(Event::Tick);
     expect_write(&out);
     fixture.step(Event::WriteOutcomeUnknown);
@@ -310,6 +318,56 @@
     assert_eq!(reply, Some(budget::OperatorReply::IdReused(1_000)));
 }
 
+/// Guards against stranding a quarter of a budget in a crash of a holder whose witness is paused.
+#[test]
+fn a_holder_whose_witness_is_absent_takes_small_grants() {
+    for role in [Role::Home, Role::Standby] {
+        let mut fixture = Fixture::new("a.1");
+        let peers = vec!["a.1".to_string()];
+        fixture.shard.set_role(role, peers, Witness::Absent);
+        fixture.reserve("r", 100);
+        let out = fixture.step(Event::RecordRead(snapshot(1, record(400_000))));
+        let (_, written) = expect_write(&out);
+        let granted = written.accounts["c"].unspent("a.1");
+        assert!((100..8_000).contains(&granted), "{role:?}: {granted}");
+    }
+}
+
+/// A zone with a single instance never has a witness, and has to last through an outage.
+#[test]
+fn the_only_instance_of_a_zone_takes_large_grants() {
+    let mut fixture = Fixture::new("a.1");
+    fixture.reserve("r", 100);
+    let out = fixture.step(Event::RecordRead(snapshot(1, record(400_000))));
+    let (_, written) = expect_write(&out);
+    assert_eq!(written.accounts["c"].unspent("a.1"), 100_000);
+}
+
+/// Guards against taking the only other instance of the zone for gone as soon as it is late.
+#[test]
+fn an_instance_that_was_live_lately_is_an_absent_witness() {
+    let candidate = |id: &str, zone: &str| Candidate {
+        id: id.to_string(),
+        zone: zone.to_string(),
+    };
+    let witness = |live: Vec<Candidate>, absent| {
+        let mut shards = ShardManager::new(0, "a.1", 1, 100, Params::default());
+        shards.step(0, 0, Event::Tick);
+        shards.set_members(live, absent);
+        shards.shards()[&0].witness().clone()
+    };
+    let own = candidate("a.1", "x");
+    let other_zone = candidate("c.1", "y");
+    let second = candidate("b.1", "x");
+    assert_eq!(witness(vec![own.clone()], vec![other_zone]), Witness::None);
+    assert_eq!(
+        witness(vec![own.clone()], vec![second.clone()]),
+        Witness::Absent
+    );
+    let live = Witness::Live("b.1".to_string());
+    assert_eq!(witness(vec![own, second], Vec::new()), live);
+}
+
 /// Guards against stranding a quarter of a budget in a crash although the holder has a witness. On
 /// a busy machine the witness's heartbeats are late, it counts as unresponsive, and a grant is
 /// taken without it. If the holder kept that grant once the witness is back, a kill a minute later
@@ -325,7 +383,7 @@
     let peers = vec!["a.1".to_string(), "b.1".to_string()];
     fixture
         .shard
-        .set_role(Role::Home, peers, Some("b.1".to_string()));
+        .set_role(Role::Home, peers, Witness::Live("b.1".to_string()));
     let out = fixture.step(Event::Tick);
     let (_, together) = expect_write(&out);
     fixture.step(Event::WriteCommitted { revision: 3 });
@@ -359,7 +417,7 @@
     let peers = vec!["a.1".to_string(), "b.1".to_string()];
     fixture
         .shard
-        .set_role(Role::Home, peers, Some("b.1".to_string()));
+        .set_role(Role::Home, peers, Witness::Live("b.1".to_string()));
     fixture.step(Event::RecordRead(snapshot(4, record.clone())));
     for _ in 0..3 {
         if let Some((base, next)) = find_write(&fixture.step(Event::Tick)) {
--- a/crates/entry/src/budget_handle.rs
+++ b/crates/entry/src/budget_handle.rs
@@ -22,7 +22,10 @@
     OpenStep(OpenStepMsg, oneshot::Sender<u64>),
     Operator(String, OperatorCommand, oneshot::Sender<OperatorReply>),
     Event(u32, Event),
-    SetMembers(Vec<Candidate>),
+    SetMembers {
+        live: Vec<Candidate>,
+        absent: Vec<Candidate>,
+    },
     ReportUnresponsive(Vec<String>),
     SetPresence(Vec<String>, Vec<String>),
     ReturnAll,
@@ -113,9 +116,9 @@
         rx.await.ok()
     }
 
-    /// Sets the live instances of the region, which may be homes.
-    pub fn set_members(&self, members: Vec<Candidate>) {
-        self.send(Command::SetMembers(members));
+    /// Sets the live instances of the region, which may be homes, and those that were live lately.
+    pub fn set_members(&self, live: Vec<Candidate>, absent: Vec<Candidate>) {
+        self.send(Command::SetMembers { live, absent });
     }
 
     /// Reports instances as unresponsive.
--- a/crates/entry/src/budget_task.rs
+++ b/crates/entry/src/budget_task.rs
@@ -228,8 +228,8 @@
                 )
             }
             Command::Event(shard, event) => self.shards.step(now, shard, event),
-            Command::SetMembers(members) => {
-                self.shards.set_members(members);
+            Command::SetMembers { live, absent } => {
+                self.shards.set_members(live, absent);
                 Vec::new()
             }
             Command::ReportUnresponsive(instances) => {
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -43,7 +43,7 @@
 /// Passes the live instances to the budgets and the pool, and reports those that have become
 /// unresponsive or have left since the last call.
 fn update_members(shared: &Arc<SharedState>, known_unresponsive: &mut BTreeSet<String>) {
-    shared.budgets.set_members(shared.home_candidates());
+    shared.update_budget_members();
     let live = shared.live_instances().len();
     shared
         .pool
@@ -120,7 +120,7 @@
         shared.log(Event::MembershipChanged, detail);
     }
     if !changed.is_empty() {
-        shared.budgets.set_members(shared.home_candidates());
+        shared.update_budget_members();
     }
     for id in &msg.leaving_upstreams {
         let is_new = shared
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -142,7 +142,7 @@
         .lock()
         .expect("lock not poisoned")
         .apply_list(specs);
-    shared.budgets.set_members(shared.home_candidates());
+    shared.update_budget_members();
 }
 
 /// Returns the ids of the instances that are present according to gossip or the list, and of those
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -141,16 +141,28 @@
 
     /// Returns the live instances of this region, which may be homes of budgets.
     pub fn home_candidates(&self) -> Vec<Candidate> {
+        self.candidates(self.live_instances())
+    }
+
+    /// Passes the live and the absent instances of this region to the budgets.
+    pub fn update_budget_members(&self) {
+        let now = self.clock.now();
+        let (live, absent) = {
+            let members = self.members.lock().expect("lock not poisoned");
+            (members.live(now), members.absent(now))
+        };
+        let (live, absent) = (self.candidates(live), self.candidates(absent));
+        self.budgets.set_members(live, absent);
+    }
+
+    fn candidates(&self, members: Vec<Member>) -> Vec<Candidate> {
         let is_local = |m: &Member| m.region == self.settings.region;
         let to_candidate = |m: Member| Candidate {
             id: m.id,
             zone: m.zone,
         };
-        self.live_instances()
-            .into_iter()
-            .filter(is_local)
-            .map(to_candidate)
-            .collect()
+        let local = members.into_iter().filter(is_local);
+        local.map(to_candidate).collect()
     }
 
     /// Returns where calls to an incarnation are sent; `None` if it is not known.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -246,6 +246,15 @@
         all.filter(|m| m.status == Status::Live).cloned().collect()
     }
 
+    /// Returns the other instances that do not accept requests or are suspected, but not forgotten.
+    pub fn absent(&self, now: u64) -> Vec<Member> {
+        let timeout = self.suspect_timeout_ms();
+        let is_absent =
+            |k: &&KnownMember| now >= k.heard_at + timeout || k.member.status != Status::Live;
+        let absent = self.known.values().filter(is_absent);
+        absent.map(|k| k.member.clone()).collect()
+    }
+
     /// Returns the instance with an incarnation.
     pub fn get(&self, id: &str) -> Option<&Member> {
         if id == self.local.id {
--- a/crates/trial/src/simulation.rs
+++ b/crates/trial/src/simulation.rs
@@ -33,6 +33,8 @@
 pub(crate) const TOKEN_WAIT_MS: u64 = 1_500;
 /// Time for which the others still take a killed or paused instance for live, in milliseconds.
 pub(crate) const UNRESPONSIVE_AFTER_MS: u64 = 4_000;
+/// Time for which the others remember an instance that was killed or has left, in milliseconds.
+pub(crate) const FORGET_AFTER_MS: u64 = 120_000;
 /// Time after which the caller of a killed entry retries, in milliseconds.
 pub(crate) const CALLER_RETRY_MS: std::ops::Range<u64> = 500..4_000;
 /// Percentage of the callers of killed entries that retry.
@@ -421,6 +423,15 @@
             && self.zones_connected(a.zone, b.zone)
     }
 
+    /// Returns whether the others remember a node although it is not live.
+    fn is_remembered(&self, node: usize) -> bool {
+        let node = &self.nodes[node];
+        match node.state {
+            NodeState::Up | NodeState::Leaving => true,
+            NodeState::Left | NodeState::Killed => self.now < node.state_since + FORGET_AFTER_MS,
+        }
+    }
+
     pub(crate) fn update_members(&mut self) {
         let ids = |keep: fn(&NodeState) -> bool| -> Vec<String> {
             let nodes = self.nodes.iter().filter(|n| keep(&n.state));
@@ -445,13 +456,16 @@
                 .copied()
                 .filter(|n| *n != node)
                 .collect();
-            let candidates = live.iter().map(|n| Candidate {
-                id: self.nodes[*n].id.clone(),
-                zone: self.nodes[*n].zone.to_string(),
-            });
-            let candidates = candidates.collect();
+            let is_absent = |n: &usize| !live.contains(n) && self.is_remembered(*n);
+            let absent = (0..self.nodes.len()).filter(is_absent);
+            let to_candidate = |n: usize| Candidate {
+                id: self.nodes[n].id.clone(),
+                zone: self.nodes[n].zone.to_string(),
+            };
+            let absent = absent.map(to_candidate).collect();
+            let live = live.into_iter().map(to_candidate).collect();
             self.nodes[node].unresponsive = unresponsive;
-            self.nodes[node].manager.set_members(candidates);
+            self.nodes[node].manager.set_members(live, absent);
             self.nodes[node]
                 .manager
                 .set_presence(self.now, &present, &left);
