Repeat a conflicting write of a budget record at once

Evidence: event 1511, new here, counts conflicts in a row. Cause: a write waits for the write limiter and is then based on the record of the last conflict, which is as old as that wait: half a second for an instance that is home to no shard. While others write more often than that, it conflicts for as long as they do. What a stop returns, settlements of others' holds and joint grants to be closed wait the same way. Change: a conflict gives the write back to the limiter, up to four times in a row, so that the write is repeated on the record that the conflict has just returned. Costs: under contention up to five transactions for a write.

--- a/crates/budget/src/msg.rs
+++ b/crates/budget/src/msg.rs
@@ -472,6 +472,11 @@
         /// Id of the request.
         request_id: String,
     },
+    /// A write did not take effect because the record had changed, and neither did the ones before.
+    WriteConflicts {
+        /// Conflicts since the last write that took effect.
+        count: u32,
+    },
     /// The record shows other grants of this holder than before.
     GrantChanged {
         /// Name of the customer's account.
--- a/crates/budget/src/record_sync.rs
+++ b/crates/budget/src/record_sync.rs
@@ -14,6 +14,9 @@
 const MAX_RECORD_BILLS: usize = 128;
 /// The same while the write limiter has no writes to spare.
 const MAX_RECORD_BILLS_BUSY: usize = 512;
+/// Number of times that a write is repeated at once after a conflict. The next one waits for the write
+/// limiter.
+const MAX_CONFLICT_RETRIES: u32 = 4;
 /// Time after its last use at which an empty account is forgotten, in milliseconds.
 const IDLE_ACCOUNT_MS: u64 = 300_000;
 
@@ -338,15 +341,29 @@
             return;
         };
         let record = write.record.clone();
+        self.consecutive_conflicts = 0;
         self.end_write(RecordSnapshot { revision, record }, out);
     }
 
     /// Handles a write that failed because the record had changed.
+    ///
+    /// The write is repeated at once, on the record that the conflict returned. If it waited for the
+    /// write limiter instead, that record would be outdated again, and a holder that writes seldom
+    /// would conflict with one that writes often for as long as that goes on.
     pub(crate) fn on_write_conflict(
         &mut self,
         snapshot: Option<RecordSnapshot>,
+        limiter: &mut WriteLimiter,
         out: &mut Vec<Action>,
     ) {
+        self.consecutive_conflicts += 1;
+        let count = self.consecutive_conflicts;
+        if count % (MAX_CONFLICT_RETRIES + 1) != 0 {
+            limiter.refund();
+        }
+        if count > MAX_CONFLICT_RETRIES && count.is_power_of_two() {
+            out.push(Action::Warn(Warning::WriteConflicts { count }));
+        }
         self.end_write(or_empty(snapshot), out);
     }
 
--- a/crates/budget/src/shard.rs
+++ b/crates/budget/src/shard.rs
@@ -96,6 +96,8 @@
     pub(crate) next_write: u64,
     /// Failed platform calls since the last successful one.
     pub(crate) consecutive_failures: u32,
+    /// Write conflicts since the last write that took effect.
+    pub(crate) consecutive_conflicts: u32,
     /// Earliest time of the next platform call, in milliseconds.
     pub(crate) retry_at: u64,
     /// Whether the record is to be read again.
@@ -135,6 +137,7 @@
             next_hold: 1,
             next_write: 1,
             consecutive_failures: 0,
+            consecutive_conflicts: 0,
             retry_at: 0,
             read_requested: false,
             copies: Vec::new(),
@@ -333,7 +336,7 @@
             Event::RecordRead(snapshot) => self.on_read(now, snapshot, out),
             Event::ReadFailed | Event::WriteRefused => self.on_call_failed(now),
             Event::WriteCommitted { revision } => self.on_write_committed(revision, out),
-            Event::WriteConflict(snapshot) => self.on_write_conflict(snapshot, out),
+            Event::WriteConflict(snapshot) => self.on_write_conflict(snapshot, limiter, out),
             Event::WriteOutcomeUnknown => {
                 self.on_call_failed(now);
                 self.read_requested = true;
--- a/crates/budget/src/write_limiter.rs
+++ b/crates/budget/src/write_limiter.rs
@@ -48,6 +48,11 @@
         allowed
     }
 
+    /// Puts a write back that did not take effect.
+    pub fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
+
     /// Returns whether the bucket is at least half full.
     pub fn has_spare(&mut self, now: u64) -> bool {
         self.refill(now);
--- a/crates/entry/src/budget_task.rs
+++ b/crates/entry/src/budget_task.rs
@@ -397,6 +397,10 @@
                     format!("{account}: {tokens} tokens"),
                 );
             }
+            Action::Warn(Warning::WriteConflicts { count }) => {
+                let detail = format!("shard {shard}: {count} conflicts in a row");
+                shared.log(event::Event::WriteConflicts, detail);
+            }
             Action::Warn(Warning::GrantChanged {
                 account,
                 before,
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -58,6 +58,8 @@
     GrantChanged,
     /// A call to the platform for the record of a budget failed.
     BudgetCallFailed,
+    /// Writes of the record of a budget conflict with those of other instances.
+    WriteConflicts,
     /// A response was aborted.
     ResponseAborted,
     /// An upstream sent part of the response to another request.
@@ -191,6 +193,12 @@
         Level::WARN,
         "call for a budget record failed",
     ),
+    row(
+        Event::WriteConflicts,
+        1511,
+        Level::WARN,
+        "writes of a budget record conflict",
+    ),
     row(
         Event::ResponseAborted,
         1601,
