Address calls between instances on the platform to incarnations, too

An operator would see an instance run the configuration of another fleet, and keep it, since the own one is older by its number. Evidence: other_fleet::a_configuration_of_another_fleet_is_not_applied gives the address of a killed instance to an instance of another fleet, whose version is 9. Cause: the survivor goes on to send notices to the address; the other instance answers with its version, which the survivor fetches from there. A call to take tokens, and one for changes in an outage, would reach it the same way. Change: calls go only to addresses that are listed, and name the incarnation that is listed there; seeds of the settings are called by address while nothing is listed. A gift names the incarnation that it is for. Methods are registered in one place, which checks the addressee. Datagrams from an address that is not listed are ignored. Why it holds: of two fleets that meet, the one whose list is outdated speaks first, and its own address is not in the list of the other. Left: ping, with which a stopping instance in an outage looks for a restarted one, is answered by any incarnation at the address. A gift would reach another fleet if both happened there.

--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -197,6 +197,10 @@
                 sleep(ROUND_INTERVAL).await;
                 continue;
             };
+            // An instance of another fleet may send to the previous owner of this address.
+            if !fleet.is_peer(from) {
+                continue;
+            }
             match serde_json::from_slice(&buf[..n]) {
                 Ok(Datagram::Loads(report)) => {
                     receive_loads(&self.pool, &report, self.clock.now());
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -19,6 +19,7 @@
 use crate::event::Event;
 use crate::follower::{Follower, FollowerDeps, Update};
 use crate::log::Log;
+use crate::peers::PeerAddresses;
 use crate::replication::Topic;
 use crate::roster::{HomeScope, Homes, Roster};
 
@@ -117,7 +118,7 @@
         let seeds = seeds.iter().filter(|a| **a != own_addr).map(seed);
         let key = format!("{}{name}", zone_prefix(&own.zone));
         let roster = Roster::new(&BTreeMap::new(), &key, &own);
-        Fleet(Arc::new(Inner {
+        let fleet = Fleet(Arc::new(Inner {
             roster: RwLock::new(Arc::new(roster)),
             seeds: seeds.collect(),
             own,
@@ -132,7 +133,27 @@
             members: Mutex::default(),
             mass_start: AtomicBool::new(false),
             lease: Mutex::new(0),
-        }))
+        }));
+        fleet.update_peer_addresses();
+        fleet
+    }
+
+    /// Passes the addresses of the other instances to the clients.
+    fn update_peer_addresses(&self) {
+        let roster = self.roster();
+        let listed = roster.peers().iter();
+        let listed = listed.map(|m| (m.addr, Some(Arc::clone(m))));
+        let mut addresses: PeerAddresses = listed.collect();
+        if addresses.is_empty() {
+            addresses.extend(self.0.seeds.iter().map(|m| (m.addr, None)));
+        }
+        let peer_clients = &self.0.follower_deps.peer_clients;
+        peer_clients.set_addresses(addresses);
+    }
+
+    /// Returns whether an address belongs to another instance, as far as known.
+    pub(crate) fn is_peer(&self, addr: SocketAddr) -> bool {
+        self.0.follower_deps.peer_clients.is_peer(addr)
     }
 
     /// Returns the incarnation of this instance.
@@ -332,6 +353,7 @@
         let roster = Roster::new(&members, &self.0.key, &self.0.own);
         let roster = Arc::new(roster);
         *self.0.roster.write().expect("lock not poisoned") = Arc::clone(&roster);
+        self.update_peer_addresses();
         self.publish_instances(&members, &roster);
         self.update_mass_start(&members);
         drop(members);
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -3,16 +3,18 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
 use escrow::CumulativeTotal;
 use jsonrpsee_core::client::ClientT;
 use jsonrpsee_core::params::ArrayParams;
 use jsonrpsee_core::RpcResult;
-use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
-use jsonrpsee_server::{RpcModule, Server, ServerBuilder, ServerHandle};
+use jsonrpsee_http_client::HttpClient;
+use jsonrpsee_server::types::Params;
+use jsonrpsee_server::{Extensions, RpcModule, ServerHandle};
 use notice::Notice;
 use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
@@ -22,7 +24,7 @@
 
 use crate::budgets::{Budgets, DrawRequest, DrawResponse};
 use crate::event::Event;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Member};
 use crate::log::Log;
 use crate::notices::NoticeHandler;
 use crate::relay::Relay;
@@ -119,6 +121,10 @@
 }
 
 impl PeerService {
+    fn check_addressee(&self, extensions: &Extensions) -> RpcResult<()> {
+        rpc::check_addressee(extensions, &self.budgets.own_id())
+    }
+
     /// Records what the requesting instance knows, and returns what it may be missing.
     fn sync_response(&self, request: &SyncRequest) -> SyncResponse {
         for id in &request.leaving {
@@ -141,69 +147,73 @@
 /// # Errors
 ///
 /// Returns why the address can't be bound.
-pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<(Server, SocketAddr)> {
-    let server = ServerBuilder::default().build(addr).await?;
+pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<(rpc::Listener, SocketAddr)> {
+    let server = rpc::listener_builder().build(addr).await?;
     let addr = server.local_addr()?;
     Ok((server, addr))
 }
 
 /// Starts the server that answers other instances.
-pub(crate) fn serve(server: Server, service: PeerService) -> ServerHandle {
+pub(crate) fn serve(server: rpc::Listener, service: PeerService) -> ServerHandle {
     let mut module = RpcModule::new(service);
-    let take = module.register_method("take", |params, service, _| -> RpcResult<CumulativeTotal> {
+    register(&mut module, "take", |params, service| {
         let request: TokenRequest = params.one()?;
         Ok(service.budgets.transfer_share(&request))
     });
-    take.expect("method names are unique");
-    let gift = module.register_method("gift", |params, service, _| -> RpcResult<bool> {
+    register(&mut module, "gift", |params, service| {
         let transfer: TokenTransfer = params.one()?;
         Ok(service.budgets.receive_transfer(&transfer))
     });
-    gift.expect("method names are unique");
-    let draw = module.register_async_method("draw", |params, service, _| async move {
+    let draw = module.register_async_method("draw", |params, service, extensions| async move {
+        service.check_addressee(&extensions)?;
         let draw: DrawRequest = params.one()?;
         RpcResult::Ok(service.budgets.handle_draw(&draw).await)
     });
     draw.expect("method names are unique");
-    let ping = module.register_method("ping", |_, service, _| -> RpcResult<Option<String>> {
+    register(&mut module, "ping", |_, service| {
         Ok((!service.budgets.is_shutting_down()).then(|| service.budgets.own_id()))
     });
-    ping.expect("method names are unique");
-    let news = module.register_method("news", |params, service, _| -> RpcResult<SyncResponse> {
+    register(&mut module, "news", |params, service| {
         let request: SyncRequest = params.one()?;
         Ok(service.sync_response(&request))
     });
-    news.expect("method names are unique");
-    let lacking = module.register_method(
-        "lacking",
-        |params, service, _| -> RpcResult<DeltaResponse> {
-            let request: DeltaRequest = params.one()?;
-            let response = service.notice_handler.relay.serve_delta(&request);
-            service.traffic.record("lists", true, response.size_bytes());
-            Ok(response)
-        },
-    );
-    lacking.expect("method names are unique");
-    let suspects = module.register_method(
-        "suspects",
-        |_, service, _| -> RpcResult<Vec<SuspectRecord>> { Ok(service.suspects.list()) },
-    );
-    suspects.expect("method names are unique");
-    let limits = module.register_method("limits", |_, service, _| -> RpcResult<Vec<Notice>> {
+    register(&mut module, "lacking", |params, service| {
+        let request: DeltaRequest = params.one()?;
+        let response = service.notice_handler.relay.serve_delta(&request);
+        service.traffic.record("lists", true, response.size_bytes());
+        Ok(response)
+    });
+    register(&mut module, "suspects", |_, service| {
+        Ok(service.suspects.list())
+    });
+    register(&mut module, "limits", |_, service| {
         Ok(service.notice_handler.upstream_list.limit_notices())
     });
-    limits.expect("method names are unique");
-    let trial = module.register_method("trial", |params, service, _| -> RpcResult<TrialResponse> {
+    register(&mut module, "trial", |params, service| {
         let request: TrialRequest = params.one()?;
         Ok(service.suspects.answer_trial_request(&request))
     });
-    trial.expect("method names are unique");
     server.start(module)
 }
 
+/// Registers a method, which refuses calls for other incarnations.
+fn register<R: Serialize + Clone + 'static>(
+    module: &mut RpcModule<PeerService>,
+    name: &'static str,
+    handler: impl Fn(Params<'_>, &PeerService) -> RpcResult<R> + Send + Sync + 'static,
+) {
+    let registered = module.register_method(name, move |params, service, extensions| {
+        service.check_addressee(extensions)?;
+        handler(params, service)
+    });
+    registered.expect("method names are unique");
+}
+
 /// The connection to one instance.
 struct Connection {
     client: HttpClient,
+    /// The incarnation that calls are for; `None` for whichever is at the address.
+    incarnation: Option<String>,
     /// The instance is not called before this time, since requests wait for a call that hangs. The
     /// next call after it uses a new connection.
     backoff_until: Option<Instant>,
@@ -211,35 +221,65 @@
     unresponsive: bool,
 }
 
+/// The addresses of the other instances, each with the instance that is listed there. An address from
+/// the settings has none.
+pub(crate) type PeerAddresses = HashMap<SocketAddr, Option<Arc<Member>>>;
+
 /// Clients for calls to other instances; clones share the connections.
 #[derive(Clone, Default)]
-pub(crate) struct PeerClients(Arc<Mutex<HashMap<SocketAddr, Connection>>>);
+pub(crate) struct PeerClients {
+    addresses: Arc<RwLock<PeerAddresses>>,
+    connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
 
 impl PeerClients {
-    /// Returns the client for an instance.
+    /// Sets the addresses that may be called.
+    pub(crate) fn set_addresses(&self, addresses: PeerAddresses) {
+        *self.addresses.write().expect("lock not poisoned") = addresses;
+    }
+
+    /// Returns whether an address belongs to another instance of this fleet, as far as known.
+    pub(crate) fn is_peer(&self, addr: SocketAddr) -> bool {
+        let addresses = self.addresses.read().expect("lock not poisoned");
+        addresses.contains_key(&addr)
+    }
+
+    /// Returns the client for the instance that is listed at an address.
     ///
     /// # Errors
     ///
     /// Returns why the instance can't be called now.
     fn client(&self, addr: SocketAddr) -> Result<HttpClient, String> {
-        let mut connections = self.0.lock().expect("lock not poisoned");
+        let addresses = self.addresses.read().expect("lock not poisoned");
+        let listed = addresses.get(&addr).cloned();
+        drop(addresses);
+        let listed = listed.ok_or("no instance is listed at this address")?;
+        self.client_of(addr, listed.as_ref().map(|m| m.id.as_str()))
+    }
+
+    /// Returns the client for an incarnation, or for whichever is at the address.
+    fn client_of(&self, addr: SocketAddr, incarnation: Option<&str>) -> Result<HttpClient, String> {
+        let mut connections = self.connections.lock().expect("lock not poisoned");
         let mut unresponsive = false;
         if let Some(connection) = connections.get(&addr) {
-            unresponsive = connection.unresponsive;
-            let backing_off = connection.backoff_until.is_some_and(|t| Instant::now() < t);
-            if backing_off {
-                return Err("backing off after a call without response".to_string());
-            }
-            if connection.backoff_until.is_none() {
-                return Ok(connection.client.clone());
+            if connection.incarnation.as_deref() == incarnation {
+                unresponsive = connection.unresponsive;
+                let backing_off = connection.backoff_until.is_some_and(|t| Instant::now() < t);
+                if backing_off {
+                    return Err("backing off after a call without response".to_string());
+                }
+                if connection.backoff_until.is_none() {
+                    return Ok(connection.client.clone());
+                }
             }
         }
-        let client = HttpClientBuilder::default()
+        let client = rpc::client_builder(incarnation)?
             .request_timeout(RESPONSE_TIMEOUT)
             .build(format!("http://{addr}"))
             .map_err(|e| e.to_string())?;
         let connection = Connection {
             client: client.clone(),
+            incarnation: incarnation.map(str::to_string),
             backoff_until: None,
             unresponsive,
         };
@@ -249,14 +289,14 @@
 
     /// Returns whether an instance did not answer the last call.
     pub(crate) fn is_unresponsive(&self, addr: SocketAddr) -> bool {
-        let connections = self.0.lock().expect("lock not poisoned");
+        let connections = self.connections.lock().expect("lock not poisoned");
         connections.get(&addr).is_some_and(|c| c.unresponsive)
     }
 
     /// Stops calling an instance for a while. The next call uses a new connection, since the old
     /// one may hang forever.
     pub(crate) fn back_off(&self, addr: SocketAddr) {
-        let mut connections = self.0.lock().expect("lock not poisoned");
+        let mut connections = self.connections.lock().expect("lock not poisoned");
         if let Some(connection) = connections.get_mut(&addr) {
             connection.backoff_until = Some(Instant::now() + BACKOFF);
             connection.unresponsive = true;
@@ -270,6 +310,16 @@
         param: &impl Serialize,
     ) -> Result<T, String> {
         let client = self.client(addr)?;
+        self.call_with(client, addr, method, param).await
+    }
+
+    async fn call_with<T: DeserializeOwned>(
+        &self,
+        client: HttpClient,
+        addr: SocketAddr,
+        method: &str,
+        param: &impl Serialize,
+    ) -> Result<T, String> {
         let response = send_request(&client, method, param).await;
         match response {
             Ok(_) => self.record_response(addr),
@@ -279,7 +329,7 @@
     }
 
     fn record_response(&self, addr: SocketAddr) {
-        let mut connections = self.0.lock().expect("lock not poisoned");
+        let mut connections = self.connections.lock().expect("lock not poisoned");
         if let Some(connection) = connections.get_mut(&addr) {
             connection.unresponsive = false;
         }
@@ -292,7 +342,16 @@
         method: &str,
         param: &impl Serialize,
     ) -> Result<T, String> {
-        let response = timeout(CALL_TIMEOUT, self.call(addr, method, param)).await;
+        self.with_timeout(addr, self.call(addr, method, param))
+            .await
+    }
+
+    async fn with_timeout<T>(
+        &self,
+        addr: SocketAddr,
+        call: impl Future<Output = Result<T, String>>,
+    ) -> Result<T, String> {
+        let response = timeout(CALL_TIMEOUT, call).await;
         response.unwrap_or_else(|_| {
             self.back_off(addr);
             Err("timed out".to_string())
@@ -328,11 +387,12 @@
         self.call(addr, "draw", draw).await
     }
 
-    /// Returns the incarnation of an instance; `None` if it does not respond, or is stopping.
+    /// Returns the incarnation at an address; `None` if it does not respond, or is stopping. It may
+    /// be another one than the list shows.
     pub(crate) async fn ping(&self, addr: SocketAddr) -> Option<String> {
-        self.call_with_timeout(addr, "ping", &())
-            .await
-            .unwrap_or(None)
+        let client = self.client_of(addr, None).ok()?;
+        let call = self.call_with(client, addr, "ping", &());
+        self.with_timeout(addr, call).await.unwrap_or(None)
     }
 
     /// Fetches the records of requests that were present at crashes of upstreams.
@@ -380,7 +440,9 @@
         addr: SocketAddr,
         transfer: &TokenTransfer,
     ) -> Result<bool, String> {
-        self.call_with_timeout(addr, "gift", transfer).await
+        let client = self.client_of(addr, Some(&transfer.transferred.to))?;
+        let call = self.call_with(client, addr, "gift", transfer);
+        self.with_timeout(addr, call).await
     }
 
     /// Fetches changes that are not known here from an instance that may know more.
