Tick at a deadline, also while commands arrive

Hypotheses: a request hangs; the settlement of one is never confirmed; the budgets are never drained. Nothing told them apart, so event 1007 names each 5 s of a planned stop the requests in flight and what is left to settle or to return. Cause: the budget task ticked only when no command had come for 250 ms. The stop asks each 50 ms whether the budgets are drained, so no tick came any more; the copies are posted at a tick. Any steady traffic of commands did the same: orphans, recalls and what was granted without a witness wait for ticks too. Change: the next tick has a deadline, which no command moves.

--- a/crates/budget/src/shard.rs
+++ b/crates/budget/src/shard.rs
@@ -198,15 +198,45 @@
 
     /// Returns whether nothing is left to settle or to return to the record.
     pub fn is_drained(&self) -> bool {
-        let is_drained = |(name, l): (&String, &LocalAccount)| {
+        self.open_call == PlatformCall::Idle
+            && self.copies.is_empty()
+            && self.undrained_accounts().next().is_none()
+    }
+
+    fn undrained_accounts(&self) -> impl Iterator<Item = (&String, &LocalAccount)> {
+        let is_drained = |name: &String, l: &LocalAccount| {
             let is_idle =
                 l.is_idle() && l.commands.is_empty() && l.open_recalls == 0 && l.joint.is_none();
             let is_empty = l.returning == 0 && self.available(name) == 0;
             is_idle && is_empty && !self.has_unrecorded_transfers(name)
         };
-        self.open_call == PlatformCall::Idle
-            && self.copies.is_empty()
-            && self.local_accounts.iter().all(is_drained)
+        let accounts = self.local_accounts.iter();
+        accounts.filter(move |(name, l)| !is_drained(name, l))
+    }
+
+    /// Describes what is left to settle or to return to the record, for the log.
+    pub fn describe_undrained(&self) -> String {
+        let mut text = format!(
+            "call {:?}, failures {}, copies {}",
+            self.open_call,
+            self.consecutive_failures,
+            self.copies.len()
+        );
+        for (name, l) in self.undrained_accounts() {
+            text += &format!(
+                "; {name}: available {}, returning {}, holds {}, pending {}, waiting {}, recalls {}, \
+                 joint {}, unrecorded transfers {}",
+                self.available(name),
+                l.returning,
+                l.holds.len(),
+                l.pending.len(),
+                l.waiting.len(),
+                l.open_recalls,
+                l.joint.is_some(),
+                self.has_unrecorded_transfers(name)
+            );
+        }
+        text
     }
 
     /// Returns the tokens of an account that this holder can still reserve, transfer or return.
--- a/crates/budget/src/shard_manager.rs
+++ b/crates/budget/src/shard_manager.rs
@@ -204,4 +204,11 @@
     pub fn is_drained(&self) -> bool {
         self.shards.values().all(Shard::is_drained)
     }
+
+    /// Describes what is left to settle or to return to the records, for the log.
+    pub fn describe_undrained(&self) -> String {
+        let shards = self.shards.iter().filter(|(_, s)| !s.is_drained());
+        let lines = shards.map(|(n, s)| format!("shard {n}: {}", s.describe_undrained()));
+        lines.collect::<Vec<_>>().join("; ")
+    }
 }
--- a/crates/entry/src/budget_handle.rs
+++ b/crates/entry/src/budget_handle.rs
@@ -30,6 +30,7 @@
     SetPresence(Vec<String>, Vec<String>),
     ReturnAll,
     IsDrained(oneshot::Sender<bool>),
+    DescribeUndrained(oneshot::Sender<String>),
     Dump(oneshot::Sender<Value>),
 }
 
@@ -143,6 +144,13 @@
         rx.await.unwrap_or(true)
     }
 
+    /// Describes what is left to be settled or returned, for the log.
+    pub async fn describe_undrained(&self) -> String {
+        let (tx, rx) = oneshot::channel();
+        self.send(Command::DescribeUndrained(tx));
+        rx.await.unwrap_or_default()
+    }
+
     /// Returns the state of the budgets as JSON.
     pub async fn dump(&self) -> Value {
         let (tx, rx) = oneshot::channel();
--- a/crates/entry/src/budget_task.rs
+++ b/crates/entry/src/budget_task.rs
@@ -13,6 +13,7 @@
 use serde_json::{json, Value};
 use tokio::sync::oneshot;
 use tokio::task::JoinError;
+use tokio::time::{timeout_at, Instant};
 
 use crate::budget_handle::{BudgetHandle, Command, CommandReceiver};
 use crate::budget_io::{
@@ -87,18 +88,28 @@
 
 impl BudgetTask {
     async fn run(mut self, mut commands: CommandReceiver) {
+        let mut ticked_at = Instant::now();
         loop {
-            let wait = if self.shards.is_busy() {
+            let interval = if self.shards.is_busy() {
                 TICK_BUSY
             } else {
                 TICK_IDLE
             };
-            let command = tokio::time::timeout(wait, commands.0.recv()).await;
+            // Commands may arrive more often than ticks are due.
+            let tick_at = ticked_at + interval;
+            let command = if Instant::now() < tick_at {
+                timeout_at(tick_at, commands.0.recv()).await.ok()
+            } else {
+                None
+            };
             let now = self.clock.now();
             let actions = match command {
-                Err(_) => self.shards.step_all(now, &Event::Tick),
-                Ok(Some(command)) => self.handle(now, command),
-                Ok(None) => return,
+                None => {
+                    ticked_at = Instant::now();
+                    self.shards.step_all(now, &Event::Tick)
+                }
+                Some(Some(command)) => self.handle(now, command),
+                Some(None) => return,
             };
             let Some(shared) = self.shared.upgrade() else {
                 return;
@@ -250,6 +261,10 @@
                 let _ = tx.send(self.shards.is_drained());
                 Vec::new()
             }
+            Command::DescribeUndrained(tx) => {
+                let _ = tx.send(self.shards.describe_undrained());
+                Vec::new()
+            }
             Command::Dump(tx) => {
                 let _ = tx.send(self.dump());
                 Vec::new()
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -16,6 +16,8 @@
     Stopped,
     /// A planned stop was aborted, or ran out of time.
     StopAborted,
+    /// A planned stop waits for requests, or for tokens to be settled or returned.
+    StopWaiting,
     /// An invariant of the budgets failed; the process exits.
     InvariantFailed,
     /// A task panicked.
@@ -88,6 +90,7 @@
         "invariant of the budgets failed, process ends",
     ),
     row(Event::Panicked, 1006, Level::ERROR, "task panicked"),
+    row(Event::StopWaiting, 1007, Level::WARN, "planned stop waits"),
     row(
         Event::ConfigApplied,
         1101,
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -28,6 +28,8 @@
 const ADMIN_BODY_LIMIT: usize = 64 << 20;
 /// Interval at which a planned stop checks whether the budgets are drained.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which a planned stop logs what it waits for.
+const DRAIN_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// New requests are refused at least this long before the listeners close, so that load balancers
 /// notice.
 const READINESS_NOTICE: Duration = Duration::from_millis(300);
@@ -124,6 +126,7 @@
         let limit = Duration::from_millis(shared.settings.drain_ms());
         let clean = tokio::select! {
             done = tokio::time::timeout(limit, self.drain()) => done.is_ok(),
+            () = self.log_drain() => false,
             () = abort => false,
         };
         if clean {
@@ -154,6 +157,17 @@
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
+
+    /// Logs at intervals what a planned stop waits for.
+    async fn log_drain(&self) {
+        loop {
+            tokio::time::sleep(DRAIN_LOG_INTERVAL).await;
+            let in_flight = *self.shared.in_flight.borrow();
+            let undrained = self.shared.budgets.describe_undrained().await;
+            let detail = format!("{in_flight} in flight; {undrained}");
+            self.shared.log(Event::StopWaiting, detail);
+        }
+    }
 }
 
 fn new_state(
