Repeat a failed read of a budget record

Cause: a read that failed was not asked for again. An instance with nothing to write made no call after that, so it went on to count the platform as unavailable, returned nothing, and, as a witness, closed no joint grant of a holder that had crashed. Change: a failed read is repeated after the backoff, like one that follows a write without a known outcome.

--- a/crates/budget/src/shard.rs
+++ b/crates/budget/src/shard.rs
@@ -364,10 +364,10 @@
                 local.commands.push((reply_to, command));
             }
             Event::RecordRead(snapshot) => self.on_read(now, snapshot, out),
-            Event::ReadFailed | Event::WriteRefused => self.on_call_failed(now),
+            Event::WriteRefused => self.on_call_failed(now),
             Event::WriteCommitted { revision } => self.on_write_committed(revision, out),
             Event::WriteConflict(snapshot) => self.on_write_conflict(snapshot, limiter, out),
-            Event::WriteOutcomeUnknown => {
+            Event::ReadFailed | Event::WriteOutcomeUnknown => {
                 self.on_call_failed(now);
                 self.read_requested = true;
             }
--- a/crates/budget/tests/decisions.rs
+++ b/crates/budget/tests/decisions.rs
@@ -333,6 +333,26 @@
     }
 }
 
+/// Guards against an instance that has nothing to write, and for which the platform counts as
+/// unavailable for good after one failed read: a witness would not close joint grants.
+#[test]
+fn a_failed_read_is_repeated() {
+    let mut fixture = Fixture::new("a.1");
+    fixture.step(Event::OpenStep {
+        reply_to: 1,
+        key: "b.1+a.1+1+c".to_string(),
+        up_to: 10,
+    });
+    let out = fixture.step(Event::InstanceUnresponsive {
+        instance: "b.1".to_string(),
+    });
+    assert!(matches!(out[..], [Action::ReadRecord]));
+    fixture.step(Event::ReadFailed);
+    fixture.now += 5_000;
+    let out = fixture.step(Event::Tick);
+    assert!(matches!(out[..], [Action::ReadRecord]), "{out:?}");
+}
+
 /// A zone with a single instance never has a witness, and has to last through an outage.
 #[test]
 fn the_only_instance_of_a_zone_takes_large_grants() {
