Count a search for tokens once it has ended

Hypotheses: (1) other instances that are asked while the write to the store is under way count as searches that ended; (2) the write conflicts or is lost. Evidence: requests_wait_for_the_free_tokens_of_a_slow_store makes each write take 150 ms: refused after 77 ms with all tokens free, the grant 101 ms later, at the first attempt. So it is (1). Cause: a request is refused when two searches have ended since it came. While the store had not answered for 30 ms, each round of calls to other instances, one each 20 ms, counted as one. Change: a search ends with its refill cycle. Requests still try again after each round and when tokens arrive. While a store hangs, before it counts as unavailable, a request without tokens waits up to 0.6 s where it was refused after 0.07 s.

--- a/crates/proxy/src/budgets/mod.rs
+++ b/crates/proxy/src/budgets/mod.rs
@@ -91,8 +91,8 @@
     /// Value of `unconfirmed_revision` when the own ledger was last read.
     checked_revision: AtomicI64,
     refill_requested: Notify,
-    /// Counts finished searches for tokens, and arrivals of tokens that cover a customer's
-    /// shortfall. Waiting requests try again at each change.
+    /// Counts finished searches for tokens. Waiting requests try again at each change, and when they
+    /// are notified without one.
     finished_searches: watch::Sender<u64>,
     deps: OnceLock<BudgetDeps>,
     /// Customers whose homes are to be sent a settlement, with the number of times left.
--- a/crates/proxy/src/budgets/refill.rs
+++ b/crates/proxy/src/budgets/refill.rs
@@ -78,7 +78,7 @@
                     Scope::All
                 };
                 budgets.refill(scope).await;
-                budgets.notify_waiting();
+                budgets.0.finished_searches.send_modify(|n| *n += 1);
                 sleep(MIN_REFILL_PAUSE).await;
             }
         });
@@ -136,9 +136,10 @@
         }
     }
 
-    /// Tells waiting requests to try again.
+    /// Tells waiting requests to try again. This counts as no search: one that is under way may yet
+    /// find tokens.
     pub(super) fn notify_waiting(&self) {
-        self.0.finished_searches.send_modify(|n| *n += 1);
+        self.0.finished_searches.send_modify(|_| {});
     }
 
     async fn request_shortfalls(&self) {
