--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Logs at intervals what a planned stop waits for; never completes.
+    /// Logs at intervals what a planned stop waits for.
     async fn log_drain(&self) {
         loop {
             tokio::time::sleep(DRAIN_LOG_INTERVAL).await;
