Let later incarnations answer calls between instances on the platform

Cause: lists show a restarted instance late, and a follower gets its list from the readers of its zone: one that had started again refused it, so that the store was read instead. Change: on the platform a call is for an instance, in whichever incarnation. What moves tokens names both incarnations in the call itself.

--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -121,8 +121,10 @@
 }
 
 impl PeerService {
+    /// Refuses calls for other instances. A later incarnation answers, since the list shows it late;
+    /// calls that transfer tokens name the incarnations themselves.
     fn check_addressee(&self, extensions: &Extensions) -> RpcResult<()> {
-        rpc::check_addressee(extensions, &self.budgets.own_id())
+        rpc::check_instance(extensions, &self.budgets.own_id())
     }
 
     /// Records what the requesting instance knows, and returns what it may be missing.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -56,6 +56,26 @@
     req
 }
 
+/// Returns the name of an instance without the id of its start.
+fn name(incarnation: &[u8]) -> &[u8] {
+    incarnation.split(|b| *b == b'.').next().unwrap_or_default()
+}
+
+/// Checks that a call is for an instance, in this or another incarnation: whatever depends on the
+/// incarnation has to be named in the call itself.
+///
+/// # Errors
+///
+/// Returns the error to answer if the call is for another instance.
+pub fn check_instance(extensions: &Extensions, own_id: &str) -> RpcResult<()> {
+    match extensions.get::<Addressee>() {
+        Some(Addressee(to)) if name(to.as_bytes()) != name(own_id.as_bytes()) => {
+            Err(misdirected(to, own_id))
+        }
+        Some(_) | None => Ok(()),
+    }
+}
+
 /// Checks that a call is for an incarnation. A call without an addressee is for any: the caller knows
 /// only the address, or is an earlier version.
 ///
@@ -64,10 +84,12 @@
 /// Returns the error to answer if the call is for another incarnation.
 pub fn check_addressee(extensions: &Extensions, own_id: &str) -> RpcResult<()> {
     match extensions.get::<Addressee>() {
-        Some(Addressee(to)) if to.as_bytes() != own_id.as_bytes() => {
-            let text = format!("the call is for {to:?}, this is {own_id}");
-            Err(ErrorObject::owned(MISDIRECTED, text, None::<()>))
-        }
+        Some(Addressee(to)) if to.as_bytes() != own_id.as_bytes() => Err(misdirected(to, own_id)),
         Some(_) | None => Ok(()),
     }
 }
+
+fn misdirected(to: &HeaderValue, own_id: &str) -> ErrorObject<'static> {
+    let text = format!("the call is for {to:?}, this is {own_id}");
+    ErrorObject::owned(MISDIRECTED, text, None::<()>)
+}
