--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -198,7 +198,7 @@
     server.start(module)
 }
 
-/// Registers a method, which refuses calls for other incarnations.
+/// Registers a method, which refuses calls for other instances.
 fn register<R: Serialize + Clone + 'static>(
     module: &mut RpcModule<PeerService>,
     name: &'static str,
