--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The address of an instance outlives its process: later it may be the address of another
 //! incarnation, or of an instance of another fleet. Each call therefore names the incarnation that it
-//! is for in an HTTP header, and any other incarnation refuses it.
+//! is for in an HTTP header. A method refuses calls for other incarnations, or for other instances.
 
 use jsonrpsee_core::RpcResult;
 use jsonrpsee_http_client::{HeaderMap, HeaderValue, HttpClientBuilder};
