Log callers that leave before their answer, and whose load a refusal counts

Of 457 requests in the collected logs 376 had no line that ends them, since only streams under way logged that their caller left. A refusal as busy, or because no upstream is left, did not say how many were ejected and whose requests it counted. Change: 2505 is logged for each request whose caller leaves, with its wait, the upstreams tried and whether it was sent; refusals (2502) name listed and ejected upstreams, their slots, and the own and the peers' requests there.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -22,6 +22,7 @@
 mod senders;
 mod throttled;
 mod upstream;
+mod usage;
 
 pub use choice::{Choice, ChooseError, Criteria};
 pub use cold_start::ColdStart;
@@ -36,3 +37,4 @@
 pub use upstream::{
     AttemptId, InstanceLoad, Load, Outcome, PromptSegment, Spec, Upstream, UpstreamKey,
 };
+pub use usage::ServiceUsage;
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -242,8 +242,12 @@
         } else {
             0
         };
-        let others: u32 = self.fresh_peer_loads(now).map(|p| p.load.inflight).sum();
-        reported.max(self.inflight + others)
+        reported.max(self.inflight + self.peer_inflight(now))
+    }
+
+    /// Returns the number of requests of other instances in flight, by their reports.
+    pub(crate) fn peer_inflight(&self, now: u64) -> u32 {
+        self.fresh_peer_loads(now).map(|p| p.load.inflight).sum()
     }
 
     /// Returns whether it accepts new requests: it is listed, not leaving and not paused, and its zone is
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to get a response from an upstream: choosing it, connecting, sending the request and
 //! reading the head of the response.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -11,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, StatusCode, Uri};
-use place::{max_connections, Choice, ChooseError, Criteria, Outcome, RateLimit};
+use place::{max_connections, Choice, ChooseError, Criteria, Outcome, RateLimit, ServiceUsage};
 use suspect::Digest;
 use tokio::time::timeout_at;
 
@@ -124,7 +125,7 @@
         let remaining_ms = ctx.remaining_ms();
         match self {
             AttemptError::Denied(ChooseError::Busy { retry_ms }) => {
-                let message = format!("the upstreams of {} are busy", ctx.service);
+                let message = format!("the upstreams of {} are busy: {}", ctx.service, usage(ctx));
                 Refusal::new(Kind::Overloaded, message).retry_within(retry_ms, remaining_ms)
             }
             AttemptError::Denied(ChooseError::Resting { retry_ms }) => {
@@ -156,7 +157,11 @@
                     .retry_within(RETRY_EVACUATED_MS, remaining_ms)
             }
             AttemptError::Denied(ChooseError::Unknown | ChooseError::NoneLeft) => {
-                let message = format!("no upstream of {} is available", ctx.service);
+                let message = format!(
+                    "no upstream of {} is available: {}",
+                    ctx.service,
+                    usage(ctx)
+                );
                 Refusal::new(Kind::NoUpstream, message)
                     .retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
             }
@@ -181,6 +186,13 @@
     }
 }
 
+/// Describes the load and health of a request's upstreams.
+fn usage(ctx: &RequestContext) -> ServiceUsage {
+    let now = ctx.router.clock.now();
+    let pool = ctx.router.pool.lock().expect("lock not poisoned");
+    pool.service_usage(now, &ctx.service)
+}
+
 /// Whether a request may have run in the attempts so far.
 #[derive(Debug)]
 pub(crate) struct AttemptHistory {
@@ -223,6 +235,7 @@
     let (guard, conn) = connect(ctx).await?;
     ctx.timing.sent_ms = ctx.router.clock.now() - ctx.arrived_at;
     ctx.attempts += 1;
+    ctx.progress.sent.store(ctx.attempts, Ordering::Relaxed);
     ctx.router.metrics.attempts.inc();
     if ctx.attempts > 1 {
         ctx.router.metrics.retries.inc();
@@ -259,6 +272,7 @@
         }
         let choice = choose(ctx).map_err(AttemptError::Denied)?;
         ctx.tried.push(choice.key);
+        ctx.progress.tried.fetch_add(1, Ordering::Relaxed);
         ctx.timing.uncached_tokens = choice.uncached_tokens;
         ctx.timing.expected_ms = choice.expected_ms;
         let guard = AttemptGuard::new(ctx, choice);
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -21,7 +21,7 @@
 use crate::config::ActiveConfig;
 use crate::event::Event;
 use crate::refusal::Refusal;
-use crate::request_context::{AttemptTiming, InFlightGuard, RequestContext};
+use crate::request_context::{AttemptTiming, CallerGuard, InFlightGuard, RequestContext};
 use crate::request_info::RequestInfo;
 use crate::router::Router;
 use crate::{buffered, stream};
@@ -50,16 +50,17 @@
         // connection is therefore closed after the response.
         let chunked = req.headers().contains_key(TRANSFER_ENCODING);
         let (head, body) = req.into_parts();
-        let mut info = None;
-        let mut res = match self.process(head, body, &mut info).await {
+        let mut caller = CallerGuard::new(self);
+        let mut res = match self.process(head, body, &mut caller).await {
             Ok(res) => res,
             Err(refusal) => {
-                self.log_refusal(info.as_ref(), &refusal);
-                self.dialect
-                    .refusal_response(info.as_ref(), &refusal)
-                    .map(ResponseBody::Buffered)
+                let info = caller.info.as_ref();
+                self.log_refusal(info, &refusal);
+                let res = self.dialect.refusal_response(info, &refusal);
+                res.map(ResponseBody::Buffered)
             }
         };
+        caller.ended = true;
         if chunked || self.is_stopping() || self.is_link_congested() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
@@ -78,18 +79,18 @@
         self.log.request_event(Event::Refused, id, detail);
     }
 
-    /// Processes a request; sets `parsed` once its head is parsed, so that a refusal can refer to
-    /// it.
+    /// Processes a request; sets the caller's request once its head is parsed, so that a refusal can
+    /// refer to it.
     async fn process(
         self: &Arc<Self>,
         head: request::Parts,
         body: Incoming,
-        parsed: &mut Option<RequestInfo>,
+        caller: &mut CallerGuard,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived_at = self.clock.now();
         let mut in_flight = InFlightGuard::new(self);
         let info = self.dialect.parse_request(&head)?;
-        *parsed = Some(info.clone());
+        caller.info = Some(info.clone());
         let timeout_ms = info.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
         if self.refusing.load(Ordering::Relaxed) {
             let refusal = Refusal::new(Kind::Draining, "this instance is shutting down");
@@ -143,6 +144,7 @@
             deadline,
             tried: SmallVec::new(),
             attempts: 0,
+            progress: Arc::clone(&caller.progress),
             reservation: None,
             may_have_response: false,
             timing: AttemptTiming::default(),
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -1,5 +1,6 @@
 //! A request that is being processed.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -58,6 +59,52 @@
     }
 }
 
+/// How far a request has come.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Number of upstreams that were chosen.
+    pub(crate) tried: AtomicU32,
+    /// Number of times the request was sent.
+    pub(crate) sent: AtomicU32,
+}
+
+/// Logs on drop that the caller has left, unless its request has ended.
+pub(crate) struct CallerGuard {
+    router: Arc<Router>,
+    arrived_at: u64,
+    pub(crate) progress: Arc<Progress>,
+    /// The request, once its head is parsed.
+    pub(crate) info: Option<RequestInfo>,
+    pub(crate) ended: bool,
+}
+
+impl CallerGuard {
+    /// Starts watching a request that arrives now.
+    pub(crate) fn new(router: &Arc<Router>) -> CallerGuard {
+        CallerGuard {
+            router: Arc::clone(router),
+            arrived_at: router.clock.now(),
+            progress: Arc::default(),
+            info: None,
+            ended: false,
+        }
+    }
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        let Some(info) = self.info.as_ref().filter(|_| !self.ended) else {
+            return;
+        };
+        let waited_ms = self.router.clock.now() - self.arrived_at;
+        let tried = self.progress.tried.load(Ordering::Relaxed);
+        let sent = self.progress.sent.load(Ordering::Relaxed);
+        let detail = format_args!("waited_ms={waited_ms} tried={tried} sent={sent}");
+        let log = &self.router.log;
+        log.request_event(Event::CallerDisconnected, &info.id, detail);
+    }
+}
+
 /// Expected and measured times of the last attempt, for the log.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AttemptTiming {
@@ -93,6 +140,7 @@
     pub(crate) tried: SmallVec<[UpstreamKey; 4]>,
     /// How many times the request was sent.
     pub(crate) attempts: u32,
+    pub(crate) progress: Arc<Progress>,
     pub(crate) reservation: Option<Reservation>,
     /// Whether an upstream sent a part of a response, or may have sent one that was lost.
     pub(crate) may_have_response: bool,
