--- a/crates/conf/src/routing.rs
+++ b/crates/conf/src/routing.rs
@@ -75,6 +75,8 @@
     /// Maximum number of connections that one of its upstreams accepts from all instances together; 0 if
     /// there is no limit.
     pub max_connections: u32,
+    /// Path at which its upstreams answer health checks.
+    pub health_path: String,
     /// Tokens in one event of a stream; 0 if unknown.
     pub tokens_per_event: u64,
     /// How long an upstream is cold after it started, in milliseconds.
--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -87,6 +87,7 @@
 const FLEET: &[Field] = &[
     optional("ready_listen", Schema::SocketAddr),
     optional("metrics_listen", Schema::SocketAddr),
+    optional("transit_listen", Schema::SocketAddr),
     optional("stop_secs", Schema::Number(0.1, 86_400.0)),
     optional("retry_ratio", Schema::Number(0.0, 1.0)),
     optional("retry_window_secs", Schema::Number(0.1, 3_600.0)),
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -72,6 +72,8 @@
     pub ready_listen: Option<SocketAddr>,
     /// Listener for metrics and the dump; they are not available if it is unset.
     pub metrics_listen: Option<SocketAddr>,
+    /// Listener at which the instance forwards requests of others to upstreams that they can't reach.
+    pub transit_listen: Option<SocketAddr>,
     /// Time from the stop signal until the process is killed, in seconds.
     pub stop_secs: Option<f64>,
     /// Maximum number of retries of a service's requests by all instances, as a share of its requests.
--- a/crates/dial/src/lib.rs
+++ b/crates/dial/src/lib.rs
@@ -8,4 +8,4 @@
 mod pool;
 
 pub use conn::{Conn, SendError};
-pub use pool::{ConnectError, Dialer, Target};
+pub use pool::{set_socket_options, ConnectError, Dialer, Target};
--- a/crates/dial/src/pool.rs
+++ b/crates/dial/src/pool.rs
@@ -259,7 +259,12 @@
     }
 }
 
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the options by which an interrupted network path is noticed.
+///
+/// # Errors
+///
+/// Returns why an option can't be set.
+pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -14,6 +14,7 @@
 use crate::senders::Senders;
 use crate::upstream::{AttemptId, InstanceLoad, Load, Outcome, Spec, Upstream, UpstreamKey};
 
+mod path;
 mod throttle;
 
 /// If less than this percentage of a service's upstreams is usable, their health is ignored: when most of
@@ -423,9 +424,9 @@
     /// Returns the load of this instance at its upstreams by the hash of their incarnation, to report it
     /// to the other instances.
     pub fn own_loads(&self, now: u64) -> Vec<(u64, InstanceLoad)> {
-        let busy = self.upstreams.iter().flatten().filter(|u| u.inflight > 0);
-        busy.map(|u| (u.incarnation_hash(), u.own_load(now)))
-            .collect()
+        let all = self.upstreams.iter().flatten();
+        let loads = all.map(|u| (u.incarnation_hash(), u.own_load(now)));
+        loads.filter(|(_, load)| load.inflight > 0).collect()
     }
 
     /// Sets the loads that another instance reported, by the hash of the upstream's incarnation.
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -178,6 +178,8 @@
     /// Number of requests sent since the last load report.
     sent_since_report: u32,
     prefills: Vec<Prefill>,
+    /// Attempts in flight that have most likely never arrived.
+    undelivered: Vec<AttemptId>,
     peer_loads: Vec<PeerLoad>,
     queue_delay_ms: f64,
     queue_delay_updated_at: u64,
@@ -211,6 +213,7 @@
             reported_at: None,
             sent_since_report: 0,
             prefills: Vec::new(),
+            undelivered: Vec::new(),
             peer_loads: Vec::new(),
             queue_delay_ms: 0.0,
             queue_delay_updated_at: 0,
@@ -242,7 +245,21 @@
         } else {
             0
         };
-        reported.max(self.inflight + self.peer_inflight(now))
+        reported.max(self.own_inflight() + self.peer_inflight(now))
+    }
+
+    /// Returns the number of this instance's requests in flight that count as load.
+    fn own_inflight(&self) -> u32 {
+        self.inflight - self.undelivered.len() as u32
+    }
+
+    /// Records that an attempt in flight has most likely never arrived, unless there was a response:
+    /// it is no load.
+    pub(crate) fn mark_undelivered(&mut self, attempt: AttemptId) {
+        if let Some(i) = self.prefills.iter().position(|p| p.attempt == attempt) {
+            self.prefills.swap_remove(i);
+            self.undelivered.push(attempt);
+        }
     }
 
     /// Returns the number of requests of other instances in flight, by their reports.
@@ -278,7 +295,7 @@
     }
 
     /// Returns whether no cold-start limit applies: it is warm, or its service has no such limit.
-    fn is_unlimited(&self, now: u64, cold_start: ColdStart) -> bool {
+    pub(crate) fn is_unlimited(&self, now: u64, cold_start: ColdStart) -> bool {
         cold_start.max_per_sec.is_none() || self.cold_until(now).is_none()
     }
 
@@ -384,7 +401,7 @@
     pub fn own_load(&self, now: u64) -> InstanceLoad {
         InstanceLoad {
             pending_prefill_ms: self.own_pending_prefill_ms(now),
-            inflight: self.inflight,
+            inflight: self.own_inflight(),
         }
     }
 
@@ -490,6 +507,7 @@
         );
         self.inflight -= 1;
         self.prefills.retain(|p| p.attempt != attempt);
+        self.undelivered.retain(|a| *a != attempt);
         let answered = matches!(
             outcome,
             Outcome::Success | Outcome::ErrorResponse | Outcome::Refused
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -15,6 +15,7 @@
 use place::{max_connections, Choice, ChooseError, Criteria, Outcome, RateLimit, ServiceUsage};
 use suspect::Digest;
 use tokio::time::timeout_at;
+use transit::{Denial, Mode};
 
 use crate::dialect::{AdvertisedLimit, Disposition, Pause, ResponseInfo};
 use crate::event::Event;
@@ -22,6 +23,7 @@
 use crate::request_context::RequestContext;
 use crate::request_info::AttemptContext;
 use crate::router::Router;
+use crate::transit::{self as forwarding, PathLost, PathWatch, SendOutcome, Way};
 
 /// An attempt of a retryable request is given up if there is no response head within both of these
 /// multiples: of the route's latency objective, and of the latency that was expected. Before that,
@@ -40,6 +42,9 @@
     router: Arc<Router>,
     digest: Digest,
     pub(crate) choice: Choice,
+    /// How the request reaches the upstream; none until a connection is chosen.
+    way: Option<Way>,
+    retryable: bool,
     sent_at: u64,
     outcome: Outcome,
 }
@@ -50,6 +55,8 @@
             router: Arc::clone(&ctx.router),
             digest: ctx.digest,
             choice,
+            way: None,
+            retryable: ctx.is_retryable(),
             sent_at: ctx.router.clock.now(),
             outcome: Outcome::Abandoned,
         }
@@ -67,6 +74,52 @@
         pool.may_send(self.router.clock.now(), &self.choice)
     }
 
+    /// Records that the upstream has sent something.
+    pub(crate) fn record_received(&self) {
+        if let Some(way) = &self.way {
+            way.record_received();
+        }
+    }
+
+    /// Returns a watch of the path that the request uses.
+    pub(crate) fn path_watch(&self) -> PathWatch {
+        let transit = &self.router.transit;
+        PathWatch::new(transit, self.way.as_ref(), &self.choice, self.retryable)
+    }
+
+    /// Records that the request goes directly.
+    fn set_direct(&mut self) {
+        let direct = self.router.transit.begin_direct(&self.choice.spec.service);
+        self.way = Some(Way::Direct(direct));
+    }
+
+    /// Sends the request and waits for the head of the response.
+    async fn send(&self, conn: &mut dial::Conn, req: Request<Full<bytes::Bytes>>) -> SendOutcome {
+        let way = self.way.as_ref().expect("a way is set before sending");
+        let outcome = way.send(conn, req).await;
+        if let (Way::Direct(_), SendOutcome::Failed(SendError::Closed(_) | SendError::Broken(_))) =
+            (way, &outcome)
+        {
+            self.router.transit.record_broken(&self.choice);
+        }
+        outcome
+    }
+
+    /// Returns the outcome of a timeout. It says nothing about the upstream while this instance's own
+    /// link is congested, or if the instance that forwards the request may be the one that hangs.
+    fn timeout_outcome(&self) -> Outcome {
+        if self.router.is_link_congested() {
+            return Outcome::Abandoned;
+        }
+        match &self.way {
+            Some(Way::Forwarded(request)) if !request.is_responsive() => {
+                request.record_denial(Denial::Unreachable);
+                Outcome::Abandoned
+            }
+            _ => Outcome::Unresponsive,
+        }
+    }
+
     /// Ends the attempt with an outcome; without this call, the outcome is `Abandoned`.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -118,6 +171,11 @@
     Unknown(String),
     /// The deadline passed before the request was sent.
     Late,
+    /// The paths to the upstreams are lost, and no other instance forwards the request; it did not run.
+    NoPath,
+    /// Another instance was asked to forward the request and sent nothing. It is asked no more; the
+    /// attempt does not count.
+    NotForwarded,
 }
 
 impl AttemptError {
@@ -168,6 +226,15 @@
             AttemptError::NotRun(why) => {
                 Refusal::new(Kind::NoUpstream, why).retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
             }
+            AttemptError::NoPath | AttemptError::NotForwarded => {
+                let message = format!(
+                    "this instance has no path to upstreams of {}, and {} others forward nothing",
+                    ctx.service,
+                    ctx.asked.len()
+                );
+                Refusal::new(Kind::NoUpstream, message)
+                    .retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
+            }
             AttemptError::Late => Refusal::new(
                 Kind::DeadlinePassed,
                 "the deadline passed before the request was sent",
@@ -208,7 +275,10 @@
     /// retry from the retry budget.
     pub(crate) fn try_retry(&mut self, ctx: &RequestContext, error: &AttemptError) -> bool {
         match error {
-            AttemptError::Denied(_) | AttemptError::Late => false,
+            AttemptError::Denied(_)
+            | AttemptError::Late
+            | AttemptError::NoPath
+            | AttemptError::NotForwarded => false,
             AttemptError::NotRun(_) => ctx.try_acquire_retry(),
             AttemptError::Unanswered(_) | AttemptError::Unknown(_) => {
                 self.ran = Ran::Unknown;
@@ -232,28 +302,47 @@
     ctx: &mut RequestContext,
     last_event_id: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
-    let (guard, conn) = connect(ctx).await?;
-    ctx.timing.sent_ms = ctx.router.clock.now() - ctx.arrived_at;
-    ctx.attempts += 1;
-    ctx.progress.sent.store(ctx.attempts, Ordering::Relaxed);
-    ctx.router.metrics.attempts.inc();
-    if ctx.attempts > 1 {
-        ctx.router.metrics.retries.inc();
+    loop {
+        let connected = connect(ctx).await?;
+        match attempt_once(ctx, connected, last_event_id).await {
+            Err(AttemptError::NotForwarded) => {}
+            result => return result,
+        }
     }
+}
+
+/// A chosen upstream and a connection over which the request reaches it.
+struct Connected {
+    guard: AttemptGuard,
+    conn: dial::Conn,
+    /// The incarnation that forwards the request; none if it goes directly.
+    via: Option<String>,
+}
+
+async fn attempt_once(
+    ctx: &mut RequestContext,
+    connected: Connected,
+    last_event_id: Option<u64>,
+) -> Result<OpenResponse, AttemptError> {
+    ctx.timing.sent_ms = ctx.router.clock.now() - ctx.arrived_at;
+    ctx.set_attempts(ctx.attempts + 1);
+    ctx.via.clone_from(&connected.via);
     let prompt = u64::from(ctx.info.prompt_tokens);
     if let Some(reservation) = &mut ctx.reservation {
         reservation.record_prompt_sent(prompt);
     }
-    let sent = send(ctx, guard, conn, last_event_id).await;
+    let sent = send(ctx, connected, last_event_id).await;
     let no_response = matches!(
         sent,
-        Err(AttemptError::NotRun(_) | AttemptError::Unanswered(_))
+        Err(AttemptError::NotRun(_) | AttemptError::Unanswered(_) | AttemptError::NotForwarded)
     );
     ctx.may_have_response |= !no_response;
     if let Err(error) = &sent {
         let detail = format_args!(
-            "attempt={} request={} why={error:?}",
-            ctx.attempts, ctx.digest
+            "attempt={} via={} request={} why={error:?}",
+            ctx.attempts,
+            ctx.via(),
+            ctx.digest
         );
         let log = &ctx.router.log;
         log.request_event(Event::AttemptFailed, &ctx.info.id, detail);
@@ -261,11 +350,19 @@
             reservation.clear_prompt();
         }
     }
+    if matches!(sent, Err(AttemptError::NotForwarded)) {
+        ctx.set_attempts(ctx.attempts - 1);
+    } else {
+        ctx.router.metrics.attempts.inc();
+        if ctx.attempts > 1 {
+            ctx.router.metrics.retries.inc();
+        }
+    }
     sent
 }
 
-/// Chooses upstreams until a connection to one is open.
-async fn connect(ctx: &mut RequestContext) -> Result<(AttemptGuard, dial::Conn), AttemptError> {
+/// Chooses upstreams until a connection over which the request reaches one is open.
+async fn connect(ctx: &mut RequestContext) -> Result<Connected, AttemptError> {
     loop {
         if ctx.remaining_ms() == 0 {
             return Err(AttemptError::Late);
@@ -275,43 +372,117 @@
         ctx.progress.tried.fetch_add(1, Ordering::Relaxed);
         ctx.timing.uncached_tokens = choice.uncached_tokens;
         ctx.timing.expected_ms = choice.expected_ms;
-        let guard = AttemptGuard::new(ctx, choice);
-        let spec = &guard.choice.spec;
-        let incarnation = spec.incarnation();
-        if let Some(conn) = ctx.router.dialer.take_idle(&incarnation) {
-            return Ok((guard, conn));
+        let mut guard = AttemptGuard::new(ctx, choice);
+        match connect_directly(ctx, &guard).await {
+            Ok(conn) => {
+                guard.set_direct();
+                let via = None;
+                return Ok(Connected { guard, conn, via });
+            }
+            Err(outcome) if ctx.router.transit.mode(&ctx.service) == Mode::Direct => {
+                guard.end(outcome);
+                continue;
+            }
+            Err(_) => {}
         }
-        let instances = ctx.router.fleet.instance_count();
-        let max = max_connections(ctx.service_settings.max_connections as usize, instances);
-        let target = Target {
-            upstream: &incarnation,
-            addr: spec.addr,
-            max_connections: max.unwrap_or(usize::MAX),
-        };
         let until = ctx.router.clock.at(ctx.deadline);
-        ctx.router.metrics.connection_attempts.inc();
-        match ctx.router.dialer.connect(target, until).await {
-            Ok(conn) if guard.may_send() => return Ok((guard, conn)),
-            // By now the upstream is leaving, paused, evacuated, no longer listed or throttled.
-            // Nothing was sent, so another one is chosen.
-            Ok(_) => {}
-            Err(e) => {
-                let detail = format_args!("upstream={} connect={e:?}", spec.id);
-                let log = &ctx.router.log;
-                log.request_event(Event::AttemptFailed, &ctx.info.id, detail);
-                let outcome = match e {
-                    ConnectError::Full => Outcome::Refused,
-                    ConnectError::Refused(_) | ConnectError::Unreachable(_) => {
-                        Outcome::Unresponsive
-                    }
-                    ConnectError::TimedOut => timeout_outcome(ctx),
-                };
-                guard.end(outcome);
+        let connection = ctx
+            .router
+            .connect_transit(&ctx.service, &ctx.regions, &mut ctx.asked, until)
+            .await;
+        let Some(connection) = connection else {
+            // A request that must not run twice is not risked on a connection that may break.
+            let last_resort = ctx.is_retryable() || ctx.asked.is_empty();
+            if !last_resort || !ctx.router.transit.fails_fast(&ctx.service) {
+                return Err(AttemptError::NoPath);
+            }
+            match dial_upstream(ctx, &guard).await {
+                Ok(conn) => {
+                    guard.set_direct();
+                    let via = None;
+                    return Ok(Connected { guard, conn, via });
+                }
+                Err(outcome) => {
+                    guard.end(outcome);
+                    continue;
+                }
             }
+        };
+        if guard.may_send() {
+            guard.way = Some(Way::Forwarded(connection.request));
+            return Ok(Connected {
+                guard,
+                conn: connection.conn,
+                via: Some(connection.incarnation),
+            });
         }
+        ctx.asked.pop();
     }
 }
 
+/// Returns a connection to the chosen upstream; an error says what it means for the upstream if its
+/// path is not lost.
+async fn connect_directly(
+    ctx: &RequestContext,
+    guard: &AttemptGuard,
+) -> Result<dial::Conn, Outcome> {
+    let (router, spec) = (&ctx.router, &guard.choice.spec);
+    let incarnation = spec.incarnation();
+    let mode = router.transit.mode(&ctx.service);
+    if mode == Mode::Transit {
+        return Err(Outcome::Abandoned);
+    }
+    if let Some(conn) = router.dialer.take_idle(&incarnation) {
+        return Ok(conn);
+    }
+    if mode != Mode::Direct {
+        return Err(Outcome::Abandoned);
+    }
+    tokio::select! {
+        biased;
+        connected = dial_upstream(ctx, guard) => connected,
+        // No need to wait for the timeout if connections to other upstreams have timed out.
+        () = router.transit.wait_until_lost(&ctx.service) => Err(Outcome::Abandoned),
+    }
+}
+
+/// Opens a connection to the chosen upstream; an error says what it means for the upstream.
+async fn dial_upstream(ctx: &RequestContext, guard: &AttemptGuard) -> Result<dial::Conn, Outcome> {
+    let (router, spec) = (&ctx.router, &guard.choice.spec);
+    let incarnation = spec.incarnation();
+    let instances = router.fleet.instance_count();
+    let max = max_connections(ctx.service_settings.max_connections as usize, instances);
+    let target = Target {
+        upstream: &incarnation,
+        addr: spec.addr,
+        max_connections: max.unwrap_or(usize::MAX),
+    };
+    let until = router.clock.at(ctx.deadline);
+    router.metrics.connection_attempts.inc();
+    let error = match router.dialer.connect(target, until).await {
+        Ok(conn) => {
+            router.transit.record_connected(&ctx.service);
+            // Otherwise the upstream is leaving, paused, evacuated, no longer listed or throttled by
+            // now. Nothing was sent, so another one is chosen.
+            let may_send = guard.may_send();
+            return may_send.then_some(conn).ok_or(Outcome::Abandoned);
+        }
+        Err(error) => error,
+    };
+    let detail = format_args!("upstream={} connect={error:?}", spec.id);
+    let log = &router.log;
+    log.request_event(Event::AttemptFailed, &ctx.info.id, detail);
+    match error {
+        ConnectError::Full => return Err(Outcome::Refused),
+        ConnectError::TimedOut if router.is_link_congested() => return Err(Outcome::Abandoned),
+        ConnectError::TimedOut | ConnectError::Refused(_) | ConnectError::Unreachable(_) => {}
+    }
+    router
+        .transit
+        .record_choice_unconnected(&guard.choice, &error);
+    Err(Outcome::Unresponsive)
+}
+
 fn choose(ctx: &RequestContext) -> Result<Choice, ChooseError> {
     let now = ctx.router.clock.now();
     let criteria = Criteria {
@@ -339,38 +510,78 @@
 
 async fn send(
     ctx: &mut RequestContext,
-    guard: AttemptGuard,
-    mut conn: dial::Conn,
+    connected: Connected,
     last_event_id: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
-    let req = new_request(ctx, &guard, last_event_id);
+    let Connected {
+        guard,
+        mut conn,
+        via,
+    } = connected;
+    let upstream = guard.choice.spec.id.clone();
+    let mut req = new_request(ctx, &guard, last_event_id);
+    if let Some(via) = &via {
+        let header = forwarding::Header {
+            to: via,
+            from: ctx.router.fleet.incarnation(),
+            upstream: &guard.choice.spec.incarnation(),
+            remaining_ms: ctx.remaining_ms().max(1),
+        };
+        if let Err(why) = header.insert(&mut req) {
+            return Err(AttemptError::NotRun(why));
+        }
+        ctx.router.metrics.transit_sent.inc();
+    }
     ctx.router
         .with_link(|l, now| l.record_request_sent(now, ctx.body.len()));
     let until = ctx.router.clock.at(response_deadline(ctx, &guard));
-    let Ok(sent) = timeout_at(until, conn.send(req)).await else {
-        let waited_ms = ctx.router.clock.now() - guard.sent_at;
-        let upstream = guard.choice.spec.id.clone();
-        guard.end(timeout_outcome(ctx));
-        let why = format!("upstream={upstream} no response within {waited_ms} ms");
-        return Err(AttemptError::Unknown(why));
+    let mut path = guard.path_watch();
+    let sent = path
+        .run(timeout_at(until, guard.send(&mut conn, req)))
+        .await;
+    let outcome = match sent {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(_)) => {
+            let waited_ms = ctx.router.clock.now() - guard.sent_at;
+            let outcome = guard.timeout_outcome();
+            guard.end(outcome);
+            let why = format!("upstream={upstream} no response within {waited_ms} ms");
+            return Err(AttemptError::Unknown(why));
+        }
+        Err(PathLost) => {
+            let why = format!("upstream={upstream} path lost before the response");
+            return Err(AttemptError::Unknown(why));
+        }
     };
-    let upstream = guard.choice.spec.id.clone();
-    let res = match sent {
-        Ok(res) => res,
-        Err(SendError::NotSent(why)) => {
+    let res = match outcome {
+        SendOutcome::Response(res) => res,
+        SendOutcome::Denied => {
+            ctx.tried.pop();
+            return Err(AttemptError::NotForwarded);
+        }
+        SendOutcome::Unreachable => {
+            guard.end(Outcome::Unresponsive);
+            ctx.asked.pop();
+            return Err(AttemptError::NotForwarded);
+        }
+        SendOutcome::Failed(SendError::NotSent(why)) => {
             guard.end(Outcome::Refused);
             return Err(AttemptError::NotRun(format!("upstream={upstream} {why}")));
         }
-        Err(SendError::Closed(why)) => {
+        SendOutcome::Failed(SendError::Closed(why)) => {
             guard.end(Outcome::InvalidResponse);
             return Err(AttemptError::Unanswered(format!(
                 "upstream={upstream} {why}"
             )));
         }
-        Err(SendError::Broken(why)) => {
+        SendOutcome::Failed(SendError::Broken(why)) => {
             guard.end(Outcome::InvalidResponse);
             return Err(AttemptError::Unknown(format!("upstream={upstream} {why}")));
         }
+        SendOutcome::Lost(why) => {
+            guard.end(Outcome::Abandoned);
+            return Err(AttemptError::Unknown(format!("upstream={upstream} {why}")));
+        }
     };
     let (head, body) = res.into_parts();
     let info = ctx.router.dialect.parse_response(&ctx.info, &head);
@@ -482,16 +693,6 @@
     }
 }
 
-/// Returns the outcome of a timeout: it says nothing about the upstream while this instance's own
-/// link is congested.
-fn timeout_outcome(ctx: &RequestContext) -> Outcome {
-    if ctx.router.is_link_congested() {
-        Outcome::Abandoned
-    } else {
-        Outcome::Unresponsive
-    }
-}
-
 /// Returns when an attempt without a response head is given up, in milliseconds.
 fn response_deadline(ctx: &RequestContext, guard: &AttemptGuard) -> u64 {
     let is_last = !ctx.is_retryable() || ctx.attempts >= ctx.route.max_attempts;
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -9,6 +9,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::transit::ForwardedBody;
+
 /// A response that could not be completed. The connection is closed, so that the caller can't take
 /// the response for a complete one.
 #[derive(Debug)]
@@ -35,6 +37,8 @@
     Buffered(Bytes),
     /// Chunks, until the sender is dropped.
     Streamed(mpsc::Receiver<Result<Bytes, ResponseAborted>>),
+    /// The body of an upstream's response to a request of another instance.
+    Forwarded(ForwardedBody),
 }
 
 impl Body for ResponseBody {
@@ -53,17 +57,23 @@
             ResponseBody::Streamed(rx) => rx
                 .poll_recv(cx)
                 .map(|chunk| chunk.map(|c| c.map(Frame::data))),
+            ResponseBody::Forwarded(body) => Pin::new(body).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, ResponseBody::Buffered(bytes) if bytes.is_empty())
+        match self {
+            ResponseBody::Buffered(bytes) => bytes.is_empty(),
+            ResponseBody::Streamed(_) => false,
+            ResponseBody::Forwarded(body) => body.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             ResponseBody::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
             ResponseBody::Streamed(_) => SizeHint::default(),
+            ResponseBody::Forwarded(body) => body.size_hint(),
         }
     }
 }
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -90,7 +90,13 @@
     } = open;
     let upstream = guard.choice.spec.id.clone();
     let until = ctx.router.clock.at(ctx.deadline);
-    let read = timeout_at(until, read_body(body)).await;
+    let mut path = guard.path_watch();
+    let read = path.run(timeout_at(until, read_body(body))).await;
+    let Ok(read) = read else {
+        return Err(format!(
+            "upstream={upstream} path lost before the end of the response"
+        ));
+    };
     let bytes = match read {
         Ok(Read::Complete(bytes)) => bytes,
         Ok(Read::Large(bytes, rest)) => {
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -7,21 +7,22 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use clock::Clock;
 use notice::Notice;
-use place::{InstanceLoad, Pool};
+use place::InstanceLoad;
 use relay::Heartbeat;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
+use transit::Report;
 
 use crate::budgets::Settlement;
 use crate::fleet::Fleet;
 use crate::peers::PeerService;
 use crate::relay::Relay;
+use crate::router::Router;
 use crate::suspect_gossip::PeerNetwork;
 use crate::traffic::Traffic;
 
@@ -104,6 +105,13 @@
     /// milliseconds, and the number of requests in flight.
     #[serde(rename = "held")]
     loads: Vec<(u64, u32, u32)>,
+    /// How many more requests of other instances the sender would forward; `None` if it forwards
+    /// none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    forwards: Option<usize>,
+    /// Hashes of the services whose upstreams the sender does not reach.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    lost: Vec<u64>,
 }
 
 /// Binds the socket for datagrams.
@@ -116,25 +124,19 @@
 }
 
 /// Starts the tasks that send datagrams to the other instances and receive theirs.
-pub(crate) fn spawn(
-    network: &PeerNetwork,
-    pool: Arc<Mutex<Pool>>,
-    service: PeerService,
-    clock: Clock,
-) {
+pub(crate) fn spawn(network: &PeerNetwork, router: Arc<Router>, service: PeerService) {
     let sender = &network.sender;
     let receiver = Receiver {
-        pool: Arc::clone(&pool),
+        router: Arc::clone(&router),
         service: service.clone(),
         sender: sender.clone(),
-        clock,
     };
     tokio::spawn(receiver.listen());
     tokio::spawn(broadcast_heartbeats(
         sender.clone(),
         service.notice_handler.relay,
     ));
-    tokio::spawn(broadcast_loads(sender.clone(), pool, clock));
+    tokio::spawn(broadcast_loads(sender.clone(), router));
 }
 
 /// Sends heartbeats to the instances of the same zone while this one reads the store for them.
@@ -150,28 +152,33 @@
 }
 
 /// Sends the load that this instance puts on the upstreams to other instances.
-async fn broadcast_loads(sender: Sender, pool: Arc<Mutex<Pool>>, clock: Clock) {
+async fn broadcast_loads(sender: Sender, router: Arc<Router>) {
     let sender_id = rand::random();
-    let mut reported_none = false;
+    let mut reported_idle = None;
     loop {
         let mut load_peers = sender.fleet.peers();
         load_peers.truncate(MAX_LOAD_PEERS);
         let rounds = (load_peers.len() / SMALL_FLEET + 1) as u32;
         sleep(ROUND_INTERVAL * rounds).await;
-        let loads = pool
+        let loads = router
+            .pool
             .lock()
             .expect("lock not poisoned")
-            .own_loads(clock.now());
+            .own_loads(router.clock.now());
+        let transit = router.transit.report(!router.is_stopping());
         // An instance without load reports that only once.
-        if loads.is_empty() && reported_none {
+        let idle = loads.is_empty().then_some(&transit);
+        if idle.is_some() && reported_idle.as_ref() == idle {
             continue;
         }
-        reported_none = loads.is_empty();
+        reported_idle = idle.cloned();
         let to_tuple =
             |(hash, h): (u64, InstanceLoad)| (hash, h.pending_prefill_ms as u32, h.inflight);
         let report = LoadReport {
             sender: sender_id,
             loads: loads.into_iter().map(to_tuple).collect(),
+            forwards: Some(transit.available),
+            lost: transit.lost_services.to_vec(),
         };
         let to = load_peers.into_iter().map(|m| m.addr);
         sender.send(&Datagram::Loads(report), to);
@@ -180,10 +187,9 @@
 
 /// Receives datagrams of other instances and applies them.
 struct Receiver {
-    pool: Arc<Mutex<Pool>>,
+    router: Arc<Router>,
     service: PeerService,
     sender: Sender,
-    clock: Clock,
 }
 
 impl Receiver {
@@ -203,7 +209,7 @@
             }
             match serde_json::from_slice(&buf[..n]) {
                 Ok(Datagram::Loads(report)) => {
-                    receive_loads(&self.pool, &report, self.clock.now());
+                    receive_loads(&self.router, from, report);
                 }
                 Ok(Datagram::Settlements(settlements)) => {
                     self.service.budgets.receive_settlements(&settlements)
@@ -239,8 +245,15 @@
     }
 }
 
-/// Sets the load that another instance puts on the upstreams.
-fn receive_loads(pool: &Mutex<Pool>, report: &LoadReport, now: u64) {
+/// Sets the load that another instance puts on the upstreams, and what it would forward.
+fn receive_loads(router: &Router, from: SocketAddr, report: LoadReport) {
+    if let Some(available) = report.forwards {
+        let report = Report {
+            available,
+            lost_services: report.lost.as_slice().into(),
+        };
+        router.transit.record_report(from, report);
+    }
     let to_load = |(hash, prefill_ms, inflight): &(u64, u32, u32)| {
         let load = InstanceLoad {
             pending_prefill_ms: f64::from(*prefill_ms),
@@ -249,6 +262,7 @@
         (*hash, load)
     };
     let loads: HashMap<u64, InstanceLoad> = report.loads.iter().map(to_load).collect();
-    let mut pool = pool.lock().expect("lock not poisoned");
+    let now = router.clock.now();
+    let mut pool = router.pool.lock().expect("lock not poisoned");
     pool.set_peer_loads(now, report.sender, &loads);
 }
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -109,6 +109,10 @@
     /// set, and those that the router adds.
     fn request_headers(&self, head: &request::Parts, attempt: &AttemptContext<'_>) -> HeaderMap;
 
+    /// Sets the time until the response is no longer wanted, in milliseconds, in the headers of an
+    /// attempt.
+    fn set_timeout(&self, headers: &mut HeaderMap, remaining_ms: u64);
+
     /// Parses the head of an upstream's response to a request.
     fn parse_response(&self, request: &RequestInfo, head: &response::Parts) -> ResponseInfo;
 
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -57,6 +57,11 @@
     UpstreamCrashed,
     /// An upstream has announced in a response that it accepts no requests for a while.
     UpstreamPaused,
+    /// This instance has lost its paths to the upstreams of a service: other instances forward its
+    /// requests.
+    PathsLost,
+    /// The upstreams of a service can be reached directly again.
+    PathsRestored,
     /// The request rate limit that an upstream advertises in its responses has changed.
     UpstreamLimitChanged,
     /// A zone is evacuated: its upstreams get no requests.
@@ -75,6 +80,8 @@
     CallerDisconnected,
     /// A stream was resumed at another upstream.
     StreamResumed,
+    /// A request of another instance was forwarded to an upstream.
+    Forwarded,
     /// A request was running on several upstreams when these crashed.
     RequestSuspected,
     /// A trial of a suspected request was granted, or an owner of its record could not be asked for
@@ -206,6 +213,18 @@
         Level::INFO,
         "upstream's request rate limit changed",
     ),
+    row(
+        Event::PathsLost,
+        2411,
+        Level::WARN,
+        "paths to upstreams lost",
+    ),
+    row(
+        Event::PathsRestored,
+        2412,
+        Level::INFO,
+        "paths to upstreams restored",
+    ),
     row(Event::Answered, 2501, Level::INFO, "answered"),
     row(Event::Refused, 2502, Level::INFO, "refused"),
     row(Event::AttemptFailed, 2503, Level::INFO, "attempt failed"),
@@ -241,6 +260,12 @@
         Level::ERROR,
         "suspected request can't be read",
     ),
+    row(
+        Event::Forwarded,
+        2512,
+        Level::INFO,
+        "forwarded for another instance",
+    ),
     row(
         Event::TokensExceeded,
         2507,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -22,6 +22,7 @@
 use crate::peers::PeerAddresses;
 use crate::replication::Topic;
 use crate::roster::{HomeScope, Homes, Roster};
+use crate::transit::Transit;
 
 /// Prefix of the keys of instances; a key continues with the availability zone and the name.
 const PREFIX: &str = "oriolehitch/instances/";
@@ -56,6 +57,9 @@
     /// Bandwidth of its link, in megabits per second; `None` if it is not limited.
     #[serde(default)]
     pub(crate) link_mbps: Option<u32>,
+    /// The address at which it forwards requests of other instances; `None` if it does not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) transit_addr: Option<SocketAddr>,
 }
 
 /// Handle to the membership of the fleet; clones share it.
@@ -73,6 +77,7 @@
     follower_deps: FollowerDeps,
     log: Arc<Log>,
     pool: Arc<Mutex<Pool>>,
+    transit: Transit,
     clock: Clock,
     members: Mutex<BTreeMap<String, Arc<Member>>>,
     /// Derived from `members` each time that these change.
@@ -104,6 +109,7 @@
         follower_deps: FollowerDeps,
         log: Arc<Log>,
         pool: Arc<Mutex<Pool>>,
+        transit: Transit,
         clock: Clock,
     ) -> Fleet {
         let own_addr = own.addr;
@@ -113,6 +119,7 @@
                 addr: *addr,
                 zone: String::new(),
                 link_mbps: None,
+                transit_addr: None,
             })
         };
         let seeds = seeds.iter().filter(|a| **a != own_addr).map(seed);
@@ -129,6 +136,7 @@
             follower_deps,
             log,
             pool,
+            transit,
             clock,
             members: Mutex::default(),
             mass_start: AtomicBool::new(false),
@@ -382,7 +390,7 @@
     }
 
     /// Passes the list to the components that select instances from it: those that read the store
-    /// for their zone, and those that may send to throttled upstreams.
+    /// for their zone, those that forward requests, and those that may send to throttled upstreams.
     fn publish_instances(&self, members: &BTreeMap<String, Arc<Member>>, roster: &Roster) {
         let prefix = zone_prefix(&self.0.own.zone);
         let zone = members.iter().filter(|(_, m)| m.zone == self.0.own.zone);
@@ -400,6 +408,7 @@
             .follower_deps
             .relay
             .set_zone(&own, &zone, zone_peers.collect());
+        self.0.transit.set_instances(&self.0.own, roster);
         let mut pool = self.0.pool.lock().expect("lock not poisoned");
         let now = self.0.clock.now();
         pool.set_instances(now, xxh3_64(self.0.key.as_bytes()), &roster.key_hashes());
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -23,7 +23,7 @@
 use crate::event::Event;
 use crate::fleet::{Fleet, Member};
 use crate::follower::FollowerDeps;
-use crate::listen::{self, Phase};
+use crate::listen::{self, Clients, Phase};
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::notices::{NoticeHandler, Notices};
@@ -37,6 +37,7 @@
 use crate::suspect_store::SuspectStore;
 use crate::suspects::Suspects;
 use crate::traffic::Traffic;
+use crate::transit::{self, Transit};
 use crate::upstream_list::UpstreamList;
 
 /// Maximum size of a request body at the readiness and metrics listeners, in bytes.
@@ -100,6 +101,12 @@
         let bound = listen::bind(settings.listen()).await;
         let (listener, addr) =
             bound.map_err(|e| anyhow!("failed to bind the callers' listener: {e}"))?;
+        let transit_addr = fleet_settings
+            .transit_listen
+            .unwrap_or(SocketAddr::new(peer_addr.ip(), 0));
+        let bound = listen::bind(transit_addr).await;
+        let (transit_listener, transit_addr) =
+            bound.map_err(|e| anyhow!("failed to bind the transit listener: {e}"))?;
 
         let store_health = Arc::new(StoreHealth::new(clock, Arc::clone(&log)));
         let store_calls = StoreCalls::new(clock, Arc::clone(&store_health));
@@ -113,6 +120,7 @@
         let budgets = Budgets::new(clock, Arc::clone(&log));
         let pool = Arc::new(Mutex::new(new_pool(&fleet_settings)));
         let dialer = Dialer::default();
+        let transit = Transit::new(clock, Arc::clone(&log), Arc::clone(&pool));
         let notices = Notices::default();
         let config = Config::new(ConfigDeps {
             dialect: Arc::clone(&dialect),
@@ -130,7 +138,13 @@
             Arc::clone(&log),
             clock,
         );
-        let suspects = Suspects::new(&settings.name, clock, Arc::clone(&log), dialer.clone());
+        let suspects = Suspects::new(
+            &settings.name,
+            clock,
+            Arc::clone(&log),
+            dialer.clone(),
+            transit.clone(),
+        );
         let upstream_list = UpstreamList::new(
             Arc::clone(&dialect),
             Arc::clone(&pool),
@@ -146,6 +160,7 @@
             addr: peer_addr,
             zone: settings.zone.clone(),
             link_mbps: fleet_settings.link_mbps.map(|mbps| mbps as u32),
+            transit_addr: Some(transit_addr),
         };
         let fleet = Fleet::new(
             &settings.name,
@@ -156,6 +171,7 @@
             follower_deps.clone(),
             Arc::clone(&log),
             Arc::clone(&pool),
+            transit.clone(),
             clock,
         );
         let traffic = Traffic::default();
@@ -177,6 +193,7 @@
             budgets: budgets.clone(),
             pool,
             upstream_list: upstream_list.clone(),
+            transit: transit.clone(),
             dialer: dialer.clone(),
             request_memory: Mutex::new(RequestMemory::new(fleet_settings.memory_mb)),
             link: Mutex::new(Link::new(fleet_settings.link_mbps)),
@@ -225,12 +242,8 @@
             revisions: HashMap::new(),
         };
         tokio::spawn(suspect_store.run());
-        datagram::spawn(
-            &network,
-            Arc::clone(&router.pool),
-            peer_service.clone(),
-            clock,
-        );
+        datagram::spawn(&network, Arc::clone(&router), peer_service.clone());
+        transit::spawn_monitor(Arc::clone(&router));
         let peer = peers::serve(server, peer_service.clone());
         peer_clients.spawn_sync(
             fleet.clone(),
@@ -251,7 +264,18 @@
         store_calls.spawn_logging(Arc::clone(&log));
 
         let (phase, phase_rx) = watch::channel(Phase::Serving);
-        listen::serve(listener, Arc::clone(&router), phase_rx);
+        listen::serve(
+            listener,
+            Clients::Callers,
+            Arc::clone(&router),
+            phase_rx.clone(),
+        );
+        listen::serve(
+            transit_listener,
+            Clients::Instances,
+            Arc::clone(&router),
+            phase_rx,
+        );
         let ready_addr = fleet_settings
             .ready_listen
             .unwrap_or_else(any_loopback_port);
@@ -275,7 +299,7 @@
             None => None,
         };
         let detail = format_args!(
-            "id={} zone={} callers={addr} peers={peer_addr} ready={} metrics={}",
+            "id={} zone={} callers={addr} peers={peer_addr} transit={transit_addr} ready={} metrics={}",
             router.fleet.incarnation(),
             settings.zone,
             ready.addr(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! The decisions are made by crates that do no I/O: `place` chooses upstreams, `escrow` divides
 //! budgets among instances, `relay` selects the instances that read the store, `notice` spreads
-//! urgent changes and `suspect` detects requests that crash upstreams. This crate runs the tasks
+//! urgent changes, `suspect` detects requests that crash upstreams, and `transit` decides when another
+//! instance forwards a request. This crate runs the tasks
 //! and does the I/O. Tasks share state through handles that can be cloned.
 
 mod attempt;
@@ -47,6 +48,7 @@
 mod suspect_store;
 mod suspects;
 mod traffic;
+mod transit;
 mod upstream_list;
 
 pub use dialect::{AdvertisedLimit, Dialect, Disposition, Pause, ResponseInfo};
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,4 +1,4 @@
-//! Listener for callers.
+//! Listeners for callers, and for instances whose requests this one forwards.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::router::Router;
+use crate::transit;
 
 /// Delay after a connection could not be accepted, by which file descriptors may be free again.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -27,6 +28,15 @@
     Draining,
 }
 
+/// Whose requests a listener accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Clients {
+    /// Callers.
+    Callers,
+    /// Instances that have lost their paths to upstreams.
+    Instances,
+}
+
 /// Binds the listener.
 ///
 /// # Errors
@@ -39,12 +49,18 @@
 }
 
 /// Serves connections until the process ends, because a refused connection looks like a crash.
-pub(crate) fn serve(listener: TcpListener, router: Arc<Router>, phase: watch::Receiver<Phase>) {
+pub(crate) fn serve(
+    listener: TcpListener,
+    clients: Clients,
+    router: Arc<Router>,
+    phase: watch::Receiver<Phase>,
+) {
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::spawn(serve_connection(stream, Arc::clone(&router), phase.clone()));
+                    let router = Arc::clone(&router);
+                    tokio::spawn(serve_connection(stream, clients, router, phase.clone()));
                 }
                 Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             }
@@ -54,17 +70,26 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    clients: Clients,
     router: Arc<Router>,
     mut phase: watch::Receiver<Phase>,
 ) {
     // Otherwise small events would wait for the caller's acknowledgement. Fails only if the
     // connection is closed.
-    let _ = stream.set_nodelay(true);
+    let _ = match clients {
+        Clients::Callers => stream.set_nodelay(true),
+        Clients::Instances => dial::set_socket_options(&stream),
+    };
     let limits = router.config.active().map(|a| a.routing.limits);
     let limits = limits.unwrap_or_default();
     let service = service_fn(move |req| {
         let router = Arc::clone(&router);
-        async move { Ok::<_, Infallible>(router.handle(req).await) }
+        async move {
+            Ok::<_, Infallible>(match clients {
+                Clients::Callers => router.handle(req).await,
+                Clients::Instances => transit::handle(&router, req).await,
+            })
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -58,6 +58,12 @@
     pub(crate) prompt_tokens: Counter,
     /// Listed upstreams that advertise a request rate limit.
     pub(crate) rate_limited_upstreams: Gauge,
+    /// Services whose paths from this instance are lost.
+    pub(crate) lost_services: Gauge,
+    /// Requests that were sent through other instances.
+    pub(crate) transit_sent: Counter,
+    /// Requests of other instances that were forwarded.
+    pub(crate) transit_forwarded: Counter,
 }
 
 fn new_histogram() -> Histogram {
@@ -79,6 +85,9 @@
             uncached_prompt_tokens: Counter::default(),
             prompt_tokens: Counter::default(),
             rate_limited_upstreams: Gauge::default(),
+            lost_services: Gauge::default(),
+            transit_sent: Counter::default(),
+            transit_forwarded: Counter::default(),
         };
         metrics.register(store_calls, suspects);
         metrics
@@ -122,6 +131,21 @@
             "Upstreams that name a request rate",
             self.rate_limited_upstreams.clone(),
         );
+        r.register(
+            "lost_services",
+            "Services whose upstreams this instance does not reach",
+            self.lost_services.clone(),
+        );
+        r.register(
+            "transit_sent",
+            "Requests sent through other instances",
+            self.transit_sent.clone(),
+        );
+        r.register(
+            "transit_forwarded",
+            "Requests forwarded for other instances",
+            self.transit_forwarded.clone(),
+        );
         r.register("store_calls", "Calls of the store", store_calls.counters());
         let (ends, refused) = suspects.metrics();
         r.register("request_ends", "Upstreams' ends laid to requests", ends);
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -36,6 +36,8 @@
             .metrics
             .rate_limited_upstreams
             .set(rate_limited as i64);
+        let lost = self.0.transit.lost_services().len();
+        self.0.metrics.lost_services.set(lost as i64);
         let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
         Res::new(200, content_type, self.0.metrics.encode())
     }
@@ -67,6 +69,7 @@
             })
         });
         let suspects: Vec<_> = suspects.collect();
+        let (transit_sent, transit_forwarded) = router.transit.in_flight();
         let value = json!({
             "id": router.fleet.incarnation(),
             "at_ms": now,
@@ -81,6 +84,8 @@
             "budgets": router.budgets.dump(),
             "upstreams": upstreams,
             "evacuated": evacuated,
+            "lost_services": router.transit.lost_services(),
+            "transit": {"sent": transit_sent, "forwarded": transit_forwarded},
             "suspects": suspects,
         });
         Res::json(200, &value)
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -144,6 +144,8 @@
             deadline,
             tried: SmallVec::new(),
             attempts: 0,
+            via: None,
+            asked: SmallVec::new(),
             progress: Arc::clone(&caller.progress),
             reservation: None,
             may_have_response: false,
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -14,6 +14,7 @@
 use crate::event::Event;
 use crate::request_info::RequestInfo;
 use crate::router::Router;
+use crate::transit::Asked;
 
 /// Counts a request as in flight, and holds the memory reserved for it, until dropped.
 pub(crate) struct InFlightGuard {
@@ -140,6 +141,10 @@
     pub(crate) tried: SmallVec<[UpstreamKey; 4]>,
     /// How many times the request was sent.
     pub(crate) attempts: u32,
+    /// The incarnation that forwarded the last attempt; none if it went directly.
+    pub(crate) via: Option<String>,
+    /// The instances that were asked to forward the request.
+    pub(crate) asked: Asked,
     pub(crate) progress: Arc<Progress>,
     pub(crate) reservation: Option<Reservation>,
     /// Whether an upstream sent a part of a response, or may have sent one that was lost.
@@ -154,6 +159,17 @@
         self.deadline.saturating_sub(self.router.clock.now())
     }
 
+    /// Sets how many times the request was sent.
+    pub(crate) fn set_attempts(&mut self, attempts: u32) {
+        self.attempts = attempts;
+        self.progress.sent.store(attempts, Ordering::Relaxed);
+    }
+
+    /// Returns which way the last attempt went, for the log.
+    pub(crate) fn via(&self) -> &str {
+        self.via.as_deref().unwrap_or("direct")
+    }
+
     /// Returns whether the request may run more than once.
     pub(crate) fn is_retryable(&self) -> bool {
         self.route.retry_mode != RetryMode::Never
@@ -195,10 +211,11 @@
     pub(crate) fn record_end(&self, code: &str, upstream: &str) {
         self.router.metrics.count_request(&self.route.name, code);
         let detail = format_args!(
-            "route={} customer={} upstream={upstream} attempts={} code={code} ms={} sent_ms={} \
+            "route={} customer={} upstream={upstream} via={} attempts={} code={code} ms={} sent_ms={} \
              first_ms={} expected_ms={:.0} unread={} of={} tokens={} request={}",
             self.route.name,
             self.customer.as_deref().unwrap_or("-"),
+            self.via(),
             self.attempts,
             self.router.clock.now() - self.arrived_at,
             self.timing.sent_ms,
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -18,6 +18,7 @@
 use crate::store_health::StoreHealth;
 use crate::suspect_gossip::PeerNetwork;
 use crate::suspects::Suspects;
+use crate::transit::Transit;
 use crate::upstream_list::UpstreamList;
 
 /// The state that the stages of request processing share.
@@ -30,6 +31,7 @@
     pub(crate) budgets: Budgets,
     pub(crate) pool: Arc<Mutex<Pool>>,
     pub(crate) upstream_list: UpstreamList,
+    pub(crate) transit: Transit,
     pub(crate) dialer: Dialer,
     pub(crate) request_memory: Mutex<RequestMemory>,
     pub(crate) link: Mutex<Link>,
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -68,6 +68,7 @@
                 None => return Next::Aborted("the stream ended within an event".to_string()),
                 Some(Err(e)) => return Next::Aborted(e.to_string()),
                 Some(Ok(frame)) => {
+                    self.guard.record_received();
                     let fits = frame.data_ref().is_none_or(|d| self.parser.push(d));
                     if !fits {
                         return Next::Aborted("an event exceeds the maximum size".to_string());
@@ -147,8 +148,13 @@
     }
     let (mut stream, head) = UpstreamStream::new(open);
     let until = ctx.router.clock.at(ctx.deadline);
-    let next = timeout_at(until, stream.next()).await;
+    let mut path = stream.guard.path_watch();
+    let next = path.run(timeout_at(until, stream.next())).await;
     let upstream = stream.upstream().to_string();
+    let Ok(next) = next else {
+        let why = format!("upstream={upstream} path lost before the first event");
+        return Err(AttemptError::Unknown(why));
+    };
     match next {
         Ok(Next::Event(event)) => {
             stream.guard.record_latency();
@@ -180,6 +186,7 @@
     Complete,
     CallerDisconnected,
     DeadlinePassed,
+    PathLost,
     Aborted(String),
 }
 
@@ -212,9 +219,15 @@
                     return;
                 }
                 End::DeadlinePassed => return self.abort("deadline").await,
-                End::Aborted(why) => why,
+                End::PathLost => {
+                    stream.guard.end(Outcome::Abandoned);
+                    "path lost".to_string()
+                }
+                End::Aborted(why) => {
+                    stream.guard.end(Outcome::InvalidResponse);
+                    why
+                }
             };
-            stream.guard.end(Outcome::InvalidResponse);
             // The connection is closed before the stream is resumed at another upstream.
             drop(stream.conn);
             stream = match self.resume(&why).await {
@@ -235,11 +248,15 @@
             }
         }
         let until = self.ctx.router.clock.at(self.ctx.deadline);
+        let mut path = stream.guard.path_watch();
         loop {
             let next = tokio::select! {
-                next = timeout_at(until, stream.next()) => next,
+                next = path.run(timeout_at(until, stream.next())) => next,
                 () = self.tx.closed() => return End::CallerDisconnected,
             };
+            let Ok(next) = next else {
+                return End::PathLost;
+            };
             let event = match next {
                 Ok(Next::Event(event)) => event,
                 Ok(Next::End) => return End::Complete,
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -8,6 +8,7 @@
 use clock::Clock;
 use dial::{ConnectError, Dialer, Target};
 use err::Kind;
+use futures_util::future::join_all;
 use place::Spec;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -21,12 +22,15 @@
 use crate::log::Log;
 use crate::refusal::Refusal;
 use crate::suspect_gossip::PeerNetwork;
+use crate::transit::Transit;
 
 /// Delay between a broken connection and the check whether the upstream has crashed. The port of a
 /// crashed process is closed within this time.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
 /// Timeout of the check, and delay before it is repeated if it had no result.
 const CRASH_CHECK_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Number of other upstreams to which connections are tried before a refused one counts as a crash.
+const CONTROL_UPSTREAMS: usize = 2;
 /// When a caller is told to retry a request for which no trial is left, in milliseconds: the
 /// longest delay before a trial.
 const RETRY_NO_TRIAL_LEFT_MS: u64 = 600_000;
@@ -59,6 +63,7 @@
     clock: Clock,
     log: Arc<Log>,
     dialer: Dialer,
+    transit: Transit,
     table: Mutex<SuspectTable>,
     /// Wakes the task that sends updates to other instances.
     changed: Notify,
@@ -69,11 +74,18 @@
 }
 
 impl Suspects {
-    pub(crate) fn new(name: &str, clock: Clock, log: Arc<Log>, dialer: Dialer) -> Suspects {
+    pub(crate) fn new(
+        name: &str,
+        clock: Clock,
+        log: Arc<Log>,
+        dialer: Dialer,
+        transit: Transit,
+    ) -> Suspects {
         Suspects(Arc::new(Inner {
             clock,
             log,
             dialer,
+            transit,
             table: Mutex::new(SuspectTable::new(name)),
             changed: Notify::new(),
             unsaved: Notify::new(),
@@ -136,7 +148,10 @@
                     self.update(|table, _| table.upstream_alive(&incarnation));
                     return self.0.dialer.put_idle(conn, None);
                 }
-                Err(ConnectError::Refused(_)) => return self.upstream_crashed(&incarnation),
+                // A lost path may refuse connections, too.
+                Err(ConnectError::Refused(_)) if self.reaches_others(&incarnation).await => {
+                    return self.upstream_crashed(&incarnation);
+                }
                 // The network path may be down: a later check, or the list of upstreams, will show
                 // whether the upstream has crashed.
                 Err(_) => delay = CRASH_CHECK_RETRY_DELAY,
@@ -144,6 +159,29 @@
         }
     }
 
+    /// Returns whether connections to other upstreams than an incarnation can be established, or there
+    /// are none.
+    async fn reaches_others(&self, incarnation: &str) -> bool {
+        let others = self
+            .0
+            .transit
+            .other_upstreams(incarnation, CONTROL_UPSTREAMS);
+        let connects = others.iter().map(|spec| async {
+            let incarnation = spec.incarnation();
+            let target = Target {
+                upstream: &incarnation,
+                addr: spec.addr,
+                max_connections: usize::MAX,
+            };
+            let until = Instant::now() + CRASH_CHECK_RETRY_DELAY;
+            let conn = self.0.dialer.connect(target, until).await.ok()?;
+            self.0.dialer.put_idle(conn, None);
+            Some(())
+        });
+        let reached = join_all(connects).await;
+        reached.is_empty() || reached.iter().any(Option::is_some)
+    }
+
     /// Records that an incarnation of an upstream has ended without having announced it.
     pub(crate) fn upstream_crashed(&self, incarnation: &str) {
         let present = self.update(|table, now| table.upstream_crashed(now, incarnation));
--- a/crates/proxy/tests/encoding/calls.rs
+++ b/crates/proxy/tests/encoding/calls.rs
@@ -11,6 +11,7 @@
 use crate::metrics::Metrics;
 use crate::store_health::StoreHealth;
 use crate::suspects::Suspects;
+use crate::transit::Transit;
 
 fn labels() -> CallLabels {
     CallLabels {
@@ -32,7 +33,8 @@
     let log = Arc::new(Log::new(clock));
     let store_health = Arc::new(StoreHealth::new(clock, Arc::clone(&log)));
     let calls = StoreCalls::new(clock, store_health);
-    let suspects = Suspects::new("r1", clock, log, Dialer::default());
+    let transit = Transit::new(clock, Arc::clone(&log), Arc::default());
+    let suspects = Suspects::new("r1", clock, log, Dialer::default(), transit);
     let metrics = Metrics::new(&calls, &suspects);
     calls.count(labels());
     metrics.count_request("chat", "ok");
