Send to brittle upstreams through the few instances that own their slots

Change: the slots of a brittle upstream belong to its highest-ranked instances, two or one for eight slots, which count exactly; the others send through these, as on a lost path. Rank and settling are those of rate limits. An upstream that rejects all the same gets nothing for a second.

--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -24,6 +24,9 @@
 /// The same for a plain service, which queues a few requests.
 const SERVICE_FULL_PCT: u32 = 150;
 
+/// The same for a plain service whose upstreams are brittle.
+const BRITTLE_FULL_PCT: u32 = 100;
+
 /// An upstream that may serve a request, with the estimated cost.
 pub(crate) struct Candidate {
     pub(crate) key: UpstreamKey,
@@ -41,9 +44,12 @@
     !up.health.is_on_probation() || (up.inflight == 0 && criteria.retryable)
 }
 
-pub(crate) fn is_full(up: &Upstream, now: u64, criteria: &Criteria<'_>) -> bool {
+/// Returns whether an upstream is full; a brittle one may let no request wait.
+pub(crate) fn is_full(up: &Upstream, now: u64, criteria: &Criteria<'_>, brittle: bool) -> bool {
     let pct = if criteria.prompt_tokens > 0 {
         ENGINE_FULL_PCT
+    } else if brittle {
+        BRITTLE_FULL_PCT
     } else {
         SERVICE_FULL_PCT
     };
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -19,6 +19,7 @@
 mod prefix_cache;
 mod request_memory;
 mod retry_budget;
+mod room;
 mod senders;
 mod throttled;
 mod upstream;
@@ -33,6 +34,7 @@
 pub use pool::{EntryChange, Pool};
 pub use request_memory::RequestMemory;
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub use room::Entry;
 pub use senders::Senders;
 pub use upstream::{
     AttemptId, InstanceLoad, Load, Outcome, PromptSegment, Spec, Upstream, UpstreamKey,
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -68,6 +68,8 @@
     /// Cold-start settings by service.
     cold_starts: HashMap<String, ColdStart>,
     senders: Senders,
+    /// Services whose upstreams are brittle, with the time of the last response that said so.
+    brittle: HashMap<String, u64>,
 }
 
 impl Pool {
@@ -362,7 +364,8 @@
             .filter(|(k, _)| !criteria.tried.contains(k));
         let (mut candidates, mut full) = (Vec::with_capacity(considered.len()), 0);
         for (key, up) in untried {
-            if is_full(up, now, criteria) {
+            let brittle = self.is_brittle(criteria.service);
+            if is_full(up, now, criteria, brittle) || (brittle && up.room.is_closed(now)) {
                 full += 1;
                 continue;
             }
--- a/crates/place/src/senders.rs
+++ b/crates/place/src/senders.rs
@@ -8,7 +8,8 @@
 use std::collections::BTreeSet;
 
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::room::instance_rank;
 
 /// How long an instance must have been among the highest-ranked before it sends, in milliseconds: other
 /// instances may not know of it until then.
@@ -80,12 +81,7 @@
     /// Returns when this instance may start sending to an upstream, in milliseconds: after it has been
     /// among the `max_senders` highest-ranked for long enough; none if it is not among them.
     pub(crate) fn sends_from(&self, upstream: u64, max_senders: usize) -> Option<u64> {
-        let rank = |i: &Instance| {
-            (
-                xxh3_64_with_seed(&i.name_hash.to_le_bytes(), upstream),
-                i.name_hash,
-            )
-        };
+        let rank = |i: &Instance| instance_rank(i.name_hash, upstream);
         let own = self.instances.iter();
         let own = own
             .clone()
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -8,6 +8,7 @@
 use crate::health::Health;
 use crate::limit::{RateLimit, Share, VersionedLimit};
 use crate::prefix_cache::PrefixCache;
+use crate::room::Room;
 use crate::throttled::ThrottledRequests;
 
 /// Age at which an upstream's load report no longer counts, in milliseconds.
@@ -150,6 +151,8 @@
     limit_updated_at: u64,
     /// This instance's share of the limit; none if it has no share.
     share: Option<Share>,
+    /// This instance's part of its slots while it is brittle.
+    pub(crate) room: Room,
     /// Whether its zone is evacuated.
     pub evacuated: bool,
     /// Until when it is cold, according to its list entry or its service's settings, in milliseconds.
@@ -200,6 +203,7 @@
             versioned_limit: VersionedLimit::default(),
             limit_updated_at: 0,
             share: None,
+            room: Room::default(),
             evacuated: false,
             cold_until: 0,
             min_cold_until: 0,
@@ -508,6 +512,7 @@
         self.inflight -= 1;
         self.prefills.retain(|p| p.attempt != attempt);
         self.undelivered.retain(|a| *a != attempt);
+        self.room.leave(attempt);
         let answered = matches!(
             outcome,
             Outcome::Success | Outcome::ErrorResponse | Outcome::Refused
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -23,7 +23,7 @@
 use crate::request_context::RequestContext;
 use crate::request_info::AttemptContext;
 use crate::router::Router;
-use crate::transit::{self as forwarding, PathLost, PathWatch, SendOutcome, Way};
+use crate::transit::{self as forwarding, PathLost, PathWatch, SendOutcome, Way, MAX_ASKED};
 
 /// An attempt of a retryable request is given up if there is no response head within both of these
 /// multiples: of the route's latency objective, and of the latency that was expected. Before that,
@@ -33,6 +33,8 @@
 /// Retry time if no upstream is available, in milliseconds: an unreachable upstream is ejected for
 /// a similar time at first.
 const RETRY_NO_UPSTREAM_MS: u64 = 400;
+/// Retry time if no slot of a brittle upstream is free, in milliseconds: requests end within it.
+const RETRY_NO_SLOT_MS: u64 = 300;
 /// Retry time if all upstreams that the request may reach are in evacuated zones, or none is in an
 /// allowed region, in milliseconds: only operators change that.
 const RETRY_EVACUATED_MS: u64 = 4_000;
@@ -87,6 +89,26 @@
         PathWatch::new(transit, self.way.as_ref(), &self.choice, self.retryable)
     }
 
+    /// Takes a slot of the upstream if it is brittle; returns whether the request has to be sent by
+    /// another instance that owns one.
+    fn needs_owner(&self) -> bool {
+        let service = &self.choice.spec.service;
+        let is_direct = self.router.transit.mode(service) == Mode::Direct;
+        let mut pool = self.router.pool.lock().expect("lock not poisoned");
+        let has_slot = is_direct && pool.try_enter(self.router.clock.now(), &self.choice);
+        pool.is_brittle(service) && !has_slot
+    }
+
+    /// Sends the request through another instance.
+    fn forwarded(mut self, connection: forwarding::Connection) -> Connected {
+        self.way = Some(Way::Forwarded(connection.request));
+        Connected {
+            guard: self,
+            conn: connection.conn,
+            via: Some(connection.incarnation),
+        }
+    }
+
     /// Records that the request goes directly.
     fn set_direct(&mut self) {
         let direct = self.router.transit.begin_direct(&self.choice.spec.service);
@@ -373,6 +395,17 @@
         ctx.timing.uncached_tokens = choice.uncached_tokens;
         ctx.timing.expected_ms = choice.expected_ms;
         let mut guard = AttemptGuard::new(ctx, choice);
+        if guard.needs_owner() {
+            let connection = connect_owner(ctx, &guard).await;
+            match connection.filter(|_| guard.may_send()) {
+                Some(connection) => return Ok(guard.forwarded(connection)),
+                None if ctx.asked.len() < MAX_ASKED => continue,
+                None => {
+                    let retry_ms = RETRY_NO_SLOT_MS;
+                    return Err(AttemptError::Denied(ChooseError::Busy { retry_ms }));
+                }
+            }
+        }
         match connect_directly(ctx, &guard).await {
             Ok(conn) => {
                 guard.set_direct();
@@ -409,17 +442,25 @@
             }
         };
         if guard.may_send() {
-            guard.way = Some(Way::Forwarded(connection.request));
-            return Ok(Connected {
-                guard,
-                conn: connection.conn,
-                via: Some(connection.incarnation),
-            });
+            return Ok(guard.forwarded(connection));
         }
         ctx.asked.pop();
     }
 }
 
+/// Connects to an instance that owns slots of the chosen upstream, which is brittle.
+async fn connect_owner(
+    ctx: &mut RequestContext,
+    guard: &AttemptGuard,
+) -> Option<forwarding::Connection> {
+    let until = ctx.router.clock.at(ctx.deadline);
+    let router = Arc::clone(&ctx.router);
+    let (choice, asked) = (&guard.choice, &mut ctx.asked);
+    router
+        .connect_slot_owner(choice, &ctx.regions, asked, until)
+        .await
+}
+
 /// Returns a connection to the chosen upstream; an error says what it means for the upstream if its
 /// path is not lost.
 async fn connect_directly(
@@ -642,6 +683,10 @@
             .mark_leaving(&incarnation, "answer");
     }
     update_limit(ctx, guard, info, status, &incarnation);
+    let (spec, sent_at) = (&guard.choice.spec, guard.sent_at);
+    ctx.router
+        .upstream_list
+        .apply_brittle(spec, sent_at, info, status);
     let Some(pause) = info.pause else {
         return;
     };
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -61,6 +61,8 @@
     pub pause: Option<Pause>,
     /// The request rate limit that the upstream advertises.
     pub limit: AdvertisedLimit,
+    /// Whether the upstream says that it crashes if it has to reject many requests for want of room.
+    pub brittle: bool,
 }
 
 /// Names and formats on the wire and in the store. An implementation makes no decisions.
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -62,6 +62,8 @@
     PathsLost,
     /// The upstreams of a service can be reached directly again.
     PathsRestored,
+    /// The upstreams of a service say that they are brittle, or no longer do.
+    BrittleChanged,
     /// The request rate limit that an upstream advertises in its responses has changed.
     UpstreamLimitChanged,
     /// A zone is evacuated: its upstreams get no requests.
@@ -225,6 +227,12 @@
         Level::INFO,
         "paths to upstreams restored",
     ),
+    row(
+        Event::BrittleChanged,
+        2413,
+        Level::INFO,
+        "brittle upstreams changed",
+    ),
     row(Event::Answered, 2501, Level::INFO, "answered"),
     row(Event::Refused, 2502, Level::INFO, "refused"),
     row(Event::AttemptFailed, 2503, Level::INFO, "attempt failed"),
--- a/crates/proxy/src/roster.rs
+++ b/crates/proxy/src/roster.rs
@@ -106,6 +106,11 @@
         self.instances.iter().map(|l| l.member.id.as_str())
     }
 
+    /// Returns the listed instances with the hashes of their keys.
+    pub(crate) fn name_hashes(&self) -> impl Iterator<Item = (u64, &Arc<Member>)> {
+        self.instances.iter().map(|l| (l.key_hash, &l.member))
+    }
+
     /// Returns the hashes of the keys of the listed instances.
     pub(crate) fn key_hashes(&self) -> Vec<u64> {
         self.instances.iter().map(|l| l.key_hash).collect()
--- a/crates/proxy/src/transit/client.rs
+++ b/crates/proxy/src/transit/client.rs
@@ -1,13 +1,12 @@
 //! Sends requests through another instance.
 
-use std::net::SocketAddr;
-
 use bytes::Bytes;
 use dial::{SendError, Target};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
+use place::Choice;
 use tokio::time::Instant;
 use transit::Denial;
 
@@ -18,7 +17,7 @@
 
 /// Maximum number of instances that are asked to forward a request: each of them answers within a
 /// round trip, unless it can't be connected.
-const MAX_ASKED: usize = 4;
+pub(crate) const MAX_ASKED: usize = 4;
 
 /// A connection to an instance that forwards a request.
 pub(crate) struct Connection {
@@ -60,35 +59,59 @@
         while asked.len() < MAX_ASKED && Instant::now() < until {
             let request = self.transit.begin_forwarded(service, regions, asked)?;
             asked.push(request.addr);
-            let Some(member) = self.transit.member(request.addr) else {
-                continue;
-            };
-            let key = pool_key(&member);
-            let idle = self.dialer.take_idle(&key);
-            let conn = match (idle, member.transit_addr) {
-                (Some(conn), _) => Some(conn),
-                (None, Some(addr)) => self.connect_to(&key, addr, until).await,
-                (None, None) => None,
-            };
-            if let Some(conn) = conn {
-                return Some(Connection {
-                    conn,
-                    request,
-                    incarnation: member.id.clone(),
-                });
+            if let Some(connection) = self.connect_instance(request, until).await {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Connects to an instance that owns slots of the chosen upstream, which is brittle; none if there
+    /// is none left. Adds the instances that were chosen to those that were `asked`.
+    pub(crate) async fn connect_slot_owner(
+        &self,
+        choice: &Choice,
+        regions: &[String],
+        asked: &mut Asked,
+        until: Instant,
+    ) -> Option<Connection> {
+        while asked.len() < MAX_ASKED && Instant::now() < until {
+            let request = self.transit.begin_at_owner(choice, regions, asked)?;
+            asked.push(request.addr);
+            if let Some(connection) = self.connect_instance(request, until).await {
+                return Some(connection);
             }
-            request.record_denial(Denial::Unreachable);
         }
         None
     }
 
-    async fn connect_to(&self, key: &str, addr: SocketAddr, until: Instant) -> Option<dial::Conn> {
-        let target = Target {
-            upstream: key,
-            addr,
-            max_connections: usize::MAX,
+    async fn connect_instance(
+        &self,
+        request: ForwardedRequest,
+        until: Instant,
+    ) -> Option<Connection> {
+        let member = self.transit.member(request.addr)?;
+        let key = pool_key(&member);
+        let conn = match self.dialer.take_idle(&key) {
+            Some(conn) => Some(conn),
+            None => {
+                let target = Target {
+                    upstream: &key,
+                    addr: member.transit_addr?,
+                    max_connections: usize::MAX,
+                };
+                self.dialer.connect(target, until).await.ok()
+            }
+        };
+        let Some(conn) = conn else {
+            request.record_denial(Denial::Unreachable);
+            return None;
         };
-        self.dialer.connect(target, until).await.ok()
+        Some(Connection {
+            conn,
+            request,
+            incarnation: member.id.clone(),
+        })
     }
 }
 
@@ -160,6 +183,7 @@
             Error::Full => Denial::Full,
             Error::NoPath => Denial::NoPath,
             Error::Unreachable => return SendOutcome::Unreachable,
+            Error::NoSlot => return SendOutcome::Denied,
             Error::NotSent => return SendOutcome::Failed(SendError::NotSent(why)),
             Error::Closed => return SendOutcome::Failed(SendError::Closed(why)),
             Error::Broken => return SendOutcome::Failed(SendError::Broken(why)),
--- a/crates/proxy/src/transit/header.rs
+++ b/crates/proxy/src/transit/header.rs
@@ -21,6 +21,8 @@
     Stopping,
     /// The instance forwards no more requests now; nothing was sent.
     Full,
+    /// The instance has no slot of the upstream left, which is brittle; nothing was sent.
+    NoSlot,
     /// The instance does not reach the upstream's service, or does not know the upstream; nothing was
     /// sent.
     NoPath,
@@ -35,9 +37,10 @@
 }
 
 /// The values of the error header.
-const ERRORS: [(Error, &str); 7] = [
+const ERRORS: [(Error, &str); 8] = [
     (Error::Stopping, "stopping"),
     (Error::Full, "full"),
+    (Error::NoSlot, "no-slot"),
     (Error::NoPath, "no-path"),
     (Error::Unreachable, "unreachable"),
     (Error::NotSent, "not-sent"),
--- a/crates/proxy/src/transit/mod.rs
+++ b/crates/proxy/src/transit/mod.rs
@@ -24,7 +24,7 @@
 mod monitor;
 mod server;
 
-pub(crate) use client::{Header, SendOutcome};
+pub(crate) use client::{Connection, Header, SendOutcome, MAX_ASKED};
 pub(crate) use monitor::spawn as spawn_monitor;
 pub(crate) use server::{handle, ForwardedBody};
 
@@ -40,6 +40,8 @@
     peers: Mutex<Peers>,
     /// The instances that forward requests, by the address at which they are known to others.
     members: Mutex<HashMap<SocketAddr, Arc<Member>>>,
+    /// The addresses of all listed instances by the hashes of their names; none for this one.
+    addrs: Mutex<HashMap<u64, Option<SocketAddr>>>,
     capacity: Mutex<Capacity>,
     /// Changes when the mode of any service does.
     mode_changes: watch::Sender<u64>,
@@ -59,6 +61,7 @@
             paths: Mutex::default(),
             peers: Mutex::default(),
             members: Mutex::default(),
+            addrs: Mutex::default(),
             capacity: Mutex::default(),
             mode_changes: watch::channel(0).0,
         }))
@@ -105,6 +108,19 @@
         self.peers().set_peers(peers);
         let members = forwarding.map(|m| (m.addr, Arc::clone(m))).collect();
         *self.0.members.lock().expect("lock not poisoned") = members;
+        let own_id = &own.id;
+        let addrs = roster
+            .name_hashes()
+            .map(|(hash, m)| (hash, (m.id != *own_id).then_some(m.addr)));
+        *self.0.addrs.lock().expect("lock not poisoned") = addrs.collect();
+    }
+
+    /// Returns the other instances that own slots of the chosen upstream while it is brittle.
+    fn slot_owners(&self, choice: &Choice) -> Vec<SocketAddr> {
+        let addrs = self.0.addrs.lock().expect("lock not poisoned");
+        let hashes: Vec<u64> = addrs.keys().copied().collect();
+        let owners = self.pool().slot_owners(choice, &hashes);
+        owners.iter().filter_map(|hash| addrs[hash]).collect()
     }
 
     fn member(&self, addr: SocketAddr) -> Option<Arc<Member>> {
@@ -271,6 +287,31 @@
         Some(request)
     }
 
+    /// Starts a request at an instance that owns slots of the chosen upstream, other than those that were
+    /// asked already.
+    fn begin_at_owner(
+        &self,
+        choice: &Choice,
+        regions: &[String],
+        asked: &[SocketAddr],
+    ) -> Option<ForwardedRequest> {
+        let now = self.0.clock.now();
+        let criteria = Criteria {
+            service: service_hash(&choice.spec.service),
+            regions,
+            asked,
+            random: 0,
+        };
+        let owners = self.slot_owners(choice);
+        let addr = self.peers().choose_first(now, &criteria, &owners)?;
+        Some(ForwardedRequest {
+            transit: self.clone(),
+            service: criteria.service,
+            addr,
+            began_at: now,
+        })
+    }
+
     /// Waits until the requests of a service no longer go directly.
     pub(crate) async fn wait_until_lost(&self, service: &str) {
         let mut changes = self.0.mode_changes.subscribe();
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -13,7 +13,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
-use place::{max_connections, Spec};
+use place::{max_connections, Entry, Spec};
 use tokio::time::{timeout_at, Sleep};
 use transit::Mode;
 
@@ -47,6 +47,32 @@
     }
 }
 
+/// Holds a slot of a brittle upstream for a forwarded request until dropped.
+struct SlotGuard {
+    transit: Transit,
+    incarnation: String,
+}
+
+impl SlotGuard {
+    /// Takes a slot if the upstream is brittle.
+    fn enter(transit: &Transit, now: u64, incarnation: &str) -> Result<Option<SlotGuard>, Error> {
+        match transit.pool().try_enter_forwarded(now, incarnation) {
+            Entry::Unlimited => Ok(None),
+            Entry::Slot => Ok(Some(SlotGuard {
+                transit: transit.clone(),
+                incarnation: incarnation.to_string(),
+            })),
+            Entry::Denied => Err(Error::NoSlot),
+        }
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.transit.pool().leave_forwarded(&self.incarnation);
+    }
+}
+
 /// A request that is forwarded. Dropping it logs its end.
 struct Forwarding {
     router: Arc<Router>,
@@ -62,6 +88,7 @@
     /// Whether the response was forwarded to its end.
     complete: bool,
     direct: DirectRequest,
+    _slot: Option<SlotGuard>,
     _capacity: CapacityGuard,
     _in_flight: InFlightGuard,
 }
@@ -127,6 +154,7 @@
         return Err(Error::Full);
     }
     let capacity = CapacityGuard(transit.clone());
+    let slot = SlotGuard::enter(transit, arrived_at, incarnation)?;
     let timeout_ms = header_text(&head.headers, header::TIMEOUT).parse();
     let deadline = arrived_at + timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let mut in_flight = InFlightGuard::new(router);
@@ -150,6 +178,7 @@
         deadline,
         status: 0,
         complete: false,
+        _slot: slot,
         _capacity: capacity,
         _in_flight: in_flight,
     };
@@ -191,6 +220,10 @@
     let (mut head, body) = res.into_parts();
     forwarding.status = head.status.as_u16();
     let response_info = dialect.parse_response(&forwarding.info, &head);
+    let (spec, sent_at) = (&forwarding.spec, forwarding.arrived_at);
+    router
+        .upstream_list
+        .apply_brittle(spec, sent_at, &response_info, head.status);
     for name in HOP_BY_HOP {
         head.headers.remove(name);
     }
--- a/crates/proxy/src/upstream_list.rs
+++ b/crates/proxy/src/upstream_list.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use clock::Clock;
 use dial::Dialer;
+use hyper::StatusCode;
 use kv::{Change, KeyValue, Store};
 use notice::Notice;
-use place::{EntryChange, MissingEntries, Pool, RateLimit, UpstreamKey, VersionedLimit};
+use place::{EntryChange, MissingEntries, Pool, RateLimit, Spec, UpstreamKey, VersionedLimit};
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, Disposition, ResponseInfo};
 use crate::event::Event;
 use crate::follower::{Follower, FollowerDeps, Update, WATCH_TIMEOUT_MS};
 use crate::log::Log;
@@ -173,6 +174,41 @@
         Some(changed)
     }
 
+    /// Records whether an upstream of a service is brittle, by a response to a request sent at
+    /// `sent_at`, and logs a change.
+    pub(crate) fn set_brittle(&self, service: &str, sent_at: u64, brittle: bool) {
+        let now = self.0.clock.now();
+        let mut pool = self.0.pool.lock().expect("lock not poisoned");
+        let changed = pool.set_brittle(now, service, sent_at, brittle);
+        drop(pool);
+        if changed {
+            let detail = format_args!("service={service} brittle={brittle}");
+            self.0.log.event(Event::BrittleChanged, detail);
+        }
+    }
+
+    /// Applies what a response of an upstream says about whether it is brittle, and records a
+    /// rejection. Only a successful response without that header ends it: refusals and errors may
+    /// lack the header.
+    pub(crate) fn apply_brittle(
+        &self,
+        spec: &Spec,
+        sent_at: u64,
+        info: &ResponseInfo,
+        status: StatusCode,
+    ) {
+        let rejected = info.disposition == Disposition::NotExecuted;
+        let success = info.disposition == Disposition::Executed && status.is_success();
+        if success || (info.brittle && rejected) {
+            self.set_brittle(&spec.service, sent_at, info.brittle);
+        }
+        if rejected && status == StatusCode::SERVICE_UNAVAILABLE {
+            let now = self.0.clock.now();
+            let mut pool = self.0.pool.lock().expect("lock not poisoned");
+            pool.record_rejection(now, &spec.incarnation());
+        }
+    }
+
     /// Handles a peer's notice that an upstream's entry was removed at a revision.
     pub(crate) fn record_removal(&self, id: &str, revision: i64) {
         let key = format!("{}{id}", self.0.dialect.upstream_prefix());
--- a/crates/transit/src/peers.rs
+++ b/crates/transit/src/peers.rs
@@ -236,6 +236,26 @@
         Some(state.peer.addr)
     }
 
+    /// Chooses the first of some instances that may be asked to forward a request, and counts one more
+    /// request there.
+    pub fn choose_first(
+        &mut self,
+        now: u64,
+        criteria: &Criteria<'_>,
+        addrs: &[SocketAddr],
+    ) -> Option<SocketAddr> {
+        let states = addrs.iter().filter_map(|addr| self.by_addr.get(addr));
+        let mut eligible = states.copied().filter(|i| {
+            let state = &self.peers[*i];
+            state.is_eligible(now, criteria) && !state.has_no_path(now, criteria.service)
+        });
+        let chosen = eligible.next()?;
+        let state = &mut self.peers[chosen];
+        state.in_flight += 1;
+        state.unreported += 1;
+        Some(state.peer.addr)
+    }
+
     /// Records the end of a request that an instance has forwarded or denied.
     pub fn end(&mut self, addr: SocketAddr) {
         if let Some(state) = self.get_mut(addr) {
