Keep connections whose upstream is silent for a moment

Would be seen by callers: requests broken off because a sound upstream was silent for a second, as it may be. Cause: a user timeout of 2 s decides about keepalive probes, too, whatever their count. With probes each second, a silence of little more than a second can leave two of them unanswered, and the connection is closed 2 s after the last packet: shown by the rule and the options of the socket for a silence that begins 0.55 s after it. Change: 2.5 s. A probe that is late by itself then closes nothing; a connection whose other side is gone is closed after 3 s instead of 2. The clients of the store and of instances bound each call by themselves.

--- a/crates/dial/src/pool.rs
+++ b/crates/dial/src/pool.rs
@@ -19,9 +19,10 @@
 /// not available. The request waits meanwhile, and nothing of it was sent, so a lost packet only makes the
 /// router choose another upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time after which a connection with unacknowledged data is considered lost. Without it, an interrupted
-/// network path is noticed only after minutes. It allows for three consecutive lost packets.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time after which a connection with unacknowledged data, or with unanswered keepalive probes, is
+/// considered lost. Without it, an interrupted network path is noticed only after minutes. It allows for
+/// three consecutive lost packets, and for an upstream that is silent for two probes in a row.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before TCP keepalive probes, and interval between them.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long an idle connection is kept if the upstream does not specify a timeout.
