Ask the same instance again when a forwarded request is sent again

Would be seen by callers: a request that may be repeated fails after its first failure if only one instance forwards. Cause: by reading. The instances that were asked stayed excluded over all attempts of a request, not only within one. Change: each attempt begins with none asked. Result: a_request_is_sent_again_through_the_same_instance passes; it was not run on the code before.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -324,6 +324,7 @@
     ctx: &mut RequestContext,
     last_event_id: Option<u64>,
 ) -> Result<OpenResponse, AttemptError> {
+    ctx.asked.clear();
     loop {
         let connected = connect(ctx).await?;
         match attempt_once(ctx, connected, last_event_id).await {
