Choose another upstream where the forwarding instance knows that it is gone

Would be seen by callers: refusals while an upstream leaves, if the forwarding instances know it before the one that decides. Cause: by reading. An upstream that is not listed, leaving, paused or evacuated there was answered like a lost path, so that the instance was left out for that service for a second, and the next ones as well. Change: an answer of its own; the upstream is left out, the instance is not.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -601,8 +601,8 @@
             ctx.tried.pop();
             return Err(AttemptError::NotForwarded);
         }
-        SendOutcome::Unreachable => {
-            guard.end(Outcome::Unresponsive);
+        SendOutcome::UpstreamFailed(outcome) => {
+            guard.end(outcome);
             ctx.asked.pop();
             return Err(AttemptError::NotForwarded);
         }
--- a/crates/proxy/src/transit/client.rs
+++ b/crates/proxy/src/transit/client.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
-use place::Choice;
+use place::{Choice, Outcome};
 use tokio::time::Instant;
 use transit::Denial;
 
@@ -33,8 +33,9 @@
     Response(Response<Incoming>),
     /// Nothing was sent by the instance that was asked to forward it.
     Denied,
-    /// Nothing was sent, because that instance could not connect to the upstream either.
-    Unreachable,
+    /// Nothing was sent, because of the upstream: that instance could not connect to it either, or
+    /// knows that it accepts no requests.
+    UpstreamFailed(Outcome),
     /// There is no response of the upstream.
     Failed(SendError),
     /// There is no response of the instance that was asked to forward it.
@@ -182,7 +183,8 @@
             Error::Stopping => Denial::Stopping,
             Error::Full => Denial::Full,
             Error::NoPath => Denial::NoPath,
-            Error::Unreachable => return SendOutcome::Unreachable,
+            Error::Unreachable => return SendOutcome::UpstreamFailed(Outcome::Unresponsive),
+            Error::Gone => return SendOutcome::UpstreamFailed(Outcome::Abandoned),
             Error::NoSlot => return SendOutcome::Denied,
             Error::NotSent => return SendOutcome::Failed(SendError::NotSent(why)),
             Error::Closed => return SendOutcome::Failed(SendError::Closed(why)),
--- a/crates/proxy/src/transit/header.rs
+++ b/crates/proxy/src/transit/header.rs
@@ -23,9 +23,10 @@
     Full,
     /// The instance has no slot of the upstream left, which is brittle; nothing was sent.
     NoSlot,
-    /// The instance does not reach the upstream's service, or does not know the upstream; nothing was
-    /// sent.
+    /// The instance does not reach the upstream's service; nothing was sent.
     NoPath,
+    /// The upstream is not listed, leaving, paused or evacuated; nothing was sent.
+    Gone,
     /// No connection to the upstream could be established; nothing was sent.
     Unreachable,
     /// A connection to the upstream could not be used; nothing was sent.
@@ -37,11 +38,12 @@
 }
 
 /// The values of the error header.
-const ERRORS: [(Error, &str); 8] = [
+const ERRORS: [(Error, &str); 9] = [
     (Error::Stopping, "stopping"),
     (Error::Full, "full"),
     (Error::NoSlot, "no-slot"),
     (Error::NoPath, "no-path"),
+    (Error::Gone, "gone"),
     (Error::Unreachable, "unreachable"),
     (Error::NotSent, "not-sent"),
     (Error::Closed, "closed"),
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -145,8 +145,10 @@
     }
     let incarnation = header_text(&head.headers, header::UPSTREAM);
     let spec = transit.pool().forward_target(arrived_at, incarnation);
-    let spec = spec.filter(|s| transit.mode(&s.service) != Mode::Transit);
-    let spec = spec.ok_or(Error::NoPath)?;
+    let spec = spec.ok_or(Error::Gone)?;
+    if transit.mode(&spec.service) == Mode::Transit {
+        return Err(Error::NoPath);
+    }
     let active = router.config.active().ok_or(Error::NoPath)?;
     let info = router.dialect.parse_request(head);
     let info = info.map_err(|_| Error::NoPath)?;
@@ -266,7 +268,7 @@
             let now = router.clock.now();
             // The upstream may be leaving by now.
             let target = transit.pool().forward_target(now, &incarnation);
-            target.map(|_| conn).ok_or(Error::NoPath)
+            target.map(|_| conn).ok_or(Error::Gone)
         }
         Err(ConnectError::Full) => Err(Error::NotSent),
         Err(error) => {
