Split the attempt: its errors and its connection in files of their own

Change: attempt_error.rs holds why attempts fail and the refusals, connect.rs the choice of an upstream and of the way to it. Code is moved, not changed.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,43 +1,34 @@
-//! One attempt to get a response from an upstream: choosing it, connecting, sending the request and
+//! One attempt to get a response from an upstream: sending the request over a connection to it and
 //! reading the head of the response.
 
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::SystemTime;
 
 use clock::wall_ms;
-use dial::{ConnectError, SendError, Target};
-use err::{Kind, Ran};
+use dial::SendError;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::{Request, StatusCode, Uri};
-use place::{max_connections, Choice, ChooseError, Criteria, Outcome, RateLimit, ServiceUsage};
+use place::{Choice, Outcome, RateLimit};
 use suspect::Digest;
 use tokio::time::timeout_at;
 use transit::{Denial, Mode};
 
+use crate::attempt_error::AttemptError;
+use crate::connect::{connect, Connected};
 use crate::dialect::{AdvertisedLimit, Disposition, Pause, ResponseInfo};
 use crate::event::Event;
-use crate::refusal::Refusal;
 use crate::request_context::RequestContext;
 use crate::request_info::AttemptContext;
 use crate::router::Router;
-use crate::transit::{self as forwarding, PathLost, PathWatch, SendOutcome, Way, MAX_ASKED};
+use crate::transit::{self as forwarding, PathLost, PathWatch, SendOutcome, Way};
 
 /// An attempt of a retryable request is given up if there is no response head within both of these
 /// multiples: of the route's latency objective, and of the latency that was expected. Before that,
 /// a slow upstream may still respond.
 const RESPONSE_TIMEOUT_OBJECTIVES: f64 = 3.0;
 const RESPONSE_TIMEOUT_EXPECTED: f64 = 6.0;
-/// Retry time if no upstream is available, in milliseconds: an unreachable upstream is ejected for
-/// a similar time at first.
-const RETRY_NO_UPSTREAM_MS: u64 = 400;
-/// Retry time if no slot of a brittle upstream is free, in milliseconds: requests end within it.
-const RETRY_NO_SLOT_MS: u64 = 300;
-/// Retry time if all upstreams that the request may reach are in evacuated zones, or none is in an
-/// allowed region, in milliseconds: only operators change that.
-const RETRY_EVACUATED_MS: u64 = 4_000;
 
 /// An attempt in progress at its upstream; dropping it records its outcome.
 pub(crate) struct AttemptGuard {
@@ -52,7 +43,7 @@
 }
 
 impl AttemptGuard {
-    fn new(ctx: &RequestContext, choice: Choice) -> AttemptGuard {
+    pub(crate) fn new(ctx: &RequestContext, choice: Choice) -> AttemptGuard {
         AttemptGuard {
             router: Arc::clone(&ctx.router),
             digest: ctx.digest,
@@ -71,7 +62,7 @@
     }
 
     /// Returns whether the request may still be sent to the upstream.
-    fn may_send(&self) -> bool {
+    pub(crate) fn may_send(&self) -> bool {
         let pool = self.router.pool.lock().expect("lock not poisoned");
         pool.may_send(self.router.clock.now(), &self.choice)
     }
@@ -91,7 +82,7 @@
 
     /// Takes a slot of the upstream if it is brittle; returns whether the request has to be sent by
     /// another instance that owns one.
-    fn needs_owner(&self) -> bool {
+    pub(crate) fn needs_owner(&self) -> bool {
         let service = &self.choice.spec.service;
         let is_direct = self.router.transit.mode(service) == Mode::Direct;
         let mut pool = self.router.pool.lock().expect("lock not poisoned");
@@ -100,7 +91,7 @@
     }
 
     /// Sends the request through another instance.
-    fn forwarded(mut self, connection: forwarding::Connection) -> Connected {
+    pub(crate) fn forwarded(mut self, connection: forwarding::Connection) -> Connected {
         self.way = Some(Way::Forwarded(connection.request));
         Connected {
             guard: self,
@@ -110,7 +101,7 @@
     }
 
     /// Records that the request goes directly.
-    fn set_direct(&mut self) {
+    pub(crate) fn set_direct(&mut self) {
         let direct = self.router.transit.begin_direct(&self.choice.spec.service);
         self.way = Some(Way::Direct(direct));
     }
@@ -179,146 +170,6 @@
     pub(crate) info: ResponseInfo,
 }
 
-/// Why an attempt failed. Log lines print the names of the variants.
-#[derive(Clone, Debug)]
-pub(crate) enum AttemptError {
-    /// No upstream was chosen.
-    Denied(ChooseError),
-    /// The request did not run, and will not.
-    NotRun(String),
-    /// The request may have run. The upstream closed the connection before any part of a response
-    /// was received, so nobody can have received any of it.
-    Unanswered(String),
-    /// The request may have run.
-    Unknown(String),
-    /// The deadline passed before the request was sent.
-    Late,
-    /// The paths to the upstreams are lost, and no other instance forwards the request; it did not run.
-    NoPath,
-    /// Another instance was asked to forward the request and sent nothing. It is asked no more; the
-    /// attempt does not count.
-    NotForwarded,
-}
-
-impl AttemptError {
-    fn refusal(self, ctx: &RequestContext) -> Refusal {
-        let remaining_ms = ctx.remaining_ms();
-        match self {
-            AttemptError::Denied(ChooseError::Busy { retry_ms }) => {
-                let message = format!("the upstreams of {} are busy: {}", ctx.service, usage(ctx));
-                Refusal::new(Kind::Overloaded, message).retry_within(retry_ms, remaining_ms)
-            }
-            AttemptError::Denied(ChooseError::Resting { retry_ms }) => {
-                let message = format!("the upstreams of {} have asked for a pause", ctx.service);
-                Refusal::new(Kind::NoUpstream, message).retry_after(retry_ms)
-            }
-            AttemptError::Denied(ChooseError::Limited { retry_ms }) => {
-                let message = format!(
-                    "the request rate limits of the upstreams of {} are reached",
-                    ctx.service
-                );
-                Refusal::new(Kind::Overloaded, message).retry_within(retry_ms, remaining_ms)
-            }
-            AttemptError::Denied(ChooseError::Cold { retry_ms }) => {
-                let message = format!(
-                    "the upstreams of {} are cold and accept no more requests yet",
-                    ctx.service
-                );
-                Refusal::new(Kind::Overloaded, message).retry_within(retry_ms, remaining_ms)
-            }
-            AttemptError::Denied(ChooseError::Evacuated) => {
-                let message = format!("all zones with upstreams of {} are evacuated", ctx.service);
-                Refusal::new(Kind::NoUpstream, message)
-                    .retry_within(RETRY_EVACUATED_MS, remaining_ms)
-            }
-            AttemptError::Denied(ChooseError::Outside) => {
-                let message = format!("no upstream of {} is in an allowed region", ctx.service);
-                Refusal::new(Kind::NoUpstream, message)
-                    .retry_within(RETRY_EVACUATED_MS, remaining_ms)
-            }
-            AttemptError::Denied(ChooseError::Unknown | ChooseError::NoneLeft) => {
-                let message = format!(
-                    "no upstream of {} is available: {}",
-                    ctx.service,
-                    usage(ctx)
-                );
-                Refusal::new(Kind::NoUpstream, message)
-                    .retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
-            }
-            AttemptError::NotRun(why) => {
-                Refusal::new(Kind::NoUpstream, why).retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
-            }
-            AttemptError::NoPath | AttemptError::NotForwarded => {
-                let message = format!(
-                    "this instance has no path to upstreams of {}, and {} others forward nothing",
-                    ctx.service,
-                    ctx.asked.len()
-                );
-                Refusal::new(Kind::NoUpstream, message)
-                    .retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
-            }
-            AttemptError::Late => Refusal::new(
-                Kind::DeadlinePassed,
-                "the deadline passed before the request was sent",
-            )
-            .ran(Ran::No),
-            AttemptError::Unanswered(why) | AttemptError::Unknown(why) => {
-                let late = remaining_ms == 0;
-                let kind = if late {
-                    Kind::DeadlinePassed
-                } else {
-                    Kind::UpstreamError
-                };
-                Refusal::new(kind, why)
-            }
-        }
-    }
-}
-
-/// Describes the load and health of a request's upstreams.
-fn usage(ctx: &RequestContext) -> ServiceUsage {
-    let now = ctx.router.clock.now();
-    let pool = ctx.router.pool.lock().expect("lock not poisoned");
-    pool.service_usage(now, &ctx.service)
-}
-
-/// Whether a request may have run in the attempts so far.
-#[derive(Debug)]
-pub(crate) struct AttemptHistory {
-    ran: Ran,
-}
-
-impl AttemptHistory {
-    pub(crate) fn new() -> AttemptHistory {
-        AttemptHistory { ran: Ran::No }
-    }
-
-    /// Returns whether the request may be sent once more after a failed attempt; if so, takes a
-    /// retry from the retry budget.
-    pub(crate) fn try_retry(&mut self, ctx: &RequestContext, error: &AttemptError) -> bool {
-        match error {
-            AttemptError::Denied(_)
-            | AttemptError::Late
-            | AttemptError::NoPath
-            | AttemptError::NotForwarded => false,
-            AttemptError::NotRun(_) => ctx.try_acquire_retry(),
-            AttemptError::Unanswered(_) | AttemptError::Unknown(_) => {
-                self.ran = Ran::Unknown;
-                ctx.is_retryable() && ctx.try_acquire_retry()
-            }
-        }
-    }
-
-    /// Returns the refusal of a request that is not sent again after its last attempt failed.
-    pub(crate) fn refusal(&self, ctx: &RequestContext, error: AttemptError) -> Refusal {
-        let refusal = error.refusal(ctx);
-        match self.ran {
-            Ran::No => refusal,
-            ran => refusal.ran(ran),
-        }
-    }
-}
-
 /// Sends a request to an upstream and reads the head of the response.
 pub(crate) async fn attempt(
     ctx: &mut RequestContext,
@@ -334,14 +185,6 @@
     }
 }
 
-/// A chosen upstream and a connection over which the request reaches it.
-struct Connected {
-    guard: AttemptGuard,
-    conn: dial::Conn,
-    /// The incarnation that forwards the request; none if it goes directly.
-    via: Option<String>,
-}
-
 async fn attempt_once(
     ctx: &mut RequestContext,
     connected: Connected,
@@ -384,172 +227,6 @@
     sent
 }
 
-/// Chooses upstreams until a connection over which the request reaches one is open.
-async fn connect(ctx: &mut RequestContext) -> Result<Connected, AttemptError> {
-    loop {
-        if ctx.remaining_ms() == 0 {
-            return Err(AttemptError::Late);
-        }
-        let choice = choose(ctx).map_err(AttemptError::Denied)?;
-        ctx.tried.push(choice.key);
-        ctx.progress.tried.fetch_add(1, Ordering::Relaxed);
-        ctx.timing.uncached_tokens = choice.uncached_tokens;
-        ctx.timing.expected_ms = choice.expected_ms;
-        let mut guard = AttemptGuard::new(ctx, choice);
-        if guard.needs_owner() {
-            let connection = connect_owner(ctx, &guard).await;
-            match connection.filter(|_| guard.may_send()) {
-                Some(connection) => return Ok(guard.forwarded(connection)),
-                None if ctx.asked.len() < MAX_ASKED => continue,
-                None => {
-                    let retry_ms = RETRY_NO_SLOT_MS;
-                    return Err(AttemptError::Denied(ChooseError::Busy { retry_ms }));
-                }
-            }
-        }
-        match connect_directly(ctx, &guard).await {
-            Ok(conn) => {
-                guard.set_direct();
-                let via = None;
-                return Ok(Connected { guard, conn, via });
-            }
-            Err(outcome) if ctx.router.transit.mode(&ctx.service) == Mode::Direct => {
-                guard.end(outcome);
-                continue;
-            }
-            Err(_) => {}
-        }
-        let until = ctx.router.clock.at(ctx.deadline);
-        let connection = ctx
-            .router
-            .connect_transit(&ctx.service, &ctx.regions, &mut ctx.asked, until)
-            .await;
-        let Some(connection) = connection else {
-            // A request that must not run twice is not risked on a connection that may break.
-            let last_resort = ctx.is_retryable() || ctx.asked.is_empty();
-            if !last_resort || !ctx.router.transit.fails_fast(&ctx.service) {
-                return Err(AttemptError::NoPath);
-            }
-            match dial_upstream(ctx, &guard).await {
-                Ok(conn) => {
-                    guard.set_direct();
-                    let via = None;
-                    return Ok(Connected { guard, conn, via });
-                }
-                Err(outcome) => {
-                    guard.end(outcome);
-                    continue;
-                }
-            }
-        };
-        if guard.may_send() {
-            return Ok(guard.forwarded(connection));
-        }
-        ctx.asked.pop();
-    }
-}
-
-/// Connects to an instance that owns slots of the chosen upstream, which is brittle.
-async fn connect_owner(
-    ctx: &mut RequestContext,
-    guard: &AttemptGuard,
-) -> Option<forwarding::Connection> {
-    let until = ctx.router.clock.at(ctx.deadline);
-    let router = Arc::clone(&ctx.router);
-    let (choice, asked) = (&guard.choice, &mut ctx.asked);
-    router
-        .connect_slot_owner(choice, &ctx.regions, asked, until)
-        .await
-}
-
-/// Returns a connection to the chosen upstream; an error says what it means for the upstream if its
-/// path is not lost.
-async fn connect_directly(
-    ctx: &RequestContext,
-    guard: &AttemptGuard,
-) -> Result<dial::Conn, Outcome> {
-    let (router, spec) = (&ctx.router, &guard.choice.spec);
-    let incarnation = spec.incarnation();
-    let mode = router.transit.mode(&ctx.service);
-    if mode == Mode::Transit {
-        return Err(Outcome::Abandoned);
-    }
-    if let Some(conn) = router.dialer.take_idle(&incarnation) {
-        return Ok(conn);
-    }
-    if mode != Mode::Direct {
-        return Err(Outcome::Abandoned);
-    }
-    tokio::select! {
-        biased;
-        connected = dial_upstream(ctx, guard) => connected,
-        // No need to wait for the timeout if connections to other upstreams have timed out.
-        () = router.transit.wait_until_lost(&ctx.service) => Err(Outcome::Abandoned),
-    }
-}
-
-/// Opens a connection to the chosen upstream; an error says what it means for the upstream.
-async fn dial_upstream(ctx: &RequestContext, guard: &AttemptGuard) -> Result<dial::Conn, Outcome> {
-    let (router, spec) = (&ctx.router, &guard.choice.spec);
-    let incarnation = spec.incarnation();
-    let instances = router.fleet.instance_count();
-    let max = max_connections(ctx.service_settings.max_connections as usize, instances);
-    let target = Target {
-        upstream: &incarnation,
-        addr: spec.addr,
-        max_connections: max.unwrap_or(usize::MAX),
-    };
-    let until = router.clock.at(ctx.deadline);
-    router.metrics.connection_attempts.inc();
-    let error = match router.dialer.connect(target, until).await {
-        Ok(conn) => {
-            router.transit.record_connected(&ctx.service);
-            // Otherwise the upstream is leaving, paused, evacuated, no longer listed or throttled by
-            // now. Nothing was sent, so another one is chosen.
-            let may_send = guard.may_send();
-            return may_send.then_some(conn).ok_or(Outcome::Abandoned);
-        }
-        Err(error) => error,
-    };
-    let detail = format_args!("upstream={} connect={error:?}", spec.id);
-    let log = &router.log;
-    log.request_event(Event::AttemptFailed, &ctx.info.id, detail);
-    match error {
-        ConnectError::Full => return Err(Outcome::Refused),
-        ConnectError::TimedOut if router.is_link_congested() => return Err(Outcome::Abandoned),
-        ConnectError::TimedOut | ConnectError::Refused(_) | ConnectError::Unreachable(_) => {}
-    }
-    router
-        .transit
-        .record_choice_unconnected(&guard.choice, &error);
-    Err(Outcome::Unresponsive)
-}
-
-fn choose(ctx: &RequestContext) -> Result<Choice, ChooseError> {
-    let now = ctx.router.clock.now();
-    let criteria = Criteria {
-        service: &ctx.service,
-        zone: &ctx.router.zone,
-        segments: &ctx.info.prompt_segments,
-        prompt_tokens: ctx.info.prompt_tokens,
-        regions: &ctx.regions,
-        tried: &ctx.tried,
-        deadline: ctx.deadline,
-        retryable: ctx.is_retryable(),
-        random: rand::random(),
-    };
-    let mut pool = ctx.router.pool.lock().expect("lock not poisoned");
-    let choice = pool.choose(now, &criteria)?;
-    let metrics = &ctx.router.metrics;
-    metrics
-        .uncached_prompt_tokens
-        .inc_by(u64::from(choice.uncached_tokens));
-    metrics
-        .prompt_tokens
-        .inc_by(u64::from(ctx.info.prompt_tokens));
-    Ok(choice)
-}
-
 async fn send(
     ctx: &mut RequestContext,
     connected: Connected,
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -11,7 +11,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
-use crate::attempt::{attempt, AttemptError, AttemptHistory, OpenResponse};
+use crate::attempt::{attempt, OpenResponse};
+use crate::attempt_error::{AttemptError, AttemptHistory};
 use crate::body::{ResponseAborted, ResponseBody};
 use crate::event::Event;
 use crate::refusal::Refusal;
--- /dev/null
+++ b/crates/proxy/src/connect.rs
@@ -0,0 +1,192 @@
+//! Choosing an upstream for an attempt, and a connection over which the request reaches it: directly, or
+//! through another instance.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use dial::{ConnectError, Target};
+use place::{max_connections, Choice, ChooseError, Criteria, Outcome};
+use transit::Mode;
+
+use crate::attempt::AttemptGuard;
+use crate::attempt_error::AttemptError;
+use crate::event::Event;
+use crate::request_context::RequestContext;
+use crate::transit::{self as forwarding, MAX_ASKED};
+
+/// Retry time if no slot of a brittle upstream is free, in milliseconds: requests end within it.
+const RETRY_NO_SLOT_MS: u64 = 300;
+
+/// A chosen upstream and a connection over which the request reaches it.
+pub(crate) struct Connected {
+    pub(crate) guard: AttemptGuard,
+    pub(crate) conn: dial::Conn,
+    /// The incarnation that forwards the request; none if it goes directly.
+    pub(crate) via: Option<String>,
+}
+
+/// Chooses upstreams until a connection over which the request reaches one is open.
+pub(crate) async fn connect(ctx: &mut RequestContext) -> Result<Connected, AttemptError> {
+    loop {
+        if ctx.remaining_ms() == 0 {
+            return Err(AttemptError::Late);
+        }
+        let choice = choose(ctx).map_err(AttemptError::Denied)?;
+        ctx.tried.push(choice.key);
+        ctx.progress.tried.fetch_add(1, Ordering::Relaxed);
+        ctx.timing.uncached_tokens = choice.uncached_tokens;
+        ctx.timing.expected_ms = choice.expected_ms;
+        let mut guard = AttemptGuard::new(ctx, choice);
+        if guard.needs_owner() {
+            let connection = connect_owner(ctx, &guard).await;
+            match connection.filter(|_| guard.may_send()) {
+                Some(connection) => return Ok(guard.forwarded(connection)),
+                None if ctx.asked.len() < MAX_ASKED => continue,
+                None => {
+                    let retry_ms = RETRY_NO_SLOT_MS;
+                    return Err(AttemptError::Denied(ChooseError::Busy { retry_ms }));
+                }
+            }
+        }
+        match connect_directly(ctx, &guard).await {
+            Ok(conn) => {
+                guard.set_direct();
+                let via = None;
+                return Ok(Connected { guard, conn, via });
+            }
+            Err(outcome) if ctx.router.transit.mode(&ctx.service) == Mode::Direct => {
+                guard.end(outcome);
+                continue;
+            }
+            Err(_) => {}
+        }
+        let until = ctx.router.clock.at(ctx.deadline);
+        let connection = ctx
+            .router
+            .connect_transit(&ctx.service, &ctx.regions, &mut ctx.asked, until)
+            .await;
+        let Some(connection) = connection else {
+            // A request that must not run twice is not risked on a connection that may break.
+            let last_resort = ctx.is_retryable() || ctx.asked.is_empty();
+            if !last_resort || !ctx.router.transit.fails_fast(&ctx.service) {
+                return Err(AttemptError::NoPath);
+            }
+            match dial_upstream(ctx, &guard).await {
+                Ok(conn) => {
+                    guard.set_direct();
+                    let via = None;
+                    return Ok(Connected { guard, conn, via });
+                }
+                Err(outcome) => {
+                    guard.end(outcome);
+                    continue;
+                }
+            }
+        };
+        if guard.may_send() {
+            return Ok(guard.forwarded(connection));
+        }
+        ctx.asked.pop();
+    }
+}
+
+/// Connects to an instance that owns slots of the chosen upstream, which is brittle.
+async fn connect_owner(
+    ctx: &mut RequestContext,
+    guard: &AttemptGuard,
+) -> Option<forwarding::Connection> {
+    let until = ctx.router.clock.at(ctx.deadline);
+    let router = Arc::clone(&ctx.router);
+    let (choice, asked) = (&guard.choice, &mut ctx.asked);
+    router
+        .connect_slot_owner(choice, &ctx.regions, asked, until)
+        .await
+}
+
+/// Returns a connection to the chosen upstream; an error says what it means for the upstream if its
+/// path is not lost.
+async fn connect_directly(
+    ctx: &RequestContext,
+    guard: &AttemptGuard,
+) -> Result<dial::Conn, Outcome> {
+    let (router, spec) = (&ctx.router, &guard.choice.spec);
+    let incarnation = spec.incarnation();
+    let mode = router.transit.mode(&ctx.service);
+    if mode == Mode::Transit {
+        return Err(Outcome::Abandoned);
+    }
+    if let Some(conn) = router.dialer.take_idle(&incarnation) {
+        return Ok(conn);
+    }
+    if mode != Mode::Direct {
+        return Err(Outcome::Abandoned);
+    }
+    tokio::select! {
+        biased;
+        connected = dial_upstream(ctx, guard) => connected,
+        // No need to wait for the timeout if connections to other upstreams have timed out.
+        () = router.transit.wait_until_lost(&ctx.service) => Err(Outcome::Abandoned),
+    }
+}
+
+/// Opens a connection to the chosen upstream; an error says what it means for the upstream.
+async fn dial_upstream(ctx: &RequestContext, guard: &AttemptGuard) -> Result<dial::Conn, Outcome> {
+    let (router, spec) = (&ctx.router, &guard.choice.spec);
+    let incarnation = spec.incarnation();
+    let instances = router.fleet.instance_count();
+    let max = max_connections(ctx.service_settings.max_connections as usize, instances);
+    let target = Target {
+        upstream: &incarnation,
+        addr: spec.addr,
+        max_connections: max.unwrap_or(usize::MAX),
+    };
+    let until = router.clock.at(ctx.deadline);
+    router.metrics.connection_attempts.inc();
+    let error = match router.dialer.connect(target, until).await {
+        Ok(conn) => {
+            router.transit.record_connected(&ctx.service);
+            // Otherwise the upstream is leaving, paused, evacuated, no longer listed or throttled by
+            // now. Nothing was sent, so another one is chosen.
+            let may_send = guard.may_send();
+            return may_send.then_some(conn).ok_or(Outcome::Abandoned);
+        }
+        Err(error) => error,
+    };
+    let detail = format_args!("upstream={} connect={error:?}", spec.id);
+    let log = &router.log;
+    log.request_event(Event::AttemptFailed, &ctx.info.id, detail);
+    match error {
+        ConnectError::Full => return Err(Outcome::Refused),
+        ConnectError::TimedOut if router.is_link_congested() => return Err(Outcome::Abandoned),
+        ConnectError::TimedOut | ConnectError::Refused(_) | ConnectError::Unreachable(_) => {}
+    }
+    router
+        .transit
+        .record_choice_unconnected(&guard.choice, &error);
+    Err(Outcome::Unresponsive)
+}
+
+fn choose(ctx: &RequestContext) -> Result<Choice, ChooseError> {
+    let now = ctx.router.clock.now();
+    let criteria = Criteria {
+        service: &ctx.service,
+        zone: &ctx.router.zone,
+        segments: &ctx.info.prompt_segments,
+        prompt_tokens: ctx.info.prompt_tokens,
+        regions: &ctx.regions,
+        tried: &ctx.tried,
+        deadline: ctx.deadline,
+        retryable: ctx.is_retryable(),
+        random: rand::random(),
+    };
+    let mut pool = ctx.router.pool.lock().expect("lock not poisoned");
+    let choice = pool.choose(now, &criteria)?;
+    let metrics = &ctx.router.metrics;
+    metrics
+        .uncached_prompt_tokens
+        .inc_by(u64::from(choice.uncached_tokens));
+    metrics
+        .prompt_tokens
+        .inc_by(u64::from(ctx.info.prompt_tokens));
+    Ok(choice)
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,10 +12,12 @@
 //! and does the I/O. Tasks share state through handles that can be cloned.
 
 mod attempt;
+mod attempt_error;
 mod body;
 mod budgets;
 mod buffered;
 mod config;
+mod connect;
 mod datagram;
 mod dialect;
 #[cfg(test)]
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -12,7 +12,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
-use crate::attempt::{attempt, AttemptError, AttemptGuard, AttemptHistory, OpenResponse};
+use crate::attempt::{attempt, AttemptGuard, OpenResponse};
+use crate::attempt_error::{AttemptError, AttemptHistory};
 use crate::body::{ResponseAborted, ResponseBody};
 use crate::buffered;
 use crate::dialect::ResponseInfo;
--- a/crates/proxy/tests/encoding/texts.rs
+++ b/crates/proxy/tests/encoding/texts.rs
@@ -6,7 +6,7 @@
 use kv::StoreError;
 use place::{ChooseError, RateLimit};
 
-use crate::attempt::AttemptError;
+use crate::attempt_error::AttemptError;
 use crate::peers::TokenTransfer;
 
 /// Returns the text that a variant contains.
