Lift ejections on a lost path instead of forgetting health

Would be seen by callers: where several upstreams crash at once, which a verdict on the path can't tell at first, they are tried again too soon. Cause: suspected. Tried: no reset while open connections answer; then a request that goes on elsewhere found no upstream left (a_request_is_sent_again_… failed). Change: the ejection ends, its count stays, so that one that fails again is ejected for longer. Result: 18 tests of severed_paths and suspects pass.

--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -72,6 +72,12 @@
         self.eject(now);
     }
 
+    /// Ends an ejection, because something else has failed than the upstream.
+    pub(crate) fn lift_ejection(&mut self) {
+        self.ejected_until = 0;
+        self.on_probation = false;
+    }
+
     fn record(&mut self, now: u64, failed: f64) {
         let previous = self.failure_rate(now);
         self.failure_rate = previous + (failed - previous) * OUTCOME_WEIGHT;
--- a/crates/place/src/pool/path.rs
+++ b/crates/place/src/pool/path.rs
@@ -3,7 +3,6 @@
 
 use super::Pool;
 use crate::choice::Choice;
-use crate::health::Health;
 use crate::upstream::{Spec, Upstream};
 
 impl Pool {
@@ -23,11 +22,12 @@
         self.get_mut(choice.key).mark_undelivered(choice.attempt);
     }
 
-    /// Forgets the health of incarnations, by their hashes: what failed was the path to them.
-    pub fn reset_health(&mut self, incarnations: &[u64]) {
+    /// Ends the ejections of incarnations, by their hashes: most likely the path to them has failed. One
+    /// that fails again is ejected for longer.
+    pub fn lift_ejections(&mut self, incarnations: &[u64]) {
         let upstreams = self.upstreams.iter_mut().flatten();
         for up in upstreams.filter(|u| incarnations.contains(&u.incarnation_hash())) {
-            up.health = Health::default();
+            up.health.lift_ejection();
         }
     }
 
--- a/crates/proxy/src/transit/mod.rs
+++ b/crates/proxy/src/transit/mod.rs
@@ -239,7 +239,7 @@
             Mode::Direct => Event::PathsRestored,
             Mode::OpenConnections | Mode::Transit => Event::PathsLost,
         };
-        self.pool().reset_health(&failed);
+        self.pool().lift_ejections(&failed);
         let detail = format_args!("service={service} mode={mode:?} failed={}", failed.len());
         self.0.log.event(event, detail);
         self.0.mode_changes.send_modify(|n| *n += 1);
