Accept the headers that are added to a forwarded request

Would be seen by callers: 502 for a request whose headers are nearly as large as allowed, while paths are lost; it has not run. Cause: the listener for instances had the limit of callers, but the instance that decides adds headers of its own: the forwarding one answered 431, shown by 2503 of the test (via=n2, status=431 response has no request ID). Change: 4 KB more for instances. Result: a_request_with_long_headers_is_forwarded failed before (16,100 bytes of padding, 16,384 allowed), passes now.

--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -18,6 +18,9 @@
 /// Delay after a connection could not be accepted, by which file descriptors may be free again.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Maximum size of the headers that an instance adds to those of its caller, in bytes.
+const ADDED_HEADER_BYTES: usize = 4 << 10;
+
 /// How the listener treats connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -82,6 +85,10 @@
     };
     let limits = router.config.active().map(|a| a.routing.limits);
     let limits = limits.unwrap_or_default();
+    let max_header_bytes = match clients {
+        Clients::Callers => limits.max_header_bytes,
+        Clients::Instances => limits.max_header_bytes + ADDED_HEADER_BYTES,
+    };
     let service = service_fn(move |req| {
         let router = Arc::clone(&router);
         async move {
@@ -94,7 +101,7 @@
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-        .max_header_size(limits.max_header_bytes)
+        .max_header_size(max_header_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     if *phase.borrow() != Phase::Serving {
