--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -179,7 +179,7 @@
     loop {
         let connected = connect(ctx).await?;
         match attempt_once(ctx, connected, last_event_id).await {
-            Err(AttemptError::NotForwarded) => {}
+            Err(AttemptError::NotForwarded(_)) => {}
             result => return result,
         }
     }
@@ -200,7 +200,7 @@
     let sent = send(ctx, connected, last_event_id).await;
     let no_response = matches!(
         sent,
-        Err(AttemptError::NotRun(_) | AttemptError::Unanswered(_) | AttemptError::NotForwarded)
+        Err(AttemptError::NotRun(_) | AttemptError::Unanswered(_) | AttemptError::NotForwarded(_))
     );
     ctx.may_have_response |= !no_response;
     if let Err(error) = &sent {
@@ -216,7 +216,7 @@
             reservation.clear_prompt();
         }
     }
-    if matches!(sent, Err(AttemptError::NotForwarded)) {
+    if matches!(sent, Err(AttemptError::NotForwarded(_))) {
         ctx.set_attempts(ctx.attempts - 1);
     } else {
         ctx.router.metrics.attempts.inc();
@@ -274,14 +274,14 @@
     };
     let res = match outcome {
         SendOutcome::Response(res) => res,
-        SendOutcome::Denied => {
+        SendOutcome::Denied(why) => {
             ctx.tried.pop();
-            return Err(AttemptError::NotForwarded);
+            return Err(AttemptError::NotForwarded(why));
         }
-        SendOutcome::UpstreamFailed(outcome) => {
+        SendOutcome::UpstreamFailed(outcome, why) => {
             guard.end(outcome);
             ctx.asked.pop();
-            return Err(AttemptError::NotForwarded);
+            return Err(AttemptError::NotForwarded(why));
         }
         SendOutcome::Failed(SendError::NotSent(why)) => {
             guard.end(Outcome::Refused);
--- a/crates/proxy/src/attempt_error.rs
+++ b/crates/proxy/src/attempt_error.rs
@@ -29,9 +29,9 @@
     Late,
     /// The paths to the upstreams are lost, and no other instance forwards the request; it did not run.
     NoPath,
-    /// Another instance was asked to forward the request and sent nothing. It is asked no more; the
+    /// Another instance was asked to forward the request and sent nothing, for the given reason; the
     /// attempt does not count.
-    NotForwarded,
+    NotForwarded(&'static str),
 }
 
 impl AttemptError {
@@ -82,7 +82,12 @@
             AttemptError::NotRun(why) => {
                 Refusal::new(Kind::NoUpstream, why).retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
             }
-            AttemptError::NoPath | AttemptError::NotForwarded => {
+            AttemptError::NotForwarded(why) => {
+                let message = format!("another instance did not forward the request: {why}");
+                Refusal::new(Kind::NoUpstream, message)
+                    .retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
+            }
+            AttemptError::NoPath => {
                 let message = format!(
                     "this instance has no path to upstreams of {}, and {} others forward nothing",
                     ctx.service,
@@ -134,7 +139,7 @@
             AttemptError::Denied(_)
             | AttemptError::Late
             | AttemptError::NoPath
-            | AttemptError::NotForwarded => false,
+            | AttemptError::NotForwarded(_) => false,
             AttemptError::NotRun(_) => ctx.try_acquire_retry(),
             AttemptError::Unanswered(_) | AttemptError::Unknown(_) => {
                 self.ran = Ran::Unknown;
--- a/crates/proxy/src/transit/client.rs
+++ b/crates/proxy/src/transit/client.rs
@@ -31,11 +31,11 @@
 pub(crate) enum SendOutcome {
     /// The response of the upstream.
     Response(Response<Incoming>),
-    /// Nothing was sent by the instance that was asked to forward it.
-    Denied,
+    /// Nothing was sent by the instance that was asked to forward it, for the given reason.
+    Denied(&'static str),
     /// Nothing was sent, because of the upstream: that instance could not connect to it either, or
     /// knows that it accepts no requests.
-    UpstreamFailed(Outcome),
+    UpstreamFailed(Outcome, &'static str),
     /// There is no response of the upstream.
     Failed(SendError),
     /// There is no response of the instance that was asked to forward it.
@@ -183,22 +183,24 @@
             Error::Stopping => Denial::Stopping,
             Error::Full => Denial::Full,
             Error::NoPath => Denial::NoPath,
-            Error::Unreachable => return SendOutcome::UpstreamFailed(Outcome::Unresponsive),
-            Error::Gone => return SendOutcome::UpstreamFailed(Outcome::Abandoned),
-            Error::NoSlot => return SendOutcome::Denied,
+            Error::Unreachable => {
+                return SendOutcome::UpstreamFailed(Outcome::Unresponsive, error.as_str())
+            }
+            Error::Gone => return SendOutcome::UpstreamFailed(Outcome::Abandoned, error.as_str()),
+            Error::NoSlot => return SendOutcome::Denied(error.as_str()),
             Error::NotSent => return SendOutcome::Failed(SendError::NotSent(why)),
             Error::Closed => return SendOutcome::Failed(SendError::Closed(why)),
             Error::Broken => return SendOutcome::Failed(SendError::Broken(why)),
         };
         self.record_denial(denial);
-        SendOutcome::Denied
+        SendOutcome::Denied(error.as_str())
     }
 
     /// Returns what a failed connection to the other instance means.
     fn failure(&self, error: SendError) -> SendOutcome {
         self.record_denial(Denial::Unreachable);
         match error {
-            SendError::NotSent(_) => SendOutcome::Denied,
+            SendError::NotSent(_) => SendOutcome::Denied("connection closed"),
             // The upstream may have responded although this instance has received nothing.
             SendError::Closed(why) | SendError::Broken(why) => {
                 SendOutcome::Lost(format!("connection to the forwarding instance: {why}"))
