Log which software version began a stream, and that a request continues one

No line named an upstream's software version, the first event of a stream, or a request with Last-Event-Id, so that the three hypotheses of the incident could not be told apart. The version is now decoded from an upstream's entry. Events 2513 (stream begun) and 2514 (stream taken up) name the upstream and its version, 2514 also the request that began the stream (header Resumes); 2506 names the versions before and after, 2401 that of a new upstream.

Cost: one more line for each stream. Nothing decides by the version yet.

--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -42,6 +42,8 @@
     /// When this incarnation started, in milliseconds since the Unix epoch; none if the entry does not
     /// say.
     pub started_at_ms: Option<u64>,
+    /// Version of its software; empty if the entry does not say.
+    pub version: String,
     /// The service that it belongs to.
     pub service: String,
     /// Address at which it listens.
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -9,6 +9,7 @@
     Spec {
         id: id.to_string(),
         started_at_ms: None,
+        version: String::new(),
         service: "pool".to_string(),
         addr: SocketAddr::from(([127, 0, 0, 1], 9000)),
         zone: zone.to_string(),
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -82,6 +82,10 @@
     CallerDisconnected,
     /// A stream was resumed at another upstream.
     StreamResumed,
+    /// A stream has begun: its first event was received.
+    StreamBegan,
+    /// A stream that a caller continues has been taken up: its next event was received.
+    StreamTakenUp,
     /// A request of another instance was forwarded to an upstream.
     Forwarded,
     /// A request was running on several upstreams when these crashed.
@@ -274,6 +278,8 @@
         Level::INFO,
         "forwarded for another instance",
     ),
+    row(Event::StreamBegan, 2513, Level::INFO, "stream begun"),
+    row(Event::StreamTakenUp, 2514, Level::INFO, "stream taken up"),
     row(
         Event::TokensExceeded,
         2507,
--- a/crates/proxy/src/request_info.rs
+++ b/crates/proxy/src/request_info.rs
@@ -22,6 +22,8 @@
     pub prompt_segments: SmallVec<[PromptSegment; 4]>,
     /// Id of the last event of the stream that the caller has received.
     pub last_event_id: Option<u64>,
+    /// Id of the request whose response brought the first event of the stream that this one continues.
+    pub resumes: Option<String>,
 }
 
 impl RequestInfo {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -120,6 +120,7 @@
         }
     };
     ctx.record_first_output();
+    log_beginning(&ctx, &stream);
     let (tx, rx) = mpsc::channel(MAX_QUEUED_EVENTS);
     let mut res = Response::new(ResponseBody::Streamed(rx));
     *res.status_mut() = head.status;
@@ -134,6 +135,23 @@
     Ok(res)
 }
 
+/// Logs which upstream, and which version of its software, began or took up a stream.
+fn log_beginning(ctx: &RequestContext, stream: &UpstreamStream) {
+    let spec = &stream.guard.choice.spec;
+    let (log, id) = (&ctx.router.log, &ctx.info.id);
+    let Some(after) = ctx.info.last_event_id else {
+        let detail = format_args!("upstream={} version={}", spec.incarnation(), spec.version);
+        return log.request_event(Event::StreamBegan, id, detail);
+    };
+    let detail = format_args!(
+        "after={after} resumes={} upstream={} version={}",
+        ctx.info.resumes.as_deref().unwrap_or("-"),
+        spec.incarnation(),
+        spec.version
+    );
+    log.request_event(Event::StreamTakenUp, id, detail);
+}
+
 /// Sends the request and waits for the first event.
 async fn begin(ctx: &mut RequestContext) -> Result<Begun, AttemptError> {
     let last_event_id = ctx.info.last_event_id;
@@ -207,6 +225,7 @@
         loop {
             let end = self.forward_events(&mut stream, first.take()).await;
             let upstream = stream.upstream().to_string();
+            let version = stream.guard.choice.spec.version.clone();
             let why = match end {
                 End::Complete => {
                     stream.finish(&self.ctx);
@@ -231,7 +250,7 @@
             };
             // The connection is closed before the stream is resumed at another upstream.
             drop(stream.conn);
-            stream = match self.resume(&why).await {
+            stream = match self.resume(&why, &version).await {
                 Ok(stream) => stream,
                 Err(why) => return self.abort(&why).await,
             };
@@ -293,7 +312,7 @@
     }
 
     /// Resumes the stream at another upstream, after the last event that was forwarded.
-    async fn resume(&mut self, why: &str) -> Result<UpstreamStream, String> {
+    async fn resume(&mut self, why: &str, version: &str) -> Result<UpstreamStream, String> {
         let resumable = self.ctx.is_retryable() && self.last_event_id.is_some();
         if !resumable || !self.ctx.try_acquire_retry() {
             return Err(why.to_string());
@@ -307,8 +326,11 @@
             return Err(format!("{why}; then status {status}"));
         }
         let detail = format_args!(
-            "after={:?} upstream={} request={} why={why}",
-            self.last_event_id, open.guard.choice.spec.id, self.ctx.digest
+            "after={:?} upstream={} version={} before={version} request={} why={why}",
+            self.last_event_id,
+            open.guard.choice.spec.id,
+            open.guard.choice.spec.version,
+            self.ctx.digest
         );
         let log = &self.ctx.router.log;
         log.request_event(Event::StreamResumed, &self.ctx.info.id, detail);
--- a/crates/proxy/src/upstream_list.rs
+++ b/crates/proxy/src/upstream_list.rs
@@ -371,8 +371,8 @@
         };
         let incarnation = spec.incarnation();
         let detail = format!(
-            "upstream={incarnation} service={} zone={} addr={}",
-            spec.service, spec.zone, spec.addr
+            "upstream={incarnation} service={} version={} zone={} addr={}",
+            spec.service, spec.version, spec.zone, spec.addr
         );
         let leaving = spec.leaving;
         if leaving {
