Let streams go on only at the software version that began them

The instance that begins a stream now sends its origin (service and version) to three holders by rendezvous of the request's id, in different zones, before the caller gets the first event. An instance at which a stream is continued looks the origin up, chooses among the upstreams of that version only, and refuses at once (version_unavailable, 503, not run) what isn't known or has no upstream left. Streams are bound in the same way within one response. The version is taken when the first event is there, and counts as unknown if the upstream's entry or incarnation has changed since the choice.

--- a/crates/conf/src/routing.rs
+++ b/crates/conf/src/routing.rs
@@ -53,6 +53,12 @@
 }
 
 impl Route {
+    /// Returns whether a part of the route's requests goes to a service.
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut shares = self.traffic_split.iter();
+        shares.any(|s| s.weight > 0 && s.service == service)
+    }
+
     /// Picks a service at random in proportion to the weights; `random` is uniform over all `u64` values.
     /// Returns `None` if the weights sum up to 0.
     pub fn pick_service(&self, random: u64) -> Option<&str> {
--- a/crates/err/src/lib.rs
+++ b/crates/err/src/lib.rs
@@ -56,6 +56,9 @@
     BudgetOutOfReach,
     /// No upstream is available for the request.
     NoUpstream,
+    /// The stream that the request continues can't go on: the software version that began it is not known,
+    /// or no upstream of that version is left.
+    VersionUnavailable,
     /// Upstreams crashed whenever they ran this request.
     EndsUpstreams,
     /// The platform's key-value service is unreachable, and the request needs it.
@@ -141,6 +144,13 @@
         Some(2),
     ),
     row(Kind::NoUpstream, "no_upstream", 503, Ran::No, Some(2)),
+    row(
+        Kind::VersionUnavailable,
+        "version_unavailable",
+        503,
+        Ran::No,
+        None,
+    ),
     row(
         Kind::EndsUpstreams,
         "ends_upstreams",
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -1,12 +1,15 @@
 //! What a request requires of an upstream, and the result of the choice.
 
-use crate::upstream::{AttemptId, PromptSegment, Spec, UpstreamKey};
+use crate::upstream::{AttemptId, PromptSegment, Spec, Upstream, UpstreamKey};
 
 /// What a request requires of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Criteria<'a> {
     /// The service.
     pub service: &'a str,
+    /// The only software version that may serve the request, because it began the stream that the request
+    /// continues; none if all may.
+    pub version: Option<&'a str>,
     /// Availability zone of this instance.
     pub zone: &'a str,
     /// Segments of the prompt, in order; no other request shares the last one.
@@ -25,6 +28,14 @@
     pub random: u64,
 }
 
+impl Criteria<'_> {
+    /// Returns whether an upstream belongs to the service, and has the only version that may serve the
+    /// request.
+    pub(crate) fn is_served_by(&self, up: &Upstream) -> bool {
+        up.spec.service == self.service && self.version.is_none_or(|v| up.spec.version == v)
+    }
+}
+
 /// The chosen upstream.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -45,7 +56,7 @@
 /// Why no upstream was chosen. Log lines print the names of the variants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChooseError {
-    /// No upstream of the service is listed.
+    /// No upstream of the service, or of the only version that may serve the request, is listed.
     Unknown,
     /// All listed upstreams were tried, are leaving or are ejected.
     NoneLeft,
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -21,6 +21,8 @@
 /// Occupancy at which an engine counts as full, as a percentage of its slots: reports are late, and
 /// other instances fill the rest in the meantime.
 const ENGINE_FULL_PCT: u32 = 90;
+/// The same for a stream that only one version may continue: elsewhere it can't go on at all.
+const CONTINUED_FULL_PCT: u32 = 100;
 /// The same for a plain service, which queues a few requests.
 const SERVICE_FULL_PCT: u32 = 150;
 
@@ -46,7 +48,9 @@
 
 /// Returns whether an upstream is full; a brittle one may let no request wait.
 pub(crate) fn is_full(up: &Upstream, now: u64, criteria: &Criteria<'_>, brittle: bool) -> bool {
-    let pct = if criteria.prompt_tokens > 0 {
+    let pct = if criteria.prompt_tokens > 0 && criteria.version.is_some() {
+        CONTINUED_FULL_PCT
+    } else if criteria.prompt_tokens > 0 {
         ENGINE_FULL_PCT
     } else if brittle {
         BRITTLE_FULL_PCT
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -223,6 +223,15 @@
         extended
     }
 
+    /// Returns the software version of the upstream of a choice; none if it is not known for sure, because
+    /// its list entry has changed since, or another incarnation has taken over its name.
+    pub fn software_version(&self, choice: &Choice) -> Option<&str> {
+        let is_current = self.by_id.get(&choice.spec.id) == Some(&choice.key);
+        let listed = &self.get(choice.key).spec;
+        let same = is_current && listed.version == choice.spec.version;
+        same.then_some(listed.version.as_str())
+    }
+
     /// Returns the incarnation of an upstream, by its newest list entry.
     pub fn incarnation(&self, key: UpstreamKey) -> String {
         self.get(key).spec.incarnation()
@@ -335,7 +344,7 @@
 
     /// Returns the upstreams that may serve a request, with the estimated costs.
     fn candidates(&self, now: u64, criteria: &Criteria<'_>) -> Result<Vec<Candidate>, ChooseError> {
-        let of_service = |u: &&Upstream| u.spec.service == criteria.service;
+        let of_service = |u: &&Upstream| criteria.is_served_by(u);
         if !self.listed().any(|u| of_service(&u)) {
             return Err(ChooseError::Unknown);
         }
@@ -394,7 +403,7 @@
     /// Returns as an error why no upstream of a service accepts a request; none if all of them are
     /// leaving.
     fn check_accepting(&self, now: u64, criteria: &Criteria<'_>) -> Result<(), ChooseError> {
-        let of_service = self.listed().filter(|u| u.spec.service == criteria.service);
+        let of_service = self.listed().filter(|u| criteria.is_served_by(u));
         let remaining: SmallVec<[&Upstream; 32]> = of_service.filter(|u| !u.leaving).collect();
         if remaining.is_empty() {
             return Ok(());
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) fn call(zone: &str) -> Criteria<'_> {
     Criteria {
         service: "pool",
+        version: None,
         zone,
         segments: &[],
         prompt_tokens: 0,
--- a/crates/proxy/src/attempt_error.rs
+++ b/crates/proxy/src/attempt_error.rs
@@ -4,7 +4,7 @@
 use place::{ChooseError, ServiceUsage};
 
 use crate::refusal::Refusal;
-use crate::request_context::RequestContext;
+use crate::request_context::{RequestContext, StreamVersion};
 
 /// Retry time if no upstream is available, in milliseconds: an unreachable upstream is ejected for
 /// a similar time at first.
@@ -70,6 +70,15 @@
                 Refusal::new(Kind::NoUpstream, message)
                     .retry_within(RETRY_EVACUATED_MS, remaining_ms)
             }
+            AttemptError::Denied(ChooseError::Unknown)
+                if ctx.stream_version != StreamVersion::Any =>
+            {
+                let message = format!(
+                    "no upstream of {} has the software version that began the stream: {:?}",
+                    ctx.service, ctx.stream_version
+                );
+                Refusal::new(Kind::VersionUnavailable, message)
+            }
             AttemptError::Denied(ChooseError::Unknown | ChooseError::NoneLeft) => {
                 let message = format!(
                     "no upstream of {} is available: {}",
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -11,7 +11,7 @@
 use crate::attempt::AttemptGuard;
 use crate::attempt_error::AttemptError;
 use crate::event::Event;
-use crate::request_context::RequestContext;
+use crate::request_context::{RequestContext, StreamVersion};
 use crate::transit::{self as forwarding, MAX_ASKED};
 
 /// Retry time if no slot of a brittle upstream is free, in milliseconds: requests end within it.
@@ -168,8 +168,14 @@
 
 fn choose(ctx: &RequestContext) -> Result<Choice, ChooseError> {
     let now = ctx.router.clock.now();
+    let version = match &ctx.stream_version {
+        StreamVersion::Any => None,
+        StreamVersion::Only(version) => Some(version.as_str()),
+        StreamVersion::Unknown => return Err(ChooseError::Unknown),
+    };
     let criteria = Criteria {
         service: &ctx.service,
+        version,
         zone: &ctx.router.zone,
         segments: &ctx.info.prompt_segments,
         prompt_tokens: ctx.info.prompt_tokens,
--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use notice::Notice;
+use origin::OriginRecord;
 use place::InstanceLoad;
 use relay::Heartbeat;
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,8 @@
     Heartbeat(Heartbeat),
     /// Records of requests that were running on upstreams when these crashed.
     Suspects(Vec<suspect::SuspectRecord>),
+    /// Records of the streams that the sender has begun.
+    Origins(Vec<OriginRecord>),
     /// Small and urgent changes.
     Notices {
         /// The version of the configuration in force at the sender.
@@ -67,6 +70,7 @@
             Datagram::Settlements(_) => "settled",
             Datagram::Heartbeat(_) => "head",
             Datagram::Suspects(_) => "suspects",
+            Datagram::Origins(_) => "origins",
             Datagram::Notices { .. } => "notices",
         }
     }
@@ -225,6 +229,7 @@
                         self.sender.send(&Datagram::Suspects(missing), [from]);
                     }
                 }
+                Ok(Datagram::Origins(records)) => self.service.origins.receive(&records),
                 Ok(Datagram::Notices { version, batch }) => {
                     let same_zone = fleet.roster().is_same_zone(from);
                     let missing = self
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -84,6 +84,8 @@
     StreamResumed,
     /// A stream has begun: its first event was received.
     StreamBegan,
+    /// It is known which service and version began the stream that a caller continues.
+    StreamOriginFound,
     /// A stream that a caller continues has been taken up: its next event was received.
     StreamTakenUp,
     /// A request of another instance was forwarded to an upstream.
@@ -279,6 +281,12 @@
         "forwarded for another instance",
     ),
     row(Event::StreamBegan, 2513, Level::INFO, "stream begun"),
+    row(
+        Event::StreamOriginFound,
+        2515,
+        Level::INFO,
+        "stream's origin found",
+    ),
     row(Event::StreamTakenUp, 2514, Level::INFO, "stream taken up"),
     row(
         Event::TokensExceeded,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -12,6 +12,7 @@
 use place::Pool;
 use relay::Candidate;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
@@ -82,6 +83,8 @@
     members: Mutex<BTreeMap<String, Arc<Member>>>,
     /// Derived from `members` each time that these change.
     roster: RwLock<Arc<Roster>>,
+    /// Changes with the roster.
+    roster_changes: watch::Sender<()>,
     /// Whether most instances have started together with this one, or later.
     mass_start: AtomicBool,
     /// The lease of the last registration; 0 before the first one.
@@ -127,6 +130,7 @@
         let roster = Roster::new(&BTreeMap::new(), &key, &own);
         let fleet = Fleet(Arc::new(Inner {
             roster: RwLock::new(Arc::new(roster)),
+            roster_changes: watch::channel(()).0,
             seeds: seeds.collect(),
             own,
             name: name.to_string(),
@@ -184,6 +188,11 @@
         Arc::clone(&self.0.roster.read().expect("lock not poisoned"))
     }
 
+    /// Returns a receiver that is notified when the roster has changed.
+    pub(crate) fn roster_changes(&self) -> watch::Receiver<()> {
+        self.0.roster_changes.subscribe()
+    }
+
     /// Returns the other instances, those of the same zone first. While no other instance is
     /// listed, these are the ones that the settings name.
     pub(crate) fn peers(&self) -> Vec<Arc<Member>> {
@@ -361,6 +370,7 @@
         let roster = Roster::new(&members, &self.0.key, &self.0.own);
         let roster = Arc::new(roster);
         *self.0.roster.write().expect("lock not poisoned") = Arc::clone(&roster);
+        self.0.roster_changes.send_replace(());
         self.update_peer_addresses();
         self.publish_instances(&members, &roster);
         self.update_mass_start(&members);
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::notices::{NoticeHandler, Notices};
 use crate::ops::{OpsEndpoint, ReadinessEndpoint};
+use crate::origins::Origins;
 use crate::peers::{self, PeerClients, PeerService};
 use crate::relay::Relay;
 use crate::router::Router;
@@ -145,6 +146,7 @@
             dialer.clone(),
             transit.clone(),
         );
+        let origins = Origins::new(clock);
         let upstream_list = UpstreamList::new(
             Arc::clone(&dialect),
             Arc::clone(&pool),
@@ -201,6 +203,7 @@
             fleet: fleet.clone(),
             network: network.clone(),
             suspects: suspects.clone(),
+            origins: origins.clone(),
             store_health: Arc::clone(&store_health),
             zone: settings.zone.clone(),
             stopping: AtomicBool::new(false),
@@ -222,6 +225,7 @@
         let peer_service = PeerService {
             budgets: budgets.clone(),
             suspects: suspects.clone(),
+            origins: origins.clone(),
             notice_handler: NoticeHandler {
                 notices,
                 config,
@@ -232,6 +236,7 @@
             traffic: traffic.clone(),
         };
         suspects.spawn_gossip(&network);
+        origins.spawn_refresh(&network);
         peer_service.notice_handler.spawn_limit_query(&network);
         let suspect_store = SuspectStore {
             suspects,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,9 +7,9 @@
 //!
 //! The decisions are made by crates that do no I/O: `place` chooses upstreams, `escrow` divides
 //! budgets among instances, `relay` selects the instances that read the store, `notice` spreads
-//! urgent changes, `suspect` detects requests that crash upstreams, and `transit` decides when another
-//! instance forwards a request. This crate runs the tasks
-//! and does the I/O. Tasks share state through handles that can be cloned.
+//! urgent changes, `suspect` detects requests that crash upstreams, `origin` keeps which software version
+//! began a stream, and `transit` decides when another instance forwards a request. This crate runs the
+//! tasks and does the I/O. Tasks share state through handles that can be cloned.
 
 mod attempt;
 mod attempt_error;
@@ -33,6 +33,7 @@
 mod metrics;
 mod notices;
 mod ops;
+mod origins;
 mod peers;
 mod pipeline;
 mod refusal;
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -87,6 +87,7 @@
             "lost_services": router.transit.lost_services(),
             "transit": {"sent": transit_sent, "forwarded": transit_forwarded},
             "suspects": suspects,
+            "stream_origins": router.origins.len(),
         });
         Res::json(200, &value)
     }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -16,6 +16,7 @@
 use jsonrpsee_server::types::Params;
 use jsonrpsee_server::{Extensions, RpcModule, ServerHandle};
 use notice::Notice;
+use origin::OriginRecord;
 use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,7 @@
 use crate::fleet::{Fleet, Member};
 use crate::log::Log;
 use crate::notices::NoticeHandler;
+use crate::origins::Origins;
 use crate::relay::Relay;
 use crate::replication::{DeltaRequest, DeltaResponse, Topic};
 use crate::store_health::StoreHealth;
@@ -116,6 +118,7 @@
 pub(crate) struct PeerService {
     pub(crate) budgets: Budgets,
     pub(crate) suspects: Suspects,
+    pub(crate) origins: Origins,
     pub(crate) notice_handler: NoticeHandler,
     pub(crate) traffic: Traffic,
 }
@@ -188,6 +191,10 @@
     register(&mut module, "suspects", |_, service| {
         Ok(service.suspects.list())
     });
+    register(&mut module, "origin", |params, service| {
+        let request: String = params.one()?;
+        Ok(service.origins.record(&request))
+    });
     register(&mut module, "limits", |_, service| {
         Ok(service.notice_handler.upstream_list.limit_notices())
     });
@@ -418,6 +425,19 @@
         self.call_with_timeout(addr, "limits", &()).await
     }
 
+    /// Fetches the record of the stream that a request began; `None` if the instance has none.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response.
+    pub(crate) async fn fetch_origin(
+        &self,
+        addr: SocketAddr,
+        request: &str,
+    ) -> Result<Option<OriginRecord>, String> {
+        self.call_with_timeout(addr, "origin", &request).await
+    }
+
     /// Requests a trial of a request from an owner of its record.
     ///
     /// # Errors
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -12,6 +12,7 @@
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Request, Response};
+use origin::Origin;
 use smallvec::SmallVec;
 use suspect::Digest;
 use tokio::time::timeout_at;
@@ -20,8 +21,11 @@
 use crate::budgets::Reservation;
 use crate::config::ActiveConfig;
 use crate::event::Event;
+use crate::origins::Found;
 use crate::refusal::Refusal;
-use crate::request_context::{AttemptTiming, CallerGuard, InFlightGuard, RequestContext};
+use crate::request_context::{
+    AttemptTiming, CallerGuard, InFlightGuard, RequestContext, StreamVersion, DEFAULT_TIMEOUT_MS,
+};
 use crate::request_info::RequestInfo;
 use crate::router::Router;
 use crate::{buffered, stream};
@@ -39,8 +43,9 @@
 /// Outages last several seconds, and so does the return of tokens by other instances. An earlier
 /// retry would be refused again.
 const RETRY_NO_TOKENS_MS: u64 = 4_000;
-/// How long a caller waits that does not specify a time, in milliseconds.
-const DEFAULT_TIMEOUT_MS: u64 = 60_000;
+/// Retry time if instances that may know which version began a stream did not answer, in milliseconds: a
+/// suspended one may answer then.
+const RETRY_ORIGIN_MS: u64 = 500;
 
 impl Router {
     /// Processes a request, and returns the response to its caller.
@@ -109,11 +114,14 @@
         let body = self.read_body(&active, &head, body, deadline).await?;
         self.reserve_capacity(&mut in_flight, body.len())
             .map_err(|refusal| refusal.retry_within(RETRY_OTHER_INSTANCE_MS, timeout_ms))?;
-        let service = route.pick_service(rand::random());
-        let service = service.map(str::to_string).ok_or_else(|| {
-            let message = format!("route {} has no service", route.name);
-            Refusal::new(Kind::NoUpstream, message)
-        })?;
+        let origin = self.find_origin(&info, &route, timeout_ms).await?;
+        let (service, stream_version) = match origin {
+            Some(origin) => (
+                origin.service.clone(),
+                StreamVersion::Only(origin.version.clone()),
+            ),
+            None => (pick_service(&route)?, StreamVersion::Any),
+        };
         let service_settings = active.routing.services.get(&service).cloned();
         {
             let mut retries = self.retry_budget.lock().expect("lock not poisoned");
@@ -140,6 +148,7 @@
             service,
             service_settings: service_settings.unwrap_or_default(),
             customer,
+            stream_version,
             arrived_at,
             deadline,
             tried: SmallVec::new(),
@@ -161,6 +170,45 @@
         }
     }
 
+    /// Finds out which service and software version began the stream that a request continues; `None`
+    /// if it continues none.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a stream that must not go on: events of two versions don't fit together.
+    async fn find_origin(
+        &self,
+        info: &RequestInfo,
+        route: &Route,
+        timeout_ms: u64,
+    ) -> Result<Option<Arc<Origin>>, Refusal> {
+        if !route.streamed || (info.last_event_id.is_none() && info.resumes.is_none()) {
+            return Ok(None);
+        }
+        let Some(request) = &info.resumes else {
+            let message = "the request does not name the one that began the stream";
+            return Err(Refusal::new(Kind::VersionUnavailable, message));
+        };
+        let (origin, source) = match self.origins.find(&self.network, request).await {
+            Found::Known { origin, source } => (origin, source),
+            found => return Err(origin_refusal(request, &found, timeout_ms)),
+        };
+        if !route.leads_to(&origin.service) {
+            let message = format!(
+                "request {request} began the stream at service {}, which no longer serves route {}",
+                origin.service, route.name
+            );
+            return Err(Refusal::new(Kind::VersionUnavailable, message));
+        }
+        let detail = format_args!(
+            "resumes={request} service={} version={} source={source}",
+            origin.service, origin.version
+        );
+        self.log
+            .request_event(Event::StreamOriginFound, &info.id, detail);
+        Ok(Some(origin))
+    }
+
     /// Checks whether the link has capacity for a request, and reserves memory for it. An error
     /// means that another instance may have more capacity.
     fn reserve_capacity(&self, in_flight: &mut InFlightGuard, body: usize) -> Result<(), Refusal> {
@@ -298,6 +346,27 @@
     }
 }
 
+/// Returns the refusal of a stream whose origin is not known for sure. Waiting helps only if an instance
+/// that may hold its record did not answer.
+fn origin_refusal(request: &str, found: &Found, timeout_ms: u64) -> Refusal {
+    let message = format!("the software version that began stream {request} is not known: {found}");
+    let refusal = Refusal::new(Kind::VersionUnavailable, message);
+    match found {
+        Found::Unknown { unanswered, .. } if *unanswered > 0 => {
+            refusal.retry_within(RETRY_ORIGIN_MS, timeout_ms)
+        }
+        _ => refusal,
+    }
+}
+
+fn pick_service(route: &Route) -> Result<String, Refusal> {
+    let service = route.pick_service(rand::random());
+    service.map(str::to_string).ok_or_else(|| {
+        let message = format!("route {} has no service", route.name);
+        Refusal::new(Kind::NoUpstream, message)
+    })
+}
+
 /// Returns the digest that identifies a request by its customer, method, host, target and body.
 fn digest(
     info: &RequestInfo,
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -16,6 +16,9 @@
 use crate::router::Router;
 use crate::transit::Asked;
 
+/// How long a caller waits that does not specify a time, in milliseconds.
+pub(crate) const DEFAULT_TIMEOUT_MS: u64 = 60_000;
+
 /// Counts a request as in flight, and holds the memory reserved for it, until dropped.
 pub(crate) struct InFlightGuard {
     router: Arc<Router>,
@@ -119,6 +122,17 @@
     pub(crate) first_output_ms: u64,
 }
 
+/// The software version that may serve the rest of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum StreamVersion {
+    /// Any, because the caller has no event yet.
+    Any,
+    /// The one that began the stream.
+    Only(String),
+    /// None, because it is not known which one began the stream.
+    Unknown,
+}
+
 /// A request that is being processed.
 pub(crate) struct RequestContext {
     pub(crate) router: Arc<Router>,
@@ -131,6 +145,7 @@
     pub(crate) service: String,
     pub(crate) service_settings: Service,
     pub(crate) customer: Option<String>,
+    pub(crate) stream_version: StreamVersion,
     /// Regions whose upstreams may serve the request; empty if all may.
     pub(crate) regions: Vec<String>,
     /// When the request arrived, in milliseconds.
@@ -159,6 +174,18 @@
         self.deadline.saturating_sub(self.router.clock.now())
     }
 
+    /// Returns the id of the request that began the stream: this one, or the one that it continues.
+    pub(crate) fn stream_id(&self) -> &str {
+        self.info.resumes.as_deref().unwrap_or(&self.info.id)
+    }
+
+    /// Returns the milliseconds for which the caller may continue the stream with another request.
+    pub(crate) fn caller_remaining_ms(&self) -> u64 {
+        let timeout_ms = self.info.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+        let until = self.arrived_at + timeout_ms;
+        until.saturating_sub(self.router.clock.now())
+    }
+
     /// Sets how many times the request was sent.
     pub(crate) fn set_attempts(&mut self, attempts: u32) {
         self.attempts = attempts;
--- a/crates/proxy/src/roster.rs
+++ b/crates/proxy/src/roster.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 
 use escrow::HOME_CANDIDATES;
+use origin::CANDIDATES;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -135,6 +136,15 @@
         homes.first().is_none_or(|m| m.id == self.own_incarnation)
     }
 
+    /// Returns the instances that may hold the record of a stream with a placement key, those that should
+    /// first.
+    pub(crate) fn origin_candidates(&self, key: u64) -> SmallVec<[Arc<Member>; CANDIDATES]> {
+        let ranked =
+            escrow::rendezvous_select::<_, CANDIDATES>(key, &self.instances, |l| l.key_hash);
+        let ordered = origin::order_candidates(ranked, |l| &l.member.zone);
+        ordered.iter().map(|l| Arc::clone(&l.member)).collect()
+    }
+
     /// Returns the instances that own the record with a placement key; the first one decides on it.
     pub(crate) fn owners(&self, key: u64) -> SmallVec<[Arc<Member>; RECORD_OWNERS]> {
         let owners =
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Fleet;
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::origins::Origins;
 use crate::store_health::StoreHealth;
 use crate::suspect_gossip::PeerNetwork;
 use crate::suspects::Suspects;
@@ -39,6 +40,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) network: PeerNetwork,
     pub(crate) suspects: Suspects,
+    pub(crate) origins: Origins,
     pub(crate) store_health: Arc<StoreHealth>,
     pub(crate) zone: String,
     pub(crate) stopping: AtomicBool,
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -8,6 +8,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response;
 use hyper::Response;
+use origin::{Origin, OriginRecord};
 use place::Outcome;
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
@@ -19,12 +20,16 @@
 use crate::dialect::ResponseInfo;
 use crate::event::Event;
 use crate::refusal::Refusal;
-use crate::request_context::RequestContext;
+use crate::request_context::{RequestContext, StreamVersion};
 use crate::sse::{SseEvent, SseParser};
 
 /// Maximum number of events that are queued for a slow caller.
 const MAX_QUEUED_EVENTS: usize = 16;
 
+/// Time after its deadline for which the origin of a stream is kept, in milliseconds: clocks of callers
+/// and instances run at different rates.
+const RETURN_MARGIN_MS: u64 = 1_000;
+
 /// The stream from one upstream.
 struct UpstreamStream {
     guard: AttemptGuard,
@@ -121,6 +126,7 @@
     };
     ctx.record_first_output();
     log_beginning(&ctx, &stream);
+    bind(&mut ctx, &stream);
     let (tx, rx) = mpsc::channel(MAX_QUEUED_EVENTS);
     let mut res = Response::new(ResponseBody::Streamed(rx));
     *res.status_mut() = head.status;
@@ -135,6 +141,33 @@
     Ok(res)
 }
 
+/// Binds a stream to the software version that has begun it, from its first event on, and sends the record
+/// of that to other instances.
+fn bind(ctx: &mut RequestContext, stream: &UpstreamStream) {
+    if !ctx.is_retryable() {
+        return;
+    }
+    if ctx.stream_version == StreamVersion::Any {
+        let pool = ctx.router.pool.lock().expect("lock not poisoned");
+        let version = pool.software_version(&stream.guard.choice);
+        let version = version.map(str::to_string);
+        drop(pool);
+        ctx.stream_version = version.map_or(StreamVersion::Unknown, StreamVersion::Only);
+    }
+    let StreamVersion::Only(version) = &ctx.stream_version else {
+        return;
+    };
+    let record = OriginRecord {
+        request: ctx.stream_id().to_string(),
+        origin: Origin {
+            service: ctx.service.clone(),
+            version: version.clone(),
+        },
+        ttl_ms: ctx.caller_remaining_ms() + RETURN_MARGIN_MS,
+    };
+    ctx.router.origins.publish(&ctx.router.network, record);
+}
+
 /// Logs which upstream, and which version of its software, began or took up a stream.
 fn log_beginning(ctx: &RequestContext, stream: &UpstreamStream) {
     let spec = &stream.guard.choice.spec;
@@ -229,6 +262,7 @@
             let why = match end {
                 End::Complete => {
                     stream.finish(&self.ctx);
+                    self.ctx.router.origins.complete(self.ctx.stream_id());
                     self.ctx.record_end("ok", &upstream);
                     return;
                 }
@@ -313,7 +347,8 @@
 
     /// Resumes the stream at another upstream, after the last event that was forwarded.
     async fn resume(&mut self, why: &str, version: &str) -> Result<UpstreamStream, String> {
-        let resumable = self.ctx.is_retryable() && self.last_event_id.is_some();
+        let version_known = self.ctx.stream_version != StreamVersion::Unknown;
+        let resumable = self.ctx.is_retryable() && self.last_event_id.is_some() && version_known;
         if !resumable || !self.ctx.try_acquire_retry() {
             return Err(why.to_string());
         }
