Continue streams of a sole version without records

Each instance now remembers the versions that each service has had. One of them writes them to the store, one call per new version or two; an instance that starts reads them. While a service has had one version, no records are sent, and a stream without a record goes on there. When a second one appears, the records of all streams that may be continued are sent.

--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -7,10 +7,12 @@
 //! that differ neither is used. The crate does no I/O and uses neither a clock nor randomness: the
 //! time is passed in with each event, in milliseconds.
 
+mod history;
 mod holders;
 mod record;
 mod table;
 
+pub use history::{VersionHistory, RETENTION_MS};
 pub use holders::{order_candidates, CANDIDATES, HOLDERS};
 pub use record::{Origin, OriginRecord, StreamKey};
 pub use table::{Lookup, OriginTable};
--- a/crates/origin/src/record.rs
+++ b/crates/origin/src/record.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The service and the software version of the upstream that began a stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Origin {
     /// The service.
     #[serde(rename = "s")]
--- a/crates/origin/src/table.rs
+++ b/crates/origin/src/table.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::history::RETENTION_MS;
 use crate::record::{Origin, OriginRecord, StreamKey};
 
 /// Maximum time for which a record is kept, in milliseconds, whatever its caller says.
-const MAX_TTL_MS: u64 = 600_000;
+const MAX_TTL_MS: u64 = RETENTION_MS;
 /// Maximum number of records, to bound memory. Streams whose records do not fit can't be continued
 /// with the help of this instance.
 const MAX_ENTRIES: usize = 1 << 16;
--- /dev/null
+++ b/crates/origin/tests/history.rs
@@ -0,0 +1,39 @@
+//! Whether a service has had a single software version.
+
+use origin::{Origin, VersionHistory};
+
+fn origin(service: &str, version: &str) -> Origin {
+    Origin {
+        service: service.to_string(),
+        version: version.to_string(),
+    }
+}
+
+/// Guards against a stream of another version that goes on at the only one that an instance has seen
+/// since it started.
+#[test]
+fn a_sole_version_is_known_only_if_nothing_is_missing() {
+    let mut history = VersionHistory::default();
+    assert!(history.observe(0, [&origin("pool", "v1")]));
+    assert_eq!(history.sole_version(1, "pool"), None);
+    history.set_complete();
+    assert_eq!(history.sole_version(1, "pool"), Some("v1"));
+    assert_eq!(history.sole_version(1, "desk"), None);
+    assert!(history.observe(1, [&origin("desk", "v7")]));
+    assert_eq!(history.sole_version(1, "pool"), Some("v1"));
+}
+
+/// Guards against streams of a version whose last upstream has just left.
+#[test]
+fn a_version_counts_for_as_long_as_its_streams_may_be_continued() {
+    let mut history = VersionHistory::default();
+    history.set_complete();
+    history.observe(0, [&origin("pool", "v1"), &origin("pool", "v2")]);
+    for now in (0..=600_000).step_by(10_000) {
+        assert!(!history.observe(now, [&origin("pool", "v2")]));
+    }
+    assert_eq!(history.sole_version(599_999, "pool"), None);
+    assert_eq!(history.sole_version(600_000, "pool"), Some("v2"));
+    history.expire(600_000);
+    assert_eq!(history.list(600_000), [origin("pool", "v2")]);
+}
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -232,6 +232,14 @@
         same.then_some(listed.version.as_str())
     }
 
+    /// Returns the services of the listed upstreams with their software versions, each once.
+    pub fn versions(&self) -> BTreeSet<(String, String)> {
+        let versions = self.listed().map(|u| (&u.spec.service, &u.spec.version));
+        let versions: BTreeSet<_> = versions.collect();
+        let versions = versions.into_iter();
+        versions.map(|(s, v)| (s.clone(), v.clone())).collect()
+    }
+
     /// Returns the incarnation of an upstream, by its newest list entry.
     pub fn incarnation(&self, key: UpstreamKey) -> String {
         self.get(key).spec.incarnation()
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -99,6 +99,8 @@
     SuspectCleared,
     /// The store's record of a suspected request could not be parsed.
     SuspectRecordInvalid,
+    /// The store's record of the versions that services have had could not be parsed.
+    VersionsInvalid,
     /// An upstream sent more tokens than were reserved for the request.
     TokensExceeded,
     /// The instance's ledger entry for a customer has changed: tokens were taken from the budget,
@@ -287,6 +289,12 @@
         Level::INFO,
         "stream's origin found",
     ),
+    row(
+        Event::VersionsInvalid,
+        2516,
+        Level::ERROR,
+        "versions can't be read",
+    ),
     row(Event::StreamTakenUp, 2514, Level::INFO, "stream taken up"),
     row(
         Event::TokensExceeded,
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -40,6 +40,7 @@
 use crate::traffic::Traffic;
 use crate::transit::{self, Transit};
 use crate::upstream_list::UpstreamList;
+use crate::version_store::VersionStore;
 
 /// Maximum size of a request body at the readiness and metrics listeners, in bytes.
 const MAX_OPS_BODY_BYTES: usize = 1 << 16;
@@ -146,12 +147,13 @@
             dialer.clone(),
             transit.clone(),
         );
-        let origins = Origins::new(clock);
+        let origins = Origins::new(clock, relay.clone());
         let upstream_list = UpstreamList::new(
             Arc::clone(&dialect),
             Arc::clone(&pool),
             dialer.clone(),
             suspects.clone(),
+            origins.clone(),
             notices.clone(),
             Arc::clone(&store_health),
             Arc::clone(&log),
@@ -247,6 +249,15 @@
             revisions: HashMap::new(),
         };
         tokio::spawn(suspect_store.run());
+        let version_store = VersionStore {
+            origins,
+            fleet: fleet.clone(),
+            pool: Arc::clone(&router.pool),
+            store: store_calls.counted_store("versions", &store),
+            store_health: Arc::clone(&store_health),
+            log: Arc::clone(&log),
+        };
+        tokio::spawn(version_store.run());
         datagram::spawn(&network, Arc::clone(&router), peer_service.clone());
         transit::spawn_monitor(Arc::clone(&router));
         let peer = peers::serve(server, peer_service.clone());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -53,6 +53,7 @@
 mod traffic;
 mod transit;
 mod upstream_list;
+mod version_store;
 
 pub use dialect::{AdvertisedLimit, Dialect, Disposition, Pause, ResponseInfo};
 pub use instance::{Instance, InstanceDeps};
--- a/crates/proxy/src/origins.rs
+++ b/crates/proxy/src/origins.rs
@@ -9,12 +9,18 @@
 
 use clock::Clock;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use origin::{Lookup, Origin, OriginRecord, OriginTable, StreamKey, CANDIDATES, HOLDERS};
+use origin::{
+    Lookup, Origin, OriginRecord, OriginTable, StreamKey, VersionHistory, CANDIDATES, HOLDERS,
+};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::datagram::Datagram;
 use crate::fleet::Member;
+use crate::relay::Relay;
+use crate::replication::Topic;
 use crate::roster::Roster;
 use crate::suspect_gossip::PeerNetwork;
 
@@ -30,7 +36,11 @@
 
 struct Inner {
     clock: Clock,
+    relay: Relay,
     table: Mutex<OriginTable>,
+    history: Mutex<VersionHistory>,
+    /// Changes when a service has a version that it did not have before.
+    version_changes: watch::Sender<()>,
 }
 
 /// The origin of a stream that a caller continues, as far as it could be found out.
@@ -38,23 +48,35 @@
 pub(crate) enum Found {
     /// The stream began there, according to `source`.
     Known { origin: Arc<Origin>, source: String },
-    /// No record was found; `unanswered` instances that may hold one did not answer.
-    Unknown { asked: usize, unanswered: usize },
+    /// No record was found; of the instances that were asked, some did not answer.
+    Unknown(Inquiry),
     /// Records of the stream differ.
     Conflicting,
 }
 
+/// How many instances were asked for the record of a stream, and how many of them did not answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Inquiry {
+    asked: usize,
+    pub(crate) unanswered: usize,
+}
+
+impl Inquiry {
+    /// Returns whether most of the instances have answered: two halves of a partition can't both get
+    /// that.
+    fn is_answered_by_most(self) -> bool {
+        (self.asked - self.unanswered) * 2 > self.asked
+    }
+}
+
 impl fmt::Display for Found {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Found::Known { origin, source } => {
-                write!(
-                    f,
-                    "service={} version={} source={source}",
-                    origin.service, origin.version
-                )
+                let Origin { service, version } = &**origin;
+                write!(f, "service={service} version={version} source={source}")
             }
-            Found::Unknown { asked, unanswered } => {
+            Found::Unknown(Inquiry { asked, unanswered }) => {
                 write!(f, "no record, asked={asked} unanswered={unanswered}")
             }
             Found::Conflicting => write!(f, "records differ"),
@@ -62,11 +84,22 @@
     }
 }
 
+/// What another instance knows of a stream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct OriginResponse {
+    record: Option<OriginRecord>,
+    /// The versions that each service has had; none if some may be missing.
+    versions: Option<Vec<Origin>>,
+}
+
 impl Origins {
-    pub(crate) fn new(clock: Clock) -> Origins {
+    pub(crate) fn new(clock: Clock, relay: Relay) -> Origins {
         Origins(Arc::new(Inner {
             clock,
+            relay,
             table: Mutex::default(),
+            history: Mutex::default(),
+            version_changes: watch::channel(()).0,
         }))
     }
 
@@ -74,10 +107,60 @@
         self.0.table.lock().expect("lock not poisoned")
     }
 
-    /// Records the origin of a stream that this instance begins or takes up, and sends it to the holders.
-    /// They are sent nothing later, so this has to be done before the caller gets an event.
+    fn history(&self) -> MutexGuard<'_, VersionHistory> {
+        self.0.history.lock().expect("lock not poisoned")
+    }
+
+    /// Returns a receiver that is notified when a service has a new version.
+    pub(crate) fn version_changes(&self) -> watch::Receiver<()> {
+        self.0.version_changes.subscribe()
+    }
+
+    /// Adds versions that upstreams have.
+    pub(crate) fn observe<'a>(&self, versions: impl IntoIterator<Item = &'a Origin>) {
+        let any_new = self.history().observe(self.0.clock.now(), versions);
+        if any_new {
+            self.0.version_changes.send_replace(());
+        }
+    }
+
+    /// Adds all versions that services had before this instance started.
+    pub(crate) fn complete_history(&self, versions: &[Origin]) {
+        self.observe(versions);
+        self.history().set_complete();
+    }
+
+    /// Returns the versions that each service has had; `None` if some may be missing.
+    pub(crate) fn versions(&self) -> Option<Vec<Origin>> {
+        let mut history = self.history();
+        let now = self.0.clock.now();
+        history.expire(now);
+        history.is_complete().then(|| history.list(now))
+    }
+
+    /// Returns the only version that a service has had; `None` if there were several, or this is not
+    /// known.
+    pub(crate) fn sole_version(&self, service: &str) -> Option<String> {
+        let history = self.history();
+        let version = history.sole_version(self.0.clock.now(), service);
+        version.map(str::to_string)
+    }
+
+    /// Returns whether this instance knows the present list of upstreams, as far as it can tell.
+    fn list_is_current(&self) -> bool {
+        self.0.relay.current_revision(Topic::Upstreams) > 0
+    }
+
+    /// Records the origin of a stream that this instance begins or takes up. Sends it to the holders,
+    /// unless the service has had a single version: then all instances know the origin.
+    ///
+    /// This has to be done before the caller gets an event, after which it may come back elsewhere.
     pub(crate) fn publish(&self, network: &PeerNetwork, record: OriginRecord) {
         self.table().insert_own(self.0.clock.now(), &record);
+        let is_sole = self.sole_version(&record.origin.service).is_some();
+        if is_sole && self.list_is_current() {
+            return;
+        }
         let candidates = candidates(&network.fleet.roster(), &record.request);
         let own = network.fleet.incarnation();
         let holders = holders(&candidates, own).map(|m| m.addr);
@@ -93,14 +176,18 @@
 
     /// Adds the records of other instances' streams.
     pub(crate) fn receive(&self, records: &[OriginRecord]) {
+        self.observe(records.iter().map(|record| &record.origin));
         let now = self.0.clock.now();
         let mut table = self.table();
         records.iter().for_each(|record| table.insert(now, record));
     }
 
-    /// Returns the record of the stream that a request began, for another instance.
-    pub(crate) fn record(&self, request: &str) -> Option<OriginRecord> {
-        self.table().record(self.0.clock.now(), request)
+    /// Answers an instance at which the stream that a request began is continued.
+    pub(crate) fn answer(&self, request: &str) -> OriginResponse {
+        OriginResponse {
+            record: self.table().record(self.0.clock.now(), request),
+            versions: self.versions(),
+        }
     }
 
     /// Returns the number of known records.
@@ -108,9 +195,15 @@
         self.table().len()
     }
 
-    /// Finds out where the stream that a request began has its origin: here, from the instances that
-    /// should hold its record, or else from those that may.
-    pub(crate) async fn find(&self, network: &PeerNetwork, request: &str) -> Found {
+    /// Finds out where the stream that a request began has its origin: by a record here, at the
+    /// instances that should hold one, or at those that may; else by `service`, if that has had a single
+    /// version.
+    pub(crate) async fn find(
+        &self,
+        network: &PeerNetwork,
+        request: &str,
+        service: Option<&str>,
+    ) -> Found {
         let local = self.table().lookup(self.0.clock.now(), request);
         match local {
             Lookup::Known(origin) => {
@@ -126,60 +219,124 @@
         let others: SmallVec<[&Arc<Member>; CANDIDATES]> = others.collect();
         // The instance that began the stream may have been a holder itself: the next one is then one too.
         let (first, rest) = others.split_at(others.len().min(HOLDERS + 1));
-        let mut unanswered = 0;
+        let mut inquiry = Inquiry::default();
         for group in [first, rest] {
-            let mut calls: FuturesUnordered<_> = group
-                .iter()
-                .map(|holder| ask(network, holder, request))
-                .collect();
-            while let Some((holder, response)) = calls.next().await {
-                match response {
-                    Ok(Some(record)) => {
-                        self.receive(std::slice::from_ref(&record));
-                        return Found::Known {
-                            origin: Arc::new(record.origin),
-                            source: holder.id.clone(),
-                        };
-                    }
-                    Ok(None) => {}
-                    Err(_) => unanswered += 1,
-                }
+            if let Some(found) = self.ask(network, request, group, &mut inquiry).await {
+                return found;
+            }
+            if let Some(found) = self.find_sole(service, inquiry) {
+                return found;
+            }
+        }
+        Found::Unknown(inquiry)
+    }
+
+    /// Asks instances for the record of a stream until one has it.
+    async fn ask(
+        &self,
+        network: &PeerNetwork,
+        request: &str,
+        group: &[&Arc<Member>],
+        inquiry: &mut Inquiry,
+    ) -> Option<Found> {
+        let calls = group.iter().map(|holder| async move {
+            let response = network.peer_clients.fetch_origin(holder.addr, request);
+            (holder, response.await)
+        });
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        while let Some((holder, response)) = calls.next().await {
+            inquiry.asked += 1;
+            let Ok(OriginResponse { record, versions }) = response else {
+                inquiry.unanswered += 1;
+                continue;
+            };
+            if let Some(versions) = versions {
+                self.complete_history(&versions);
+            }
+            if let Some(record) = record {
+                self.receive(std::slice::from_ref(&record));
+                let source = holder.id.clone();
+                let origin = Arc::new(record.origin);
+                return Some(Found::Known { origin, source });
             }
         }
-        Found::Unknown {
-            asked: others.len(),
-            unanswered,
+        None
+    }
+
+    /// Returns the only version that a service has had as the origin of a stream without a record, if
+    /// this instance can't have missed another one.
+    fn find_sole(&self, service: Option<&str>, inquiry: Inquiry) -> Option<Found> {
+        if !self.list_is_current() && !inquiry.is_answered_by_most() {
+            return None;
+        }
+        let service = service?.to_string();
+        let version = self.sole_version(&service)?;
+        Some(Found::Known {
+            origin: Arc::new(Origin { service, version }),
+            source: "sole version".to_string(),
+        })
+    }
+
+    /// Finds out where a stream has its origin of which the caller does not name the request.
+    pub(crate) async fn find_unnamed(
+        &self,
+        network: &PeerNetwork,
+        service: &str,
+        id: &str,
+    ) -> Found {
+        if let Some(found) = self.find_sole(Some(service), Inquiry::default()) {
+            return found;
         }
+        self.find(network, id, Some(service)).await
     }
 
-    /// Starts the task that sends the records of this instance's streams to instances that have become
-    /// their holders.
+    /// Starts the tasks that send the records of this instance's streams to instances that have become
+    /// their holders, and to all holders once a service has a second version.
     pub(crate) fn spawn_refresh(&self, network: &PeerNetwork) {
-        let (origins, network) = (self.clone(), network.clone());
-        tokio::spawn(async move {
-            let mut changes = network.fleet.roster_changes();
-            let mut previous = network.fleet.roster();
-            while changes.changed().await.is_ok() {
-                sleep(REFRESH_DELAY).await;
-                changes.mark_unchanged();
-                let roster = network.fleet.roster();
-                origins.send_to_new_holders(&network, &previous, &roster);
-                previous = roster;
-            }
-        });
+        tokio::spawn(self.clone().refresh_on_roster_changes(network.clone()));
+        tokio::spawn(self.clone().refresh_on_version_changes(network.clone()));
+    }
+
+    async fn refresh_on_roster_changes(self, network: PeerNetwork) {
+        let mut changes = network.fleet.roster_changes();
+        let mut previous = network.fleet.roster();
+        while changes.changed().await.is_ok() {
+            sleep(REFRESH_DELAY).await;
+            changes.mark_unchanged();
+            let roster = network.fleet.roster();
+            self.send_to_new_holders(&network, Some(&previous), &roster);
+            previous = roster;
+        }
     }
 
-    fn send_to_new_holders(&self, network: &PeerNetwork, previous: &Roster, roster: &Roster) {
-        let records = self.table().own_records(self.0.clock.now());
+    async fn refresh_on_version_changes(self, network: PeerNetwork) {
+        let mut changes = self.version_changes();
+        while changes.changed().await.is_ok() {
+            self.send_to_new_holders(&network, None, &network.fleet.roster());
+        }
+    }
+
+    /// Sends the records of this instance's streams to those of their holders in a roster that were none
+    /// in the previous one; to all if there is no previous one.
+    fn send_to_new_holders(
+        &self,
+        network: &PeerNetwork,
+        previous: Option<&Roster>,
+        roster: &Roster,
+    ) {
         let own = network.fleet.incarnation();
+        let mut records = self.table().own_records(self.0.clock.now());
+        records.retain(|r| self.sole_version(&r.origin.service).is_none());
         let mut by_holder: HashMap<SocketAddr, Vec<OriginRecord>> = HashMap::new();
         for record in records {
-            let before = candidates(previous, &record.request);
+            let before = previous.map(|p| candidates(p, &record.request));
+            let before = before.unwrap_or_default();
             let now = candidates(roster, &record.request);
-            let had = |m: &Arc<Member>| holders(&before, own).any(|b| b.id == m.id);
-            for holder in holders(&now, own).filter(|m| !had(m)) {
-                let records = by_holder.entry(holder.addr).or_default();
-                records.push(record.clone());
+            for holder in holders(&now, own) {
+                if !holders(&before, own).any(|b| b.id == holder.id) {
+                    let records = by_holder.entry(holder.addr).or_default();
+                    records.push(record.clone());
+                }
             }
         }
         for (holder, records) in by_holder {
@@ -206,12 +363,3 @@
     let others = candidates.iter().filter(move |m| m.id != own);
     others.take(HOLDERS)
 }
-
-async fn ask<'a>(
-    network: &PeerNetwork,
-    holder: &'a Member,
-    request: &str,
-) -> (&'a Member, Result<Option<OriginRecord>, String>) {
-    let response = network.peer_clients.fetch_origin(holder.addr, request);
-    (holder, response.await)
-}
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -16,7 +16,6 @@
 use jsonrpsee_server::types::Params;
 use jsonrpsee_server::{Extensions, RpcModule, ServerHandle};
 use notice::Notice;
-use origin::OriginRecord;
 use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -28,7 +27,7 @@
 use crate::fleet::{Fleet, Member};
 use crate::log::Log;
 use crate::notices::NoticeHandler;
-use crate::origins::Origins;
+use crate::origins::{OriginResponse, Origins};
 use crate::relay::Relay;
 use crate::replication::{DeltaRequest, DeltaResponse, Topic};
 use crate::store_health::StoreHealth;
@@ -193,7 +192,7 @@
     });
     register(&mut module, "origin", |params, service| {
         let request: String = params.one()?;
-        Ok(service.origins.record(&request))
+        Ok(service.origins.answer(&request))
     });
     register(&mut module, "limits", |_, service| {
         Ok(service.notice_handler.upstream_list.limit_notices())
@@ -425,7 +424,7 @@
         self.call_with_timeout(addr, "limits", &()).await
     }
 
-    /// Fetches the record of the stream that a request began; `None` if the instance has none.
+    /// Fetches what an instance knows of the stream that a request began.
     ///
     /// # Errors
     ///
@@ -434,7 +433,7 @@
         &self,
         addr: SocketAddr,
         request: &str,
-    ) -> Result<Option<OriginRecord>, String> {
+    ) -> Result<OriginResponse, String> {
         self.call_with_timeout(addr, "origin", &request).await
     }
 
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -185,24 +185,35 @@
         if !route.streamed || (info.last_event_id.is_none() && info.resumes.is_none()) {
             return Ok(None);
         }
-        let Some(request) = &info.resumes else {
-            let message = "the request does not name the one that began the stream";
-            return Err(Refusal::new(Kind::VersionUnavailable, message));
+        let service = pick_service(route)?;
+        let found = match &info.resumes {
+            Some(request) => {
+                let split = route.traffic_split.len() > 1;
+                let service = (!split).then_some(service.as_str());
+                self.origins.find(&self.network, request, service).await
+            }
+            None => {
+                let origins = &self.origins;
+                origins
+                    .find_unnamed(&self.network, &service, &info.id)
+                    .await
+            }
         };
-        let (origin, source) = match self.origins.find(&self.network, request).await {
-            Found::Known { origin, source } => (origin, source),
-            found => return Err(origin_refusal(request, &found, timeout_ms)),
+        let Found::Known { origin, source } = found else {
+            return Err(origin_refusal(info, &found, timeout_ms));
         };
         if !route.leads_to(&origin.service) {
             let message = format!(
-                "request {request} began the stream at service {}, which no longer serves route {}",
+                "service {} began the stream and no longer serves route {}",
                 origin.service, route.name
             );
             return Err(Refusal::new(Kind::VersionUnavailable, message));
         }
         let detail = format_args!(
-            "resumes={request} service={} version={} source={source}",
-            origin.service, origin.version
+            "resumes={} service={} version={} source={source}",
+            info.resumes.as_deref().unwrap_or("-"),
+            origin.service,
+            origin.version
         );
         self.log
             .request_event(Event::StreamOriginFound, &info.id, detail);
@@ -348,11 +359,12 @@
 
 /// Returns the refusal of a stream whose origin is not known for sure. Waiting helps only if an instance
 /// that may hold its record did not answer.
-fn origin_refusal(request: &str, found: &Found, timeout_ms: u64) -> Refusal {
-    let message = format!("the software version that began stream {request} is not known: {found}");
+fn origin_refusal(info: &RequestInfo, found: &Found, timeout_ms: u64) -> Refusal {
+    let request = info.resumes.as_deref().unwrap_or("that is not named");
+    let message = format!("it is not known which software version began stream {request}: {found}");
     let refusal = Refusal::new(Kind::VersionUnavailable, message);
     match found {
-        Found::Unknown { unanswered, .. } if *unanswered > 0 => {
+        Found::Unknown(inquiry) if inquiry.unanswered > 0 => {
             refusal.retry_within(RETRY_ORIGIN_MS, timeout_ms)
         }
         _ => refusal,
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -152,6 +152,8 @@
         let version = pool.software_version(&stream.guard.choice);
         let version = version.map(str::to_string);
         drop(pool);
+        let sole = || ctx.router.origins.sole_version(&ctx.service);
+        let version = version.or_else(sole);
         ctx.stream_version = version.map_or(StreamVersion::Unknown, StreamVersion::Only);
     }
     let StreamVersion::Only(version) = &ctx.stream_version else {
--- a/crates/proxy/src/upstream_list.rs
+++ b/crates/proxy/src/upstream_list.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use kv::{Change, KeyValue, Store};
 use notice::Notice;
+use origin::Origin;
 use place::{EntryChange, MissingEntries, Pool, RateLimit, Spec, UpstreamKey, VersionedLimit};
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
@@ -18,6 +19,7 @@
 use crate::follower::{Follower, FollowerDeps, Update, WATCH_TIMEOUT_MS};
 use crate::log::Log;
 use crate::notices::Notices;
+use crate::origins::Origins;
 use crate::replication::Topic;
 use crate::store_health::StoreHealth;
 use crate::suspects::Suspects;
@@ -34,6 +36,7 @@
     pool: Arc<Mutex<Pool>>,
     dialer: Dialer,
     suspects: Suspects,
+    origins: Origins,
     notices: Notices,
     store_health: Arc<StoreHealth>,
     log: Arc<Log>,
@@ -74,6 +77,7 @@
         pool: Arc<Mutex<Pool>>,
         dialer: Dialer,
         suspects: Suspects,
+        origins: Origins,
         notices: Notices,
         store_health: Arc<StoreHealth>,
         log: Arc<Log>,
@@ -84,6 +88,7 @@
             pool,
             dialer,
             suspects,
+            origins,
             notices,
             store_health,
             log,
@@ -374,6 +379,11 @@
             "upstream={incarnation} service={} version={} zone={} addr={}",
             spec.service, spec.version, spec.zone, spec.addr
         );
+        // Before the upstream gets a request: the streams that it begins need records.
+        self.0.origins.observe([&Origin {
+            service: spec.service.clone(),
+            version: spec.version.clone(),
+        }]);
         let leaving = spec.leaving;
         if leaving {
             self.publish_leaving(&incarnation);
