--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -18,6 +18,9 @@
 const SECONDARY_FACTOR: f64 = 0.5;
 /// Additional cost of an upstream at which all requests fail, in milliseconds.
 const FAILURE_MS: f64 = 2_000.0;
+/// Additional cost of the last upstream of its software version, in milliseconds: if it is lost, the
+/// streams that began there can't go on.
+const LAST_OF_VERSION_MS: f64 = 100.0;
 /// Occupancy at which an engine counts as full, as a percentage of its slots: reports are late, and
 /// other instances fill the rest in the meantime.
 const ENGINE_FULL_PCT: u32 = 90;
@@ -106,6 +109,18 @@
     PrefixAffinity { primary, secondary }
 }
 
+/// Returns whether an upstream is the only one of its software version, among those that accept a request
+/// which may be continued elsewhere.
+pub(crate) fn is_last_of_version(
+    up: &Upstream,
+    criteria: &Criteria<'_>,
+    accepting: &[(UpstreamKey, &Upstream)],
+) -> bool {
+    let begins_stream = criteria.prompt_tokens > 0 && criteria.retryable;
+    let same = |(_, other): &&(UpstreamKey, &Upstream)| other.spec.version == up.spec.version;
+    begins_stream && accepting.iter().filter(same).take(2).count() == 1
+}
+
 /// Estimates the cost of a request at an upstream.
 pub(crate) fn estimate(
     key: UpstreamKey,
@@ -113,6 +128,7 @@
     now: u64,
     criteria: &Criteria<'_>,
     position: Position,
+    last_of_version: bool,
     latency: LatencyEstimate,
 ) -> Candidate {
     let slowness = up.slowness(now);
@@ -149,6 +165,11 @@
         CROSS_ZONE_MS
     };
     let failure_ms = up.health.failure_rate(now) * FAILURE_MS;
+    let version_ms = if last_of_version {
+        LAST_OF_VERSION_MS
+    } else {
+        0.0
+    };
     // Occupied upstreams respond more slowly; this also spreads requests over upstreams that are
     // otherwise equal.
     let occupied_ms = occupied * expected_ms.min(INITIAL_CALL_MS);
@@ -157,7 +178,7 @@
         uncached_tokens,
         prefill_work,
         expected_ms,
-        cost_ms: expected_ms + repeated_cost_ms + zone_ms + failure_ms + occupied_ms,
+        cost_ms: expected_ms + repeated_cost_ms + zone_ms + failure_ms + version_ms + occupied_ms,
     }
 }
 
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -9,7 +9,7 @@
 use crate::announcements::Announcements;
 use crate::choice::{Choice, ChooseError, Criteria};
 use crate::cold_start::ColdStart;
-use crate::cost::{estimate, is_full, is_usable, prefix_affinity, Candidate};
+use crate::cost::{estimate, is_full, is_last_of_version, is_usable, prefix_affinity, Candidate};
 use crate::latency::LatencyEstimate;
 use crate::senders::Senders;
 use crate::upstream::{AttemptId, InstanceLoad, Load, Outcome, Spec, Upstream, UpstreamKey};
@@ -392,6 +392,7 @@
                 now,
                 criteria,
                 affinity.position(*key),
+                is_last_of_version(up, criteria, &accepting),
                 latency,
             ));
         }
