Refuse streams whose version only leaves; ask known addresses before the list is read

A continued stream whose version has upstreams that are all leaving was told to come back after 0.4 s, which can't help; it is refused as version_unavailable without a time. An instance that has just started asked nobody for a stream's origin until it had read the list of instances; it now asks the addresses of its settings.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -56,7 +56,8 @@
 /// Why no upstream was chosen. Log lines print the names of the variants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChooseError {
-    /// No upstream of the service, or of the only version that may serve the request, is listed.
+    /// No upstream of the service is listed, or none of the only version that may serve the request that
+    /// is not leaving.
     Unknown,
     /// All listed upstreams were tried, are leaving or are ejected.
     NoneLeft,
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -415,7 +415,12 @@
         let of_service = self.listed().filter(|u| criteria.is_served_by(u));
         let remaining: SmallVec<[&Upstream; 32]> = of_service.filter(|u| !u.leaving).collect();
         if remaining.is_empty() {
-            return Ok(());
+            let gone = criteria.version.is_some();
+            return if gone {
+                Err(ChooseError::Unknown)
+            } else {
+                Ok(())
+            };
         }
         let reachable = remaining
             .into_iter()
--- a/crates/place/tests/versions.rs
+++ b/crates/place/tests/versions.rs
@@ -45,6 +45,10 @@
     assert!(matches!(full, ChooseError::Busy { .. }), "{full:?}");
     let gone = pool.choose(0, &stream(Some("v3"))).unwrap_err();
     assert_eq!(gone, ChooseError::Unknown);
+    pool.mark_leaving("e1");
+    pool.mark_leaving("e3");
+    let leaving = pool.choose(0, &stream(Some("v2"))).unwrap_err();
+    assert_eq!(leaving, ChooseError::Unknown);
 }
 
 /// Guards against continued streams that are refused because new ones have taken the last slots of the
--- a/crates/proxy/src/origins.rs
+++ b/crates/proxy/src/origins.rs
@@ -213,10 +213,12 @@
             Lookup::Conflicting => return Found::Conflicting,
             Lookup::Unknown => {}
         }
-        let candidates = candidates(&network.fleet.roster(), request);
-        let own = network.fleet.incarnation();
-        let others = candidates.iter().filter(|m| m.id != own);
-        let others: SmallVec<[&Arc<Member>; CANDIDATES]> = others.collect();
+        let mut others = candidates(&network.fleet.roster(), request);
+        others.retain(|m| m.id != network.fleet.incarnation());
+        if others.is_empty() {
+            // This instance has just started and has not read the list yet, or it is alone.
+            others.extend(network.fleet.peers().into_iter().take(CANDIDATES));
+        }
         // The instance that began the stream may have been a holder itself: the next one is then one too.
         let (first, rest) = others.split_at(others.len().min(HOLDERS + 1));
         let mut inquiry = Inquiry::default();
@@ -236,7 +238,7 @@
         &self,
         network: &PeerNetwork,
         request: &str,
-        group: &[&Arc<Member>],
+        group: &[Arc<Member>],
         inquiry: &mut Inquiry,
     ) -> Option<Found> {
         let calls = group.iter().map(|holder| async move {
