Refuse a stream without a record at an instance that reaches no other one

An instance that is cut off takes its list of upstreams for current until it notices, and let a stream without a record go on at the only version that it knew. It now needs an answer of one of the instances that it asks, or of the store.

--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -147,7 +147,8 @@
             dialer.clone(),
             transit.clone(),
         );
-        let origins = Origins::new(clock, relay.clone());
+        let versions_store = store_calls.counted_store("versions", &store);
+        let origins = Origins::new(clock, relay.clone(), Arc::clone(&versions_store));
         let upstream_list = UpstreamList::new(
             Arc::clone(&dialect),
             Arc::clone(&pool),
@@ -253,7 +254,7 @@
             origins,
             fleet: fleet.clone(),
             pool: Arc::clone(&router.pool),
-            store: store_calls.counted_store("versions", &store),
+            store: versions_store,
             store_health: Arc::clone(&store_health),
             log: Arc::clone(&log),
         };
--- a/crates/proxy/src/origins.rs
+++ b/crates/proxy/src/origins.rs
@@ -9,20 +9,23 @@
 
 use clock::Clock;
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use kv::Store;
 use origin::{
     Lookup, Origin, OriginRecord, OriginTable, StreamKey, VersionHistory, CANDIDATES, HOLDERS,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::datagram::Datagram;
 use crate::fleet::Member;
+use crate::peers::CALL_TIMEOUT;
 use crate::relay::Relay;
 use crate::replication::Topic;
 use crate::roster::Roster;
 use crate::suspect_gossip::PeerNetwork;
+use crate::version_store;
 
 /// Delay after a change of the list of instances before records are sent to new holders: instances
 /// come and go together.
@@ -37,6 +40,7 @@
 struct Inner {
     clock: Clock,
     relay: Relay,
+    store: Arc<dyn Store>,
     table: Mutex<OriginTable>,
     history: Mutex<VersionHistory>,
     /// Changes when a service has a version that it did not have before.
@@ -62,10 +66,19 @@
 }
 
 impl Inquiry {
+    fn answered(self) -> usize {
+        self.asked - self.unanswered
+    }
+
+    /// Returns whether no instance has answered of those that were asked: this one may be cut off.
+    fn is_unanswered(self) -> bool {
+        self.asked > 0 && self.answered() == 0
+    }
+
     /// Returns whether most of the instances have answered: two halves of a partition can't both get
     /// that.
     fn is_answered_by_most(self) -> bool {
-        (self.asked - self.unanswered) * 2 > self.asked
+        self.answered() * 2 > self.asked
     }
 }
 
@@ -93,10 +106,11 @@
 }
 
 impl Origins {
-    pub(crate) fn new(clock: Clock, relay: Relay) -> Origins {
+    pub(crate) fn new(clock: Clock, relay: Relay, store: Arc<dyn Store>) -> Origins {
         Origins(Arc::new(Inner {
             clock,
             relay,
+            store,
             table: Mutex::default(),
             history: Mutex::default(),
             version_changes: watch::channel(()).0,
@@ -230,9 +244,27 @@
                 return found;
             }
         }
+        if inquiry.is_unanswered() && self.read_stored_versions().await {
+            if let Some(found) = self.find_sole(service, Inquiry::default()) {
+                return found;
+            }
+        }
         Found::Unknown(inquiry)
     }
 
+    /// Reads the versions that the store has; returns whether that succeeded, so that this instance is not
+    /// cut off.
+    async fn read_stored_versions(&self) -> bool {
+        let read = version_store::read(&*self.0.store);
+        match timeout(CALL_TIMEOUT, read).await {
+            Ok(Ok(stored)) => {
+                self.observe(&stored.versions);
+                true
+            }
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
     /// Asks instances for the record of a stream until one has it.
     async fn ask(
         &self,
@@ -268,7 +300,9 @@
     /// Returns the only version that a service has had as the origin of a stream without a record, if
     /// this instance can't have missed another one.
     fn find_sole(&self, service: Option<&str>, inquiry: Inquiry) -> Option<Found> {
-        if !self.list_is_current() && !inquiry.is_answered_by_most() {
+        // An instance that is cut off takes its list for current for some time.
+        let current = self.list_is_current() && !inquiry.is_unanswered();
+        if !current && !inquiry.is_answered_by_most() {
             return None;
         }
         let service = service?.to_string();
--- a/crates/proxy/src/version_store.rs
+++ b/crates/proxy/src/version_store.rs
@@ -40,9 +40,41 @@
 
 /// What the store has.
 #[derive(Default)]
-struct Stored {
+pub(crate) struct Stored {
     revision: i64,
-    versions: Vec<Origin>,
+    pub(crate) versions: Vec<Origin>,
+}
+
+/// Why the versions in the store are not known.
+pub(crate) enum ReadError {
+    /// The store did not answer.
+    Store,
+    /// The record of this revision can't be parsed.
+    Invalid { revision: i64, why: String },
+}
+
+/// Reads the versions in the store.
+///
+/// # Errors
+///
+/// Returns why they are not known.
+pub(crate) async fn read(store: &dyn Store) -> Result<Stored, ReadError> {
+    let item = store.get(KEY).await.map_err(|_| ReadError::Store)?;
+    parse(item)
+}
+
+fn parse(item: Option<KeyValue>) -> Result<Stored, ReadError> {
+    let Some(item) = item else {
+        return Ok(Stored::default());
+    };
+    let revision = item.revision;
+    match serde_json::from_slice(&item.value) {
+        Ok(versions) => Ok(Stored { revision, versions }),
+        Err(why) => Err(ReadError::Invalid {
+            revision,
+            why: why.to_string(),
+        }),
+    }
 }
 
 impl VersionStore {
@@ -101,26 +133,18 @@
     /// Reads the versions in the store. An error contains the revision of a record that can't be parsed.
     async fn load(&self) -> Result<Stored, i64> {
         loop {
-            match self.store.get(KEY).await {
-                Ok(item) => return self.parse(item),
-                Err(_) => self.wait_for_retry().await,
+            match read(&*self.store).await {
+                Ok(stored) => return Ok(stored),
+                Err(ReadError::Invalid { revision, why }) => {
+                    let detail = format_args!("key={KEY} why={why}");
+                    self.log.event(Event::VersionsInvalid, detail);
+                    return Err(revision);
+                }
+                Err(ReadError::Store) => self.wait_for_retry().await,
             }
         }
     }
 
-    fn parse(&self, item: Option<KeyValue>) -> Result<Stored, i64> {
-        let Some(item) = item else {
-            return Ok(Stored::default());
-        };
-        let revision = item.revision;
-        let versions = serde_json::from_slice(&item.value).map_err(|why| {
-            let detail = format_args!("key={KEY} why={why}");
-            self.log.event(Event::VersionsInvalid, detail);
-            revision
-        })?;
-        Ok(Stored { revision, versions })
-    }
-
     /// Waits after a failed call until the store is available.
     async fn wait_for_retry(&self) {
         sleep(RETRY_DELAY).await;
@@ -134,7 +158,9 @@
             Ok(TxnResult::Done(revision)) => Stored { revision, versions },
             Ok(TxnResult::Conflict(items)) => {
                 let found = items.into_iter().find(|item| item.key == KEY);
-                let stored = self.parse(found).unwrap_or_else(|revision| Stored {
+                let revision = found.as_ref().map_or(0, |item| item.revision);
+                // A record that can't be parsed is replaced.
+                let stored = parse(found).unwrap_or(Stored {
                     revision,
                     versions: Vec::new(),
                 });
