Keep records of streams whose route leads to several services

Found by reading: while each service had one version no records were sent, but a stream of a route to several services goes on at the one that began it only, so those that named their request were refused. Their records are now always sent. Records are also sent to new holders while one version serves, which is a few datagrams when instances come and go. A stream without any event is bound to nothing and no longer logged as begun.

--- a/crates/conf/src/routing.rs
+++ b/crates/conf/src/routing.rs
@@ -53,6 +53,11 @@
 }
 
 impl Route {
+    /// Returns whether the route's requests go to more than one service.
+    pub fn is_split(&self) -> bool {
+        self.traffic_split.iter().filter(|s| s.weight > 0).count() > 1
+    }
+
     /// Returns whether a part of the route's requests goes to a service.
     pub fn leads_to(&self, service: &str) -> bool {
         let mut shares = self.traffic_split.iter();
--- a/crates/proxy/src/origins.rs
+++ b/crates/proxy/src/origins.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use clock::Clock;
+use conf::Route;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use kv::Store;
 use origin::{
@@ -166,13 +167,13 @@
     }
 
     /// Records the origin of a stream that this instance begins or takes up. Sends it to the holders,
-    /// unless the service has had a single version: then all instances know the origin.
+    /// unless all instances know it: then the `route` leads to one service, which has had one version.
     ///
     /// This has to be done before the caller gets an event, after which it may come back elsewhere.
-    pub(crate) fn publish(&self, network: &PeerNetwork, record: OriginRecord) {
+    pub(crate) fn publish(&self, network: &PeerNetwork, route: &Route, record: OriginRecord) {
         self.table().insert_own(self.0.clock.now(), &record);
         let is_sole = self.sole_version(&record.origin.service).is_some();
-        if is_sole && self.list_is_current() {
+        if is_sole && !route.is_split() && self.list_is_current() {
             return;
         }
         let candidates = candidates(&network.fleet.roster(), &record.request);
@@ -361,8 +362,7 @@
         roster: &Roster,
     ) {
         let own = network.fleet.incarnation();
-        let mut records = self.table().own_records(self.0.clock.now());
-        records.retain(|r| self.sole_version(&r.origin.service).is_none());
+        let records = self.table().own_records(self.0.clock.now());
         let mut by_holder: HashMap<SocketAddr, Vec<OriginRecord>> = HashMap::new();
         for record in records {
             let before = previous.map(|p| candidates(p, &record.request));
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -188,8 +188,7 @@
         let service = pick_service(route)?;
         let found = match &info.resumes {
             Some(request) => {
-                let split = route.traffic_split.len() > 1;
-                let service = (!split).then_some(service.as_str());
+                let service = (!route.is_split()).then_some(service.as_str());
                 self.origins.find(&self.network, request, service).await
             }
             None => {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -125,8 +125,10 @@
         }
     };
     ctx.record_first_output();
-    log_beginning(&ctx, &stream);
-    bind(&mut ctx, &stream);
+    if first.is_some() {
+        log_beginning(&ctx, &stream);
+        bind(&mut ctx, &stream);
+    }
     let (tx, rx) = mpsc::channel(MAX_QUEUED_EVENTS);
     let mut res = Response::new(ResponseBody::Streamed(rx));
     *res.status_mut() = head.status;
@@ -167,7 +169,8 @@
         },
         ttl_ms: ctx.caller_remaining_ms() + RETURN_MARGIN_MS,
     };
-    ctx.router.origins.publish(&ctx.router.network, record);
+    let router = &ctx.router;
+    router.origins.publish(&router.network, &ctx.route, record);
 }
 
 /// Logs which upstream, and which version of its software, began or took up a stream.
