Check the version of an upstream before a stream goes on there

The upstream of a resumed or continued stream was chosen by its list entry; one that starts again under its name may have another software version by the time of its first event. Where a stream begins this was checked, where it goes on it was not. Both now use one function: the entry of the chosen incarnation still holds, or the service has had no other version. Otherwise the attempt fails, and another upstream of the version is tried.

No stub starts again under its name with another version during an attempt: the pool's part has a test (place: versions.rs), the way from there is by reading.

--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -9,7 +9,7 @@
 use hyper::http::response;
 use hyper::Response;
 use origin::{Origin, OriginRecord};
-use place::Outcome;
+use place::{Choice, Outcome};
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
@@ -150,12 +150,7 @@
         return;
     }
     if ctx.stream_version == StreamVersion::Any {
-        let pool = ctx.router.pool.lock().expect("lock not poisoned");
-        let version = pool.software_version(&stream.guard.choice);
-        let version = version.map(str::to_string);
-        drop(pool);
-        let sole = || ctx.router.origins.sole_version(&ctx.service);
-        let version = version.or_else(sole);
+        let version = software_version(ctx, &stream.guard.choice);
         ctx.stream_version = version.map_or(StreamVersion::Unknown, StreamVersion::Only);
     }
     let StreamVersion::Only(version) = &ctx.stream_version else {
@@ -173,6 +168,27 @@
     router.origins.publish(&router.network, &ctx.route, record);
 }
 
+/// Returns the software version of a chosen upstream, by its present list entry or because its service has
+/// had no other; none if it is not known for sure.
+fn software_version(ctx: &RequestContext, choice: &Choice) -> Option<String> {
+    let pool = ctx.router.pool.lock().expect("lock not poisoned");
+    let version = pool.software_version(choice).map(str::to_string);
+    drop(pool);
+    version.or_else(|| ctx.router.origins.sole_version(&ctx.service))
+}
+
+/// Returns whether a chosen upstream may serve a stream: one that has started again since the choice may
+/// have another software version than the one that began the stream.
+fn has_stream_version(ctx: &RequestContext, choice: &Choice) -> bool {
+    match &ctx.stream_version {
+        StreamVersion::Any => true,
+        StreamVersion::Only(version) => {
+            software_version(ctx, choice).as_deref() == Some(version.as_str())
+        }
+        StreamVersion::Unknown => false,
+    }
+}
+
 /// Logs which upstream, and which version of its software, began or took up a stream.
 fn log_beginning(ctx: &RequestContext, stream: &UpstreamStream) {
     let spec = &stream.guard.choice.spec;
@@ -213,6 +229,10 @@
         return Err(AttemptError::Unknown(why));
     };
     match next {
+        Ok(Next::Event(_)) if !has_stream_version(ctx, &stream.guard.choice) => {
+            let why = format!("upstream={upstream} its software version has changed");
+            Err(AttemptError::Unknown(why))
+        }
         Ok(Next::Event(event)) => {
             stream.guard.record_latency();
             Ok(Begun::Stream {
@@ -365,6 +385,9 @@
             open.guard.end(Outcome::ErrorResponse);
             return Err(format!("{why}; then status {status}"));
         }
+        if !has_stream_version(&self.ctx, &open.guard.choice) {
+            return Err(format!("{why}; then another software version"));
+        }
         let detail = format_args!(
             "after={:?} upstream={} version={} before={version} request={} why={why}",
             self.last_event_id,
