Let old software versions expire

After a first release a service would not have counted as one with a sole version again: the store kept the old version until the next new one, each start read it as seen now, and instances told it to each other without its age, which kept it from expiring. Then every stream has records, and all are refused after the loss of all instances.

Versions are now told with the time since they were seen, the store's are added only if not known, and the writer also removes those that no longer count. Test: origin: history.rs.

--- a/crates/origin/src/history.rs
+++ b/crates/origin/src/history.rs
@@ -1,6 +1,6 @@
 //! The software versions that have served each service.
 
-use crate::record::Origin;
+use crate::record::{Origin, SeenVersion};
 
 /// How long a version counts as one that may have begun a stream after it was last seen, in
 /// milliseconds: records of streams are kept no longer.
@@ -20,17 +20,37 @@
 impl VersionHistory {
     /// Adds versions that upstreams have; returns whether any of them is new.
     pub fn observe<'a>(&mut self, now: u64, origins: impl IntoIterator<Item = &'a Origin>) -> bool {
-        let mut any_new = false;
-        for origin in origins {
-            match self.seen.iter_mut().find(|(known, _)| known == origin) {
-                Some((_, seen_at)) => *seen_at = now,
-                None => {
-                    self.seen.push((origin.clone(), now));
-                    any_new = true;
-                }
-            }
-        }
-        any_new
+        origins
+            .into_iter()
+            .fold(false, |any_new, origin| self.add(now, origin) | any_new)
+    }
+
+    /// Adds the versions that another instance tells; returns whether any of them is new. Instances must
+    /// not keep a version from expiring by telling it to each other.
+    pub fn merge(&mut self, now: u64, versions: &[SeenVersion]) -> bool {
+        let recent = versions.iter().filter(|v| v.ago_ms < RETENTION_MS);
+        recent.fold(false, |any_new, version| {
+            let seen_at = now.saturating_sub(version.ago_ms);
+            self.add(seen_at, &version.origin) | any_new
+        })
+    }
+
+    /// Adds the versions that the store has; returns whether any of them is new. When they were seen is
+    /// not known: a new one counts as seen now.
+    pub fn add_stored(&mut self, now: u64, stored: &[Origin]) -> bool {
+        let known: Vec<Origin> = self.recent(now).cloned().collect();
+        let new = stored.iter().filter(|origin| !known.contains(origin));
+        self.observe(now, new)
+    }
+
+    fn add(&mut self, seen_at: u64, origin: &Origin) -> bool {
+        let known = self.seen.iter_mut().find(|(known, _)| known == origin);
+        let Some((_, known_at)) = known else {
+            self.seen.push((origin.clone(), seen_at));
+            return true;
+        };
+        *known_at = seen_at.max(*known_at);
+        false
     }
 
     /// Records that nothing from before the start of this instance is missing.
@@ -38,11 +58,6 @@
         self.complete = true;
     }
 
-    /// Returns whether nothing from before the start of this instance is missing.
-    pub fn is_complete(&self) -> bool {
-        self.complete
-    }
-
     /// Returns the only version that a service has had; `None` if there were several, or if some may
     /// be missing.
     pub fn sole_version(&self, now: u64, service: &str) -> Option<&str> {
@@ -51,9 +66,28 @@
         versions.next().is_none().then_some(first.version.as_str())
     }
 
-    /// Returns the versions that each service has had.
-    pub fn list(&self, now: u64) -> Vec<Origin> {
-        self.recent(now).cloned().collect()
+    /// Returns the versions that each service has had; `None` if some may be missing.
+    pub fn list(&self, now: u64) -> Option<Vec<Origin>> {
+        self.complete.then(|| self.recent(now).cloned().collect())
+    }
+
+    /// Returns the versions that each service has had, for another instance; `None` if some may be
+    /// missing.
+    pub fn report(&self, now: u64) -> Option<Vec<SeenVersion>> {
+        let versions = self.seen.iter().map(|(origin, seen_at)| SeenVersion {
+            origin: origin.clone(),
+            ago_ms: now.saturating_sub(*seen_at),
+        });
+        let recent = versions.filter(|v| v.ago_ms < RETENTION_MS);
+        self.complete.then(|| recent.collect())
+    }
+
+    /// Returns whether the store has other versions than those that count.
+    pub fn differs_from(&self, now: u64, stored: &[Origin]) -> bool {
+        let Some(known) = self.list(now) else {
+            return false;
+        };
+        known.len() != stored.len() || known.iter().any(|origin| !stored.contains(origin))
     }
 
     /// Removes the versions that were not seen for long.
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use history::{VersionHistory, RETENTION_MS};
 pub use holders::{order_candidates, CANDIDATES, HOLDERS};
-pub use record::{Origin, OriginRecord, StreamKey};
+pub use record::{Origin, OriginRecord, SeenVersion, StreamKey};
 pub use table::{Lookup, OriginTable};
--- a/crates/origin/src/record.rs
+++ b/crates/origin/src/record.rs
@@ -28,6 +28,17 @@
     pub ttl_ms: u64,
 }
 
+/// A version that a service has had, as an instance tells others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenVersion {
+    /// The service and the version.
+    #[serde(flatten)]
+    pub origin: Origin,
+    /// Time since an upstream had it, in milliseconds.
+    #[serde(rename = "a")]
+    pub ago_ms: u64,
+}
+
 /// The hash of the id of the request that began a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StreamKey(u64);
--- a/crates/origin/tests/history.rs
+++ b/crates/origin/tests/history.rs
@@ -1,6 +1,6 @@
 //! Whether a service has had a single software version.
 
-use origin::{Origin, VersionHistory};
+use origin::{Origin, SeenVersion, VersionHistory};
 
 fn origin(service: &str, version: &str) -> Origin {
     Origin {
@@ -35,5 +35,33 @@
     assert_eq!(history.sole_version(599_999, "pool"), None);
     assert_eq!(history.sole_version(600_000, "pool"), Some("v2"));
     history.expire(600_000);
-    assert_eq!(history.list(600_000), [origin("pool", "v2")]);
+    assert_eq!(history.list(600_000), Some(vec![origin("pool", "v2")]));
+}
+
+/// Guards against a version that counts forever after its last upstream has left, because instances tell
+/// it to each other or read it from the store when they start.
+#[test]
+fn a_version_expires_at_all_instances_and_in_the_store() {
+    let mut first = VersionHistory::default();
+    first.set_complete();
+    first.observe(0, [&origin("pool", "v1"), &origin("pool", "v2")]);
+    let stored = [origin("pool", "v1"), origin("pool", "v2")];
+    assert!(!first.differs_from(0, &stored));
+    let mut second = VersionHistory::default();
+    second.merge(400_000, &first.report(400_000).expect("complete"));
+    second.set_complete();
+    first.merge(500_000, &second.report(500_000).expect("complete"));
+    first.add_stored(500_000, &stored);
+    for history in [&mut first, &mut second] {
+        history.observe(590_000, [&origin("pool", "v2")]);
+        assert_eq!(history.sole_version(599_999, "pool"), None);
+        assert_eq!(history.sole_version(600_000, "pool"), Some("v2"));
+        assert!(history.differs_from(600_000, &stored));
+    }
+    let old = SeenVersion {
+        origin: origin("pool", "v1"),
+        ago_ms: 600_000,
+    };
+    assert!(!first.merge(600_000, &[old]));
+    assert_eq!(first.sole_version(600_000, "pool"), Some("v2"));
 }
--- a/crates/proxy/src/origins.rs
+++ b/crates/proxy/src/origins.rs
@@ -12,7 +12,8 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use kv::Store;
 use origin::{
-    Lookup, Origin, OriginRecord, OriginTable, StreamKey, VersionHistory, CANDIDATES, HOLDERS,
+    Lookup, Origin, OriginRecord, OriginTable, SeenVersion, StreamKey, VersionHistory, CANDIDATES,
+    HOLDERS,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -103,7 +104,7 @@
 pub(crate) struct OriginResponse {
     record: Option<OriginRecord>,
     /// The versions that each service has had; none if some may be missing.
-    versions: Option<Vec<Origin>>,
+    versions: Option<Vec<SeenVersion>>,
 }
 
 impl Origins {
@@ -133,24 +134,41 @@
 
     /// Adds versions that upstreams have.
     pub(crate) fn observe<'a>(&self, versions: impl IntoIterator<Item = &'a Origin>) {
-        let any_new = self.history().observe(self.0.clock.now(), versions);
-        if any_new {
-            self.0.version_changes.send_replace(());
-        }
+        self.update_history(|history, now| history.observe(now, versions));
     }
 
-    /// Adds all versions that services had before this instance started.
-    pub(crate) fn complete_history(&self, versions: &[Origin]) {
-        self.observe(versions);
-        self.history().set_complete();
+    /// Adds the versions that the store has, which are all that services had before this instance started
+    /// if `complete`.
+    pub(crate) fn add_stored(&self, versions: &[Origin], complete: bool) {
+        self.update_history(|history, now| {
+            let any_new = history.add_stored(now, versions);
+            if complete {
+                history.set_complete();
+            }
+            any_new
+        });
     }
 
-    /// Returns the versions that each service has had; `None` if some may be missing.
-    pub(crate) fn versions(&self) -> Option<Vec<Origin>> {
+    /// Updates the history, and wakes the tasks that depend on it if there is a new version.
+    fn update_history(&self, update: impl FnOnce(&mut VersionHistory, u64) -> bool) {
         let mut history = self.history();
         let now = self.0.clock.now();
         history.expire(now);
-        history.is_complete().then(|| history.list(now))
+        let any_new = update(&mut history, now);
+        drop(history);
+        if any_new {
+            self.0.version_changes.send_replace(());
+        }
+    }
+
+    /// Returns the versions that each service has had; `None` if some may be missing.
+    pub(crate) fn versions(&self) -> Option<Vec<Origin>> {
+        self.history().list(self.0.clock.now())
+    }
+
+    /// Returns whether the store has other versions than those that services have had.
+    pub(crate) fn differs_from(&self, stored: &[Origin]) -> bool {
+        self.history().differs_from(self.0.clock.now(), stored)
     }
 
     /// Returns the only version that a service has had; `None` if there were several, or this is not
@@ -201,7 +219,7 @@
     pub(crate) fn answer(&self, request: &str) -> OriginResponse {
         OriginResponse {
             record: self.table().record(self.0.clock.now(), request),
-            versions: self.versions(),
+            versions: self.history().report(self.0.clock.now()),
         }
     }
 
@@ -259,7 +277,7 @@
         let read = version_store::read(&*self.0.store);
         match timeout(CALL_TIMEOUT, read).await {
             Ok(Ok(stored)) => {
-                self.observe(&stored.versions);
+                self.add_stored(&stored.versions, false);
                 true
             }
             Ok(Err(_)) | Err(_) => false,
@@ -286,7 +304,11 @@
                 continue;
             };
             if let Some(versions) = versions {
-                self.complete_history(&versions);
+                self.update_history(|history, now| {
+                    let any_new = history.merge(now, &versions);
+                    history.set_complete();
+                    any_new
+                });
             }
             if let Some(record) = record {
                 self.receive(std::slice::from_ref(&record));
--- a/crates/proxy/src/version_store.rs
+++ b/crates/proxy/src/version_store.rs
@@ -1,6 +1,7 @@
 //! Keeps the software versions that each service has had in the store, for a failure of all instances.
 //!
-//! One instance writes them when a service has a new version, which takes a call or two per release.
+//! One instance writes them when a service has a new version and when an old one no longer counts, which
+//! takes a few calls per release.
 //! An instance that starts reads them with one call.
 
 use std::sync::{Arc, Mutex};
@@ -78,7 +79,7 @@
 }
 
 impl VersionStore {
-    /// Reads the versions, then writes them whenever there is a new one.
+    /// Reads the versions, then writes them whenever there is a new one, or one no longer counts.
     pub(crate) async fn run(self) {
         let mut version_changes = self.origins.version_changes();
         let mut roster_changes = self.fleet.roster_changes();
@@ -91,10 +92,10 @@
                 Stored { revision, versions }
             }
         };
-        self.origins.complete_history(&stored.versions);
+        self.origins.add_stored(&stored.versions, true);
         let mut observe_at = Instant::now() + OBSERVE_INTERVAL;
         loop {
-            if self.is_writer() && self.is_outdated(&stored) {
+            if self.is_writer() && self.origins.differs_from(&stored.versions) {
                 sleep(WRITE_DELAY).await;
                 stored = self.write(stored).await;
                 continue;
@@ -124,12 +125,6 @@
         first.is_some_and(|m| m.id == self.fleet.incarnation())
     }
 
-    /// Returns whether a version is known that the store does not have.
-    fn is_outdated(&self, stored: &Stored) -> bool {
-        let known = self.origins.versions().unwrap_or_default();
-        known.iter().any(|o| !stored.versions.contains(o))
-    }
-
     /// Reads the versions in the store. An error contains the revision of a record that can't be parsed.
     async fn load(&self) -> Result<Stored, i64> {
         loop {
@@ -164,7 +159,7 @@
                     revision,
                     versions: Vec::new(),
                 });
-                self.origins.observe(&stored.versions);
+                self.origins.add_stored(&stored.versions, false);
                 stored
             }
             Ok(TxnResult::LeaseEnded) => stored,
