Log which prompt segments were at a crash, and when each last survived

The table of suspects knows what may have crashed an upstream by its kind now, a request or a segment. Nothing is counted for segments yet.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -11,7 +11,8 @@
 use hyper::http::response;
 use hyper::{Request, StatusCode, Uri};
 use place::{Choice, Outcome, RateLimit};
-use suspect::Digest;
+use smallvec::SmallVec;
+use suspect::{Digest, Segment, Subject};
 use tokio::time::timeout_at;
 use transit::{Denial, Mode};
 
@@ -29,16 +30,25 @@
 /// a slow upstream may still respond.
 const RESPONSE_TIMEOUT_OBJECTIVES: f64 = 3.0;
 const RESPONSE_TIMEOUT_EXPECTED: f64 = 6.0;
+/// How long a stream has to go on after its first event for the segments of its prompt to count as
+/// survived, in milliseconds: an upstream that crashes when it begins to respond may still have sent
+/// the first event.
+const SURVIVAL_MS: u64 = 200;
 
 /// An attempt in progress at its upstream; dropping it records its outcome.
 pub(crate) struct AttemptGuard {
     router: Arc<Router>,
     digest: Digest,
+    /// The segments of the prompt that other requests share.
+    segments: SmallVec<[Segment; 4]>,
     pub(crate) choice: Choice,
     /// How the request reaches the upstream; none until a connection is chosen.
     way: Option<Way>,
     retryable: bool,
     sent_at: u64,
+    first_event_at: Option<u64>,
+    /// Whether the upstream has begun to respond without crashing.
+    survived: bool,
     outcome: Outcome,
 }
 
@@ -47,10 +57,13 @@
         AttemptGuard {
             router: Arc::clone(&ctx.router),
             digest: ctx.digest,
+            segments: ctx.segments.clone(),
             choice,
             way: None,
             retryable: ctx.is_retryable(),
             sent_at: ctx.router.clock.now(),
+            first_event_at: None,
+            survived: false,
             outcome: Outcome::Abandoned,
         }
     }
@@ -74,6 +87,33 @@
         }
     }
 
+    /// Records that an event of a stream was received.
+    pub(crate) fn record_event(&mut self) {
+        let now = self.router.clock.now();
+        let first_event_at = *self.first_event_at.get_or_insert(now);
+        if now >= first_event_at + SURVIVAL_MS {
+            self.record_survival();
+        }
+    }
+
+    fn record_survival(&mut self) {
+        if !self.survived {
+            self.survived = true;
+            self.router.suspects.segments_survived(&self.segments);
+        }
+    }
+
+    /// Records that the connection to the upstream broke although it is not known to be leaving.
+    fn record_broken_connection(&self) {
+        let (suspects, spec) = (&self.router.suspects, &self.choice.spec);
+        suspects.connection_broke(spec, Subject::Request(self.digest));
+        if !self.survived {
+            for segment in &self.segments {
+                suspects.connection_broke(spec, Subject::Segment(*segment));
+            }
+        }
+    }
+
     /// Returns a watch of the path that the request uses.
     pub(crate) fn path_watch(&self) -> PathWatch {
         let transit = &self.router.transit;
@@ -149,13 +189,14 @@
         pool.end(self.router.clock.now(), key, attempt, self.outcome);
         drop(pool);
         match self.outcome {
-            Outcome::InvalidResponse if is_active => self
-                .router
-                .suspects
-                .connection_broke(&self.choice.spec, self.digest),
+            Outcome::InvalidResponse if is_active => self.record_broken_connection(),
             // An error response does not count: the upstream may send it before it runs the
             // request.
-            Outcome::Success => self.router.suspects.request_answered(self.digest),
+            Outcome::Success => {
+                self.record_survival();
+                let request = Subject::Request(self.digest);
+                self.router.suspects.request_answered(request);
+            }
             _ => {}
         }
     }
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -64,7 +64,7 @@
         drop(pool);
         let suspects = router.suspects.list().into_iter().map(|record| {
             json!({
-                "request": format!("{:.32}", record.digest), "ends": record.crashes,
+                "request": record.subject.to_key(), "ends": record.crashes,
                 "trials": record.trials, "answers": record.answers,
             })
         });
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response};
 use origin::Origin;
 use smallvec::SmallVec;
-use suspect::Digest;
+use suspect::{Digest, Subject};
 use tokio::time::timeout_at;
 
 use crate::body::ResponseBody;
@@ -141,6 +141,7 @@
             router: Arc::clone(self),
             regions,
             digest: digest(&info, customer.as_deref(), &head, &body),
+            segments: info.shared_segments(&service),
             info,
             head,
             body,
@@ -161,7 +162,8 @@
             timing: AttemptTiming::default(),
             _in_flight: in_flight,
         };
-        self.suspects.admit(&self.network, ctx.digest).await?;
+        let request = Subject::Request(ctx.digest);
+        self.suspects.admit(&self.network, request).await?;
         ctx.reservation = self.reserve_tokens(&active, &ctx).await?;
         if ctx.route.streamed {
             stream::respond(ctx).await
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -8,7 +8,7 @@
 use hyper::http::request;
 use place::UpstreamKey;
 use smallvec::SmallVec;
-use suspect::Digest;
+use suspect::{Digest, Segment, Subject};
 
 use crate::budgets::Reservation;
 use crate::event::Event;
@@ -139,6 +139,8 @@
     pub(crate) info: RequestInfo,
     /// Identifies the request by its content, since the caller may send it again with another id.
     pub(crate) digest: Digest,
+    /// The segments of the prompt that other requests share.
+    pub(crate) segments: SmallVec<[Segment; 4]>,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
     pub(crate) route: Route,
@@ -209,7 +211,8 @@
             return false;
         }
         // A request that crashes upstreams must not crash another one within the same call.
-        if !self.router.suspects.may_retry(self.digest) {
+        let request = Subject::Request(self.digest);
+        if !self.router.suspects.may_retry(request) {
             return false;
         }
         let (now, instances) = (self.router.clock.now(), self.router.fleet.instance_count());
--- a/crates/proxy/src/request_info.rs
+++ b/crates/proxy/src/request_info.rs
@@ -2,6 +2,7 @@
 
 use place::PromptSegment;
 use smallvec::SmallVec;
+use suspect::Segment;
 
 /// The content of a request's head, as parsed by a dialect.
 #[derive(Clone, Debug, Default)]
@@ -27,6 +28,19 @@
 }
 
 impl RequestInfo {
+    /// Returns the segments of the prompt that requests for a service share: all but the last.
+    pub(crate) fn shared_segments(&self, service: &str) -> SmallVec<[Segment; 4]> {
+        let mut segments = SmallVec::new();
+        let shared = self.prompt_segments.len().saturating_sub(1);
+        for segment in &self.prompt_segments[..shared] {
+            let segment = Segment::new(service, segment.id);
+            if !segments.contains(&segment) {
+                segments.push(segment);
+            }
+        }
+        segments
+    }
+
     /// Returns the maximum number of tokens that the request can cost.
     pub fn max_tokens(&self) -> u64 {
         u64::from(self.prompt_tokens) + u64::from(self.max_response_tokens)
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -67,6 +67,7 @@
     async fn next(&mut self) -> Next {
         loop {
             if let Some(event) = self.parser.next_event() {
+                self.guard.record_event();
                 return Next::Event(event);
             }
             match self.body.frame().await {
--- a/crates/proxy/src/suspect_gossip.rs
+++ b/crates/proxy/src/suspect_gossip.rs
@@ -60,7 +60,10 @@
                 let all = network.fleet.peers().into_iter().map(|m| m.addr);
                 send(&network.sender, &to_all, &all.collect::<Vec<_>>());
                 for (record, _) in to_owners {
-                    let owners = network.fleet.roster().owners(record.digest.placement_key());
+                    let owners = network
+                        .fleet
+                        .roster()
+                        .owners(record.subject.placement_key());
                     let owners = owners
                         .iter()
                         .filter(|m| m.id != network.fleet.incarnation());
--- a/crates/proxy/src/suspect_store.rs
+++ b/crates/proxy/src/suspect_store.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use kv::{Consistency, KeyValue, Precondition, Put, Store, StoreError, Txn, TxnResult};
-use suspect::{Digest, SuspectRecord};
+use suspect::{Subject, SuspectRecord};
 use tokio::time::{sleep, Instant};
 
 use crate::event::Event;
@@ -18,7 +18,7 @@
 use crate::store_health::StoreHealth;
 use crate::suspects::Suspects;
 
-/// Prefix of the keys of records; a key continues with the digest of the request.
+/// Prefix of the keys of records; a key continues with the subject of the request.
 const PREFIX: &str = "oriolehitch/suspects/";
 /// The instances that would own a record with this placement key read the store for all when they
 /// start.
@@ -38,7 +38,7 @@
     pub(crate) store_health: Arc<StoreHealth>,
     pub(crate) log: Arc<Log>,
     /// Revisions of the keys that were read or written here.
-    pub(crate) revisions: HashMap<Digest, i64>,
+    pub(crate) revisions: HashMap<Subject, i64>,
 }
 
 impl SuspectStore {
@@ -50,9 +50,9 @@
         }
         loop {
             self.suspects.wait_for_unsaved().await;
-            for digest in self.suspects.unsaved() {
-                if self.is_first_owner(digest) {
-                    self.save(digest).await;
+            for subject in self.suspects.unsaved() {
+                if self.is_first_owner(subject) {
+                    self.save(subject).await;
                 }
             }
         }
@@ -82,7 +82,7 @@
         for item in items {
             match serde_json::from_slice::<SuspectRecord>(&item.value) {
                 Ok(record) => {
-                    self.revisions.insert(record.digest, item.revision);
+                    self.revisions.insert(record.subject, item.revision);
                     self.suspects.load(record);
                 }
                 Err(why) => {
@@ -100,19 +100,19 @@
     }
 
     /// Returns whether this instance is the first owner of a record.
-    fn is_first_owner(&self, digest: Digest) -> bool {
-        let owners = self.fleet.roster().owners(digest.placement_key());
+    fn is_first_owner(&self, subject: Subject) -> bool {
+        let owners = self.fleet.roster().owners(subject.placement_key());
         owners
             .first()
             .is_none_or(|m| m.id == self.fleet.incarnation())
     }
 
     /// Writes the record of a request, and retries until the store has it.
-    async fn save(&mut self, digest: Digest) {
+    async fn save(&mut self, subject: Subject) {
         loop {
-            let record = self.suspects.to_save(digest);
-            match self.write(digest, record.as_ref()).await {
-                Ok(true) => return self.suspects.mark_saved(digest, record.as_ref()),
+            let record = self.suspects.to_save(subject);
+            match self.write(subject, record.as_ref()).await {
+                Ok(true) => return self.suspects.mark_saved(subject, record.as_ref()),
                 // Another instance has written it; its revision is known now.
                 Ok(false) => {}
                 Err(error) => {
@@ -127,11 +127,11 @@
     /// Writes a record, or deletes it if there is none; returns whether that took effect.
     async fn write(
         &mut self,
-        digest: Digest,
+        subject: Subject,
         record: Option<&SuspectRecord>,
     ) -> Result<bool, StoreError> {
-        let key = format!("{PREFIX}{digest:.32}");
-        let revision = self.revisions.get(&digest).copied().unwrap_or(0);
+        let key = format!("{PREFIX}{}", subject.to_key());
+        let revision = self.revisions.get(&subject).copied().unwrap_or(0);
         if record.is_none() && revision == 0 {
             return Ok(true);
         }
@@ -156,16 +156,16 @@
         match self.store.commit(txn).await? {
             TxnResult::Done(revision) => {
                 if record.is_some() {
-                    self.revisions.insert(digest, revision);
+                    self.revisions.insert(subject, revision);
                 } else {
-                    self.revisions.remove(&digest);
+                    self.revisions.remove(&subject);
                 }
                 Ok(true)
             }
             TxnResult::Conflict(items) => {
                 let found = items.iter().find(|f: &&KeyValue| f.key == key);
                 let revision = found.map_or(0, |f| f.revision);
-                self.revisions.insert(digest, revision);
+                self.revisions.insert(subject, revision);
                 Ok(false)
             }
             TxnResult::LeaseEnded => Ok(false),
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -1,6 +1,7 @@
 //! Requests that crash upstreams: detects crashes, decides with the other instances whether a
 //! request is sent, and refuses it.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use serde::{Deserialize, Serialize};
-use suspect::{Admission, CrashHistory, Digest, SuspectRecord, SuspectTable};
+use suspect::{Admission, CrashHistory, Segment, Subject, SuspectRecord, SuspectTable};
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
@@ -31,6 +32,8 @@
 const CRASH_CHECK_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Number of other upstreams to which connections are tried before a refused one counts as a crash.
 const CONTROL_UPSTREAMS: usize = 2;
+/// Maximum number of segments that the log line of a crash contains.
+const MAX_LOGGED_SEGMENTS: usize = 12;
 /// When a caller is told to retry a request for which no trial is left, in milliseconds: the
 /// longest delay before a trial.
 const RETRY_NO_TRIAL_LEFT_MS: u64 = 600_000;
@@ -120,10 +123,10 @@
 
     /// Records that the connection of a request broke at an upstream that is not known to be
     /// leaving.
-    pub(crate) fn connection_broke(&self, spec: &Spec, digest: Digest) {
+    pub(crate) fn connection_broke(&self, spec: &Spec, subject: Subject) {
         let incarnation = spec.incarnation();
         let check_needed =
-            self.update(|table, now| table.connection_broke(now, &incarnation, digest));
+            self.update(|table, now| table.connection_broke(now, &incarnation, subject));
         if check_needed {
             tokio::spawn(self.clone().check_for_crash(incarnation, spec.addr));
         }
@@ -184,40 +187,51 @@
 
     /// Records that an incarnation of an upstream has ended without having announced it.
     pub(crate) fn upstream_crashed(&self, incarnation: &str) {
-        let present = self.update(|table, now| table.upstream_crashed(now, incarnation));
-        if present.is_empty() {
+        let observation = self.update(|table, now| table.upstream_crashed(now, incarnation));
+        if observation.counted.is_empty() && observation.waiting.is_empty() {
             return;
         }
-        let detail = format_args!("upstream={incarnation} requests={}", present.len());
+        let detail = format_args!(
+            "upstream={incarnation} requests={} waiting={}",
+            observation.counted.len(),
+            waiting_segments(observation.waiting)
+        );
         self.0.log.event(Event::UpstreamCrashed, detail);
-        for digest in present {
+        for subject in observation.counted {
             self.0.crash_counter.inc();
             let now = self.0.clock.now();
-            let record = self.table().record(now, digest);
+            let record = self.table().record(now, subject);
             let crash_count = record.map_or(0, |r| r.crashes.len());
             // Each crash leaves many requests with one crash, nearly all of them harmless.
             if crash_count > 1 {
-                let detail =
-                    format_args!("request={digest} upstream={incarnation} ends={crash_count}");
+                let detail = format_args!("{subject} upstream={incarnation} ends={crash_count}");
                 self.0.log.event(Event::RequestSuspected, detail);
             }
         }
     }
 
+    /// Records that a response to a request with these segments went on after it had begun.
+    pub(crate) fn segments_survived(&self, segments: &[Segment]) {
+        if !segments.is_empty() {
+            let now = self.0.clock.now();
+            self.table().segments_survived(now, segments);
+        }
+    }
+
     /// Records a complete response to a request.
-    pub(crate) fn request_answered(&self, digest: Digest) {
+    pub(crate) fn request_answered(&self, subject: Subject) {
         let now = self.0.clock.now();
-        let cleared = self.table().request_answered(now, digest);
+        let cleared = self.table().request_answered(now, subject);
         if cleared {
-            let detail = format_args!("request={digest}");
+            let detail = format_args!("{subject}");
             self.0.log.event(Event::SuspectCleared, detail);
             self.update(|_, _| ());
         }
     }
 
     /// Returns whether a request may be retried at another upstream within the same call.
-    pub(crate) fn may_retry(&self, digest: Digest) -> bool {
-        self.table().may_retry(digest)
+    pub(crate) fn may_retry(&self, subject: Subject) -> bool {
+        self.table().may_retry(subject)
     }
 
     /// Decides whether a request may be sent.
@@ -225,17 +239,21 @@
     /// # Errors
     ///
     /// Returns the refusal of a request that was present at too many crashes of upstreams.
-    pub(crate) async fn admit(&self, network: &PeerNetwork, digest: Digest) -> Result<(), Refusal> {
+    pub(crate) async fn admit(
+        &self,
+        network: &PeerNetwork,
+        subject: Subject,
+    ) -> Result<(), Refusal> {
         let admission = {
             let now = self.0.clock.now();
-            self.table().admit(now, digest)
+            self.table().admit(now, subject)
         };
         let history = match admission {
             Admission::Allowed => return Ok(()),
             Admission::Refused(history) => history,
             Admission::TrialDue(history) => {
-                if self.request_trial(network, digest).await {
-                    let detail = format_args!("request={digest} {history}");
+                if self.request_trial(network, subject).await {
+                    let detail = format_args!("{subject} {history}");
                     self.0.log.event(Event::SuspectTrial, detail);
                     return Ok(());
                 }
@@ -247,25 +265,26 @@
 
     /// Asks the owners of a record whether a trial may be made: the first of them that is not
     /// unresponsive decides.
-    async fn request_trial(&self, network: &PeerNetwork, digest: Digest) -> bool {
-        let owners = network.fleet.roster().owners(digest.placement_key());
+    async fn request_trial(&self, network: &PeerNetwork, subject: Subject) -> bool {
+        let owners = network.fleet.roster().owners(subject.placement_key());
         let own = network.fleet.incarnation();
         let unresponsive =
             |m: &&Arc<Member>| m.id != own && network.peer_clients.is_unresponsive(m.addr);
         let mut owners = owners.iter().filter(|m| !unresponsive(m));
         let Some(first) = owners.next() else {
-            return self.grant_trial(digest);
+            return self.grant_trial(subject);
         };
         // Records are first exchanged with the other owner: the one that decides may have been
         // suspended while a trial was made.
         for owner in owners.filter(|m| m.id != own) {
-            self.exchange_with_owner(network, digest, owner, false)
+            self.exchange_with_owner(network, subject, owner, false)
                 .await;
         }
         if first.id == own {
-            self.grant_trial(digest)
+            self.grant_trial(subject)
         } else {
-            self.exchange_with_owner(network, digest, first, true).await
+            self.exchange_with_owner(network, subject, first, true)
+                .await
         }
     }
 
@@ -274,12 +293,12 @@
     async fn exchange_with_owner(
         &self,
         network: &PeerNetwork,
-        digest: Digest,
+        subject: Subject,
         owner: &Member,
         may_grant: bool,
     ) -> bool {
         let now = self.0.clock.now();
-        let Some(record) = self.table().record(now, digest) else {
+        let Some(record) = self.table().record(now, subject) else {
             return false;
         };
         let request = TrialRequest { record, may_grant };
@@ -290,7 +309,7 @@
         {
             Ok(response) => response,
             Err(why) => {
-                let detail = format!("request={digest} failed={why}");
+                let detail = format!("{subject} failed={why}");
                 self.0.log.event(Event::SuspectTrial, detail);
                 return false;
             }
@@ -301,19 +320,19 @@
         response.granted
     }
 
-    fn grant_trial(&self, digest: Digest) -> bool {
-        self.update(|table, now| table.grant_trial(now, digest))
+    fn grant_trial(&self, subject: Subject) -> bool {
+        self.update(|table, now| table.grant_trial(now, subject))
     }
 
     /// Answers an instance for which a trial is due.
     pub(crate) fn answer_trial_request(&self, request: &TrialRequest) -> TrialResponse {
-        let digest = request.record.digest;
+        let subject = request.record.subject;
         self.update(|table, now| table.merge(now, &request.record, true));
-        let granted = request.may_grant && self.grant_trial(digest);
+        let granted = request.may_grant && self.grant_trial(subject);
         let now = self.0.clock.now();
         TrialResponse {
             granted,
-            record: self.table().record(now, digest),
+            record: self.table().record(now, subject),
         }
     }
 
@@ -321,7 +340,7 @@
     pub(crate) fn merge(&self, fleet: &Fleet, records: &[SuspectRecord]) -> Vec<SuspectRecord> {
         let own = fleet.incarnation();
         let is_owner = |record: &SuspectRecord| {
-            let owners = fleet.roster().owners(record.digest.placement_key());
+            let owners = fleet.roster().owners(record.subject.placement_key());
             owners.iter().any(|m| m.id == own)
         };
         let received = records.iter().map(|record| (record, is_owner(record)));
@@ -369,19 +388,19 @@
     }
 
     /// Returns the requests whose record in the store is out of date.
-    pub(crate) fn unsaved(&self) -> Vec<Digest> {
+    pub(crate) fn unsaved(&self) -> Vec<Subject> {
         self.table().unsaved()
     }
 
     /// Returns the record that the store should have of a request, if any.
-    pub(crate) fn to_save(&self, digest: Digest) -> Option<SuspectRecord> {
+    pub(crate) fn to_save(&self, subject: Subject) -> Option<SuspectRecord> {
         let now = self.0.clock.now();
-        self.table().to_save(now, digest)
+        self.table().to_save(now, subject)
     }
 
     /// Records what the store now has of a request.
-    pub(crate) fn mark_saved(&self, digest: Digest, record: Option<&SuspectRecord>) {
-        self.table().mark_saved(digest, record);
+    pub(crate) fn mark_saved(&self, subject: Subject, record: Option<&SuspectRecord>) {
+        self.table().mark_saved(subject, record);
     }
 
     /// Merges a record that was read from the store.
@@ -390,6 +409,20 @@
     }
 }
 
+/// Describes the segments of the requests that had no part of a response when an upstream crashed, with
+/// the milliseconds since each has survived; those that have not come first.
+fn waiting_segments(mut waiting: Vec<(Segment, Option<u64>)>) -> String {
+    waiting.sort_by_key(|(segment, age)| (Reverse(age.unwrap_or(u64::MAX)), *segment));
+    let count = waiting.len();
+    let texts = waiting.iter().take(MAX_LOGGED_SEGMENTS);
+    let texts = texts.map(|(segment, age)| match age {
+        Some(age) => format!("{segment}:{age}"),
+        None => format!("{segment}:never"),
+    });
+    let texts: Vec<String> = texts.collect();
+    format!("{count}({})", texts.join(","))
+}
+
 /// Returns the refusal of a request.
 fn refusal(history: &CrashHistory) -> Refusal {
     let retry_ms = history.retry_ms.unwrap_or(RETRY_NO_TRIAL_LEFT_MS);
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::digest::Digest;
 use crate::record::{CrashReport, SuspectRecord};
+use crate::subject::Subject;
 
 /// Maximum number of crashes kept for a request, to bound memory: further ones add no information.
 /// Which ones are kept must not depend on the order in which they are learned, so it is the first
@@ -122,14 +122,14 @@
     }
 
     /// Returns the record of the request, for another instance.
-    pub(crate) fn record(&self, now: u64, digest: Digest) -> SuspectRecord {
+    pub(crate) fn record(&self, now: u64, subject: Subject) -> SuspectRecord {
         let report = |(incarnation, crash): (&String, &Crash)| CrashReport {
             incarnation: incarnation.clone(),
             seen_by: crash.seen_by.clone(),
             ago_ms: now.saturating_sub(crash.at),
         };
         SuspectRecord {
-            digest,
+            subject,
             answers: self.answers,
             crashes: self.crashes.iter().map(report).collect(),
             trials: self.trials,
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -16,8 +16,13 @@
 mod entry;
 mod recent_answers;
 mod record;
+mod segment;
+mod subject;
+mod survivals;
 mod table;
 
 pub use digest::Digest;
 pub use record::{CrashReport, SuspectRecord};
-pub use table::{Admission, CrashHistory, SuspectTable};
+pub use segment::Segment;
+pub use subject::Subject;
+pub use table::{Admission, CrashHistory, CrashObservation, SuspectTable};
--- a/crates/suspect/src/recent_answers.rs
+++ b/crates/suspect/src/recent_answers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::digest::Digest;
+use crate::subject::Subject;
 
 /// A request that got a complete response within this time, in milliseconds, is not blamed for a
 /// crash: many callers may send the same request, and many upstreams may be lost at once. The time
@@ -15,22 +15,22 @@
 
 /// Requests with the time of their last complete response.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RecentAnswers(HashMap<Digest, u64>);
+pub(crate) struct RecentAnswers(HashMap<Subject, u64>);
 
 impl RecentAnswers {
     /// Records a complete response.
-    pub(crate) fn insert(&mut self, now: u64, digest: Digest) {
+    pub(crate) fn insert(&mut self, now: u64, subject: Subject) {
         if self.0.len() >= MAX_REQUESTS {
             self.0.retain(|_, at| now < *at + RECENT_MS);
         }
         if self.0.len() >= MAX_REQUESTS {
             self.0.clear();
         }
-        self.0.insert(digest, now);
+        self.0.insert(subject, now);
     }
 
     /// Returns whether a request was answered recently.
-    pub(crate) fn contains(&self, now: u64, digest: Digest) -> bool {
-        self.0.get(&digest).is_some_and(|at| now < *at + RECENT_MS)
+    pub(crate) fn contains(&self, now: u64, subject: Subject) -> bool {
+        self.0.get(&subject).is_some_and(|at| now < *at + RECENT_MS)
     }
 }
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -1,8 +1,8 @@
-//! The record of a request that instances exchange and store.
+//! The record of a suspect that instances exchange and store.
 
 use serde::{Deserialize, Serialize};
 
-use crate::digest::Digest;
+use crate::subject::Subject;
 
 /// A crash of an upstream while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,12 +18,12 @@
     pub ago_ms: u64,
 }
 
-/// What an instance knows of a request.
+/// What an instance knows of a suspect.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRecord {
-    /// The request.
-    #[serde(rename = "d")]
-    pub digest: Digest,
+    /// The request or segment.
+    #[serde(flatten)]
+    pub subject: Subject,
     /// How often the request got a complete response after crashes. Crashes before the last such
     /// response no longer count, so a record with a higher number supersedes one with a lower
     /// number.
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -4,10 +4,12 @@
 use std::fmt::{self, Display, Formatter};
 
 use crate::broken_connections::BrokenConnections;
-use crate::digest::Digest;
 use crate::entry::{Crash, Entry, StoredState};
 use crate::recent_answers::RecentAnswers;
 use crate::record::SuspectRecord;
+use crate::segment::Segment;
+use crate::subject::Subject;
+use crate::survivals::Survivals;
 
 /// Number of crashes from which a request is refused. One crash proves nothing, and after two the
 /// other requests that were present at both are as likely to be the cause.
@@ -72,6 +74,16 @@
     Refused(CrashHistory),
 }
 
+/// What was running on an upstream when it crashed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashObservation {
+    /// The requests for which the crash is newly counted.
+    pub counted: Vec<Subject>,
+    /// The segments of the requests that had no part of a response yet, with the milliseconds since
+    /// each has survived at this instance; none if it is not known to have.
+    pub waiting: Vec<(Segment, Option<u64>)>,
+}
+
 /// A record that is to be sent to other instances.
 #[derive(Clone, Copy, Debug, Default)]
 struct PendingUpdate {
@@ -88,14 +100,15 @@
 pub struct SuspectTable {
     /// The name of this instance.
     instance: String,
-    entries: HashMap<Digest, Entry>,
+    entries: HashMap<Subject, Entry>,
     broken_connections: BrokenConnections,
     recent_answers: RecentAnswers,
-    pending_updates: BTreeMap<Digest, PendingUpdate>,
+    survivals: Survivals,
+    pending_updates: BTreeMap<Subject, PendingUpdate>,
     /// Requests that were removed from the table but not yet from the store.
-    removed: BTreeSet<Digest>,
+    removed: BTreeSet<Subject>,
     /// The last request of the previous page.
-    page_cursor: Option<Digest>,
+    page_cursor: Option<Subject>,
 }
 
 impl SuspectTable {
@@ -107,11 +120,12 @@
         }
     }
 
-    /// Records that the connection of a request to an upstream broke; returns whether it should now
-    /// be checked if the upstream has crashed.
-    pub fn connection_broke(&mut self, now: u64, incarnation: &str, digest: Digest) -> bool {
-        !self.recent_answers.contains(now, digest)
-            && self.broken_connections.insert(now, incarnation, digest)
+    /// Records that the connection of a request to an upstream broke, or that of a request with a
+    /// segment before any part of its response was received; returns whether it should now be checked
+    /// if the upstream has crashed.
+    pub fn connection_broke(&mut self, now: u64, incarnation: &str, subject: Subject) -> bool {
+        !self.recent_answers.contains(now, subject)
+            && self.broken_connections.insert(now, incarnation, subject)
     }
 
     /// Returns whether it is not known yet if an upstream has crashed.
@@ -125,36 +139,51 @@
     }
 
     /// Records that an upstream has crashed, that is, ended without having announced it. Returns
-    /// the requests for which the crash is newly counted.
-    pub fn upstream_crashed(&mut self, now: u64, incarnation: &str) -> Vec<Digest> {
-        let mut digests = self.broken_connections.take(incarnation);
-        digests.retain(|digest| {
-            !self.recent_answers.contains(now, *digest) && self.add_crash(now, incarnation, *digest)
-        });
-        digests
+    /// what was running there.
+    pub fn upstream_crashed(&mut self, now: u64, incarnation: &str) -> CrashObservation {
+        let mut observation = CrashObservation::default();
+        for subject in self.broken_connections.take(incarnation) {
+            if let Subject::Segment(segment) = subject {
+                let age = self.survivals.age(now, segment);
+                observation.waiting.push((segment, age));
+                continue;
+            }
+            let answered = self.recent_answers.contains(now, subject);
+            if !answered && self.add_crash(now, incarnation, subject) {
+                observation.counted.push(subject);
+            }
+        }
+        observation
+    }
+
+    /// Records that a response to a request with these segments went on after it had begun.
+    pub fn segments_survived(&mut self, now: u64, segments: &[Segment]) {
+        for segment in segments {
+            self.survivals.insert(now, *segment);
+        }
     }
 
     /// Adds a crash to a request; returns whether it is new.
-    fn add_crash(&mut self, now: u64, incarnation: &str, digest: Digest) -> bool {
+    fn add_crash(&mut self, now: u64, incarnation: &str, subject: Subject) -> bool {
         let seen_by = self.instance.clone();
-        let entry = self.entry(now, digest);
+        let entry = self.entry(now, subject);
         let is_new = entry.add_crash(incarnation, Crash { seen_by, at: now });
         let to_all = entry.crashes.len() >= BROADCAST_FROM;
         if is_new {
-            self.schedule_update(digest, to_all);
+            self.schedule_update(subject, to_all);
         }
         is_new
     }
 
     /// Records a complete response to a request; returns whether crashes counted for it until now.
-    pub fn request_answered(&mut self, now: u64, digest: Digest) -> bool {
-        self.recent_answers.insert(now, digest);
-        self.broken_connections.remove_request(digest);
-        self.clear_crashes(digest, 0)
+    pub fn request_answered(&mut self, now: u64, subject: Subject) -> bool {
+        self.recent_answers.insert(now, subject);
+        self.broken_connections.remove(subject);
+        self.clear_crashes(subject, 0)
     }
 
-    fn clear_crashes(&mut self, digest: Digest, known_answers: u32) -> bool {
-        let Some(entry) = self.entries.get_mut(&digest) else {
+    fn clear_crashes(&mut self, subject: Subject, known_answers: u32) -> bool {
+        let Some(entry) = self.entries.get_mut(&subject) else {
             return false;
         };
         let crash_count = entry.crashes.len();
@@ -162,17 +191,17 @@
             return false;
         }
         entry.clear_crashes(known_answers);
-        self.schedule_update(digest, crash_count >= BROADCAST_FROM);
+        self.schedule_update(subject, crash_count >= BROADCAST_FROM);
         true
     }
 
     /// Decides whether a request may be sent.
-    pub fn admit(&mut self, now: u64, digest: Digest) -> Admission {
-        if self.crash_count(digest) < REFUSE_FROM {
+    pub fn admit(&mut self, now: u64, subject: Subject) -> Admission {
+        if self.crash_count(subject) < REFUSE_FROM {
             return Admission::Allowed;
         }
-        let unresolved = self.broken_connections.incarnation_count(digest) > 0;
-        let entry = self.entry(now, digest);
+        let unresolved = self.broken_connections.incarnation_count(subject) > 0;
+        let entry = self.entry(now, subject);
         let trial_ms = next_trial_at(entry).map(|at| at.saturating_sub(now));
         let crashes = entry.crashes.iter();
         let crashes = crashes.map(|(incarnation, c)| {
@@ -198,28 +227,28 @@
     }
 
     /// Returns whether a request may be retried at another upstream within the same call.
-    pub fn may_retry(&self, digest: Digest) -> bool {
-        self.crash_count(digest) < NO_RETRY_FROM
+    pub fn may_retry(&self, subject: Subject) -> bool {
+        self.crash_count(subject) < NO_RETRY_FROM
     }
 
     /// Returns at how many crashes a request was present, counting upstreams of which it is not
     /// known yet if they have crashed.
-    fn crash_count(&self, digest: Digest) -> usize {
-        let crashes = self.entries.get(&digest).map_or(0, |e| e.crashes.len());
-        crashes + self.broken_connections.incarnation_count(digest)
+    fn crash_count(&self, subject: Subject) -> usize {
+        let crashes = self.entries.get(&subject).map_or(0, |e| e.crashes.len());
+        crashes + self.broken_connections.incarnation_count(subject)
     }
 
     /// Decides, at the owner that was asked, whether a trial may be made now, and counts it. The
     /// next trial is due only after its delay, so one instance at a time makes a trial.
-    pub fn grant_trial(&mut self, now: u64, digest: Digest) -> bool {
-        let Some(entry) = self.entries.get_mut(&digest) else {
+    pub fn grant_trial(&mut self, now: u64, subject: Subject) -> bool {
+        let Some(entry) = self.entries.get_mut(&subject) else {
             return false;
         };
         let is_due = next_trial_at(entry).is_some_and(|at| at <= now);
         if is_due {
             entry.trials += 1;
             entry.last_trial_at = now;
-            self.schedule_update(digest, true);
+            self.schedule_update(subject, true);
         }
         is_due
     }
@@ -236,37 +265,38 @@
         record: &SuspectRecord,
         is_owner: bool,
     ) -> Option<SuspectRecord> {
-        let digest = record.digest;
-        let used_at = self.entries.get(&digest).map(|e| e.used_at);
-        let entry = self.entry(now, digest);
+        let subject = record.subject;
+        let used_at = self.entries.get(&subject).map(|e| e.used_at);
+        let entry = self.entry(now, subject);
         let outcome = entry.merge(now, record);
         // Records passed among instances must not keep a request in the table that no caller sends.
         if let Some(used_at) = used_at.filter(|_| !outcome.changed) {
             entry.used_at = used_at;
         }
         let to_all = entry.crashes.len() >= BROADCAST_FROM || entry.answers > 0;
-        if !record.crashes.is_empty() && self.recent_answers.contains(now, digest) {
-            self.clear_crashes(digest, record.answers);
-            return self.record(now, digest);
+        if !record.crashes.is_empty() && self.recent_answers.contains(now, subject) {
+            self.clear_crashes(subject, record.answers);
+            return self.record(now, subject);
         }
         if outcome.ahead && is_owner {
-            self.schedule_update(digest, to_all);
+            self.schedule_update(subject, to_all);
         }
         let reply = outcome.ahead && !is_owner;
-        reply.then(|| self.record(now, digest)).flatten()
+        reply.then(|| self.record(now, subject)).flatten()
     }
 
     /// Returns the records to send now, each with whether all instances get it or only its owners.
     pub fn updates_to_send(&mut self, now: u64) -> Vec<(SuspectRecord, bool)> {
         let pending = self.pending_updates.iter();
-        let pending: Vec<(Digest, bool)> = pending.map(|(d, update)| (*d, update.to_all)).collect();
+        let pending: Vec<(Subject, bool)> =
+            pending.map(|(d, update)| (*d, update.to_all)).collect();
         self.pending_updates.retain(|_, update| {
             update.rounds_left -= 1;
             update.rounds_left > 0
         });
         let records = pending.into_iter();
         let records =
-            records.filter_map(|(digest, to_all)| Some((self.record(now, digest)?, to_all)));
+            records.filter_map(|(subject, to_all)| Some((self.record(now, subject)?, to_all)));
         records.collect()
     }
 
@@ -276,9 +306,9 @@
     pub fn next_page(&mut self, now: u64, limit: usize) -> Vec<SuspectRecord> {
         self.expire(now);
         let refused = self.entries.iter();
-        let mut refused: Vec<Digest> = refused
+        let mut refused: Vec<Subject> = refused
             .filter(|(_, e)| e.crashes.len() >= REFUSE_FROM)
-            .map(|(digest, _)| *digest)
+            .map(|(subject, _)| *subject)
             .collect();
         refused.sort_unstable();
         let start = refused.partition_point(|d| Some(*d) <= self.page_cursor);
@@ -287,7 +317,7 @@
         self.page_cursor = refused.last().copied();
         let records = refused.into_iter();
         records
-            .filter_map(|digest| self.record(now, digest))
+            .filter_map(|subject| self.record(now, subject))
             .collect()
     }
 
@@ -297,23 +327,26 @@
     }
 
     /// Returns the requests whose record in the store is out of date.
-    pub fn unsaved(&self) -> Vec<Digest> {
+    pub fn unsaved(&self) -> Vec<Subject> {
         let unsaved = self.entries.iter().filter(|(_, e)| is_unsaved(e));
         let removed = self.removed.iter().copied();
-        unsaved.map(|(digest, _)| *digest).chain(removed).collect()
+        unsaved
+            .map(|(subject, _)| *subject)
+            .chain(removed)
+            .collect()
     }
 
     /// Returns the record that the store should have of a request: only refused requests must still
     /// be known after all instances were down at once.
-    pub fn to_save(&self, now: u64, digest: Digest) -> Option<SuspectRecord> {
-        let entry = self.entries.get(&digest)?;
-        (entry.crashes.len() >= REFUSE_FROM).then(|| entry.record(now, digest))
+    pub fn to_save(&self, now: u64, subject: Subject) -> Option<SuspectRecord> {
+        let entry = self.entries.get(&subject)?;
+        (entry.crashes.len() >= REFUSE_FROM).then(|| entry.record(now, subject))
     }
 
     /// Records what the store now has of a request.
-    pub fn mark_saved(&mut self, digest: Digest, record: Option<&SuspectRecord>) {
-        self.removed.remove(&digest);
-        if let Some(entry) = self.entries.get_mut(&digest) {
+    pub fn mark_saved(&mut self, subject: Subject, record: Option<&SuspectRecord>) {
+        self.removed.remove(&subject);
+        if let Some(entry) = self.entries.get_mut(&subject) {
             entry.stored = record.map(StoredState::of);
         }
     }
@@ -324,16 +357,16 @@
     pub fn load(&mut self, now: u64, mut record: SuspectRecord) {
         record.crashes.iter_mut().for_each(|c| c.ago_ms = 0);
         record.trial_ago_ms = 0;
-        let digest = record.digest;
-        self.entry(now, digest).merge(now, &record);
-        self.mark_saved(digest, Some(&record));
-        self.schedule_update(digest, true);
+        let subject = record.subject;
+        self.entry(now, subject).merge(now, &record);
+        self.mark_saved(subject, Some(&record));
+        self.schedule_update(subject, true);
     }
 
     /// Returns the record of a request, for another instance.
-    pub fn record(&self, now: u64, digest: Digest) -> Option<SuspectRecord> {
-        let entry = self.entries.get(&digest);
-        entry.map(|entry| entry.record(now, digest))
+    pub fn record(&self, now: u64, subject: Subject) -> Option<SuspectRecord> {
+        let entry = self.entries.get(&subject);
+        entry.map(|entry| entry.record(now, subject))
     }
 
     /// Returns the number of refused requests.
@@ -347,21 +380,21 @@
     pub fn list(&self, now: u64) -> Vec<SuspectRecord> {
         let listed = self.entries.iter();
         let listed = listed.filter(|(_, e)| e.crashes.len() >= BROADCAST_FROM);
-        listed.map(|(digest, e)| e.record(now, *digest)).collect()
+        listed.map(|(subject, e)| e.record(now, *subject)).collect()
     }
 
-    fn schedule_update(&mut self, digest: Digest, to_all: bool) {
-        let update = self.pending_updates.entry(digest).or_default();
+    fn schedule_update(&mut self, subject: Subject, to_all: bool) {
+        let update = self.pending_updates.entry(subject).or_default();
         update.rounds_left = SEND_ROUNDS;
         update.to_all |= to_all;
     }
 
-    fn entry(&mut self, now: u64, digest: Digest) -> &mut Entry {
-        if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&digest) {
+    fn entry(&mut self, now: u64, subject: Subject) -> &mut Entry {
+        if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&subject) {
             self.expire(now);
             self.evict_if_full();
         }
-        let entry = self.entries.entry(digest).or_default();
+        let entry = self.entries.entry(subject).or_default();
         entry.used_at = now;
         entry
     }
@@ -377,7 +410,7 @@
         };
         let stored = self.entries.iter();
         let stored = stored.filter(|(_, e)| !is_live(e) && e.stored.is_some());
-        self.removed.extend(stored.map(|(digest, _)| *digest));
+        self.removed.extend(stored.map(|(subject, _)| *subject));
         self.entries.retain(|_, e| is_live(e));
     }
 
@@ -387,12 +420,12 @@
         }
         let least = self.entries.iter();
         let least = least.min_by_key(|(_, e)| (e.crashes.len(), e.used_at));
-        let Some(digest) = least.map(|(digest, _)| *digest) else {
+        let Some(subject) = least.map(|(subject, _)| *subject) else {
             return;
         };
-        let evicted = self.entries.remove(&digest);
+        let evicted = self.entries.remove(&subject);
         if evicted.is_some_and(|e| e.stored.is_some()) {
-            self.removed.insert(digest);
+            self.removed.insert(subject);
         }
     }
 }
--- a/crates/suspect/tests/spread.rs
+++ b/crates/suspect/tests/spread.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use suspect::{Admission, Digest, SuspectRecord, SuspectTable};
+use suspect::{Admission, Digest, Subject, SuspectRecord, SuspectTable};
 
 /// Interval at which an instance sends its pending updates, in milliseconds.
 const SEND_INTERVAL_MS: u64 = 150;
@@ -54,7 +54,7 @@
         }
     }
 
-    fn owners(&self, digest: Digest) -> [usize; 2] {
+    fn owners(&self, digest: Subject) -> [usize; 2] {
         let size = self.tables.len();
         let first = (digest.placement_key() % size as u64) as usize;
         [first, (first + 1) % size]
@@ -94,7 +94,7 @@
             }
             let mut replies = Vec::new();
             for record in &records {
-                let is_owner = self.owners(record.digest).contains(&to);
+                let is_owner = self.owners(record.subject).contains(&to);
                 replies.extend(self.tables[to].merge(self.now, record, is_owner));
             }
             if !replies.is_empty() {
@@ -108,7 +108,7 @@
             let to: Vec<usize> = if to_all {
                 (0..self.tables.len()).filter(|to| *to != i).collect()
             } else {
-                let owners = self.owners(record.digest);
+                let owners = self.owners(record.subject);
                 owners.into_iter().filter(|to| *to != i).collect()
             };
             for to in to {
@@ -144,22 +144,22 @@
     }
 
     /// Makes an upstream crash while it runs a request for one instance.
-    fn crash(&mut self, at: usize, incarnation: &str, digest: Digest) {
+    fn crash(&mut self, at: usize, incarnation: &str, digest: Subject) {
         self.tables[at].connection_broke(self.now, incarnation, digest);
         self.advance(CRASH_CHECK_MS);
         self.tables[at].upstream_crashed(self.now, incarnation);
     }
 
     /// Returns the number of instances that do not allow a request.
-    fn refusing_count(&mut self, digest: Digest) -> usize {
+    fn refusing_count(&mut self, digest: Subject) -> usize {
         let now = self.now;
         let refuses = |t: &mut SuspectTable| t.admit(now, digest) != Admission::Allowed;
         self.tables.iter_mut().map(refuses).filter(|r| *r).count()
     }
 }
 
-fn fatal() -> Digest {
-    Digest::of([b"fatal".as_slice()])
+fn fatal() -> Subject {
+    Subject::Request(Digest::of([b"fatal".as_slice()]))
 }
 
 /// Each of three crashes is seen by a different instance; all instances refuse the request within
@@ -252,7 +252,11 @@
         for j in 0..UPSTREAMS {
             let (incarnation, digest) = (format!("u{j}"), format!("{i}-{j}"));
             let now = fleet.now;
-            fleet.tables[i].connection_broke(now, &incarnation, Digest::of([digest.as_bytes()]));
+            fleet.tables[i].connection_broke(
+                now,
+                &incarnation,
+                Subject::Request(Digest::of([digest.as_bytes()])),
+            );
         }
     }
     for i in 0..SIZE {
--- a/crates/suspect/tests/table.rs
+++ b/crates/suspect/tests/table.rs
@@ -1,22 +1,22 @@
 //! Which crashes count for a request, what clears them, and when the request is refused.
 
-use suspect::{Admission, Digest, SuspectRecord, SuspectTable};
+use suspect::{Admission, Digest, Subject, SuspectRecord, SuspectTable};
 
 /// Time at which the tests begin, in milliseconds.
 const START: u64 = 1_000_000;
 const SECOND: u64 = 1_000;
 const HOUR: u64 = 3_600 * SECOND;
 
-fn request(name: &str) -> Digest {
-    Digest::of([name.as_bytes()])
+fn request(name: &str) -> Subject {
+    Subject::Request(Digest::of([name.as_bytes()]))
 }
 
-fn is_allowed(table: &mut SuspectTable, now: u64, digest: Digest) -> bool {
+fn is_allowed(table: &mut SuspectTable, now: u64, digest: Subject) -> bool {
     table.admit(now, digest) == Admission::Allowed
 }
 
 /// Returns the table of an instance that saw upstreams crash while they ran a request.
-fn table_with_crashes(incarnations: &[&str], now: u64, digest: Digest) -> SuspectTable {
+fn table_with_crashes(incarnations: &[&str], now: u64, digest: Subject) -> SuspectTable {
     let mut table = SuspectTable::new("a");
     for incarnation in incarnations {
         assert!(
@@ -34,7 +34,10 @@
     let mut table = SuspectTable::new("a");
     for (incarnation, may_retry) in [("u1", true), ("u2", false)] {
         table.connection_broke(START, incarnation, fatal);
-        assert_eq!(table.upstream_crashed(START, incarnation), vec![fatal]);
+        assert_eq!(
+            table.upstream_crashed(START, incarnation).counted,
+            vec![fatal]
+        );
         assert_eq!(table.may_retry(fatal), may_retry, "{incarnation}");
         assert!(is_allowed(&mut table, START, fatal), "{incarnation}");
     }
@@ -64,7 +67,10 @@
         table.connection_broke(START, incarnation, harmless);
         table.upstream_alive(incarnation);
         assert!(
-            table.upstream_crashed(START, incarnation).is_empty(),
+            table
+                .upstream_crashed(START, incarnation)
+                .counted
+                .is_empty(),
             "no request was there"
         );
     }
@@ -105,7 +111,10 @@
     let mut table = SuspectTable::new("a");
     table.request_answered(START, popular);
     assert!(!table.connection_broke(START + SECOND, "u1", popular));
-    assert!(table.upstream_crashed(START + SECOND, "u1").is_empty());
+    assert!(table
+        .upstream_crashed(START + SECOND, "u1")
+        .counted
+        .is_empty());
     // Other instances do not blame it either, once they learn of the answer.
     let other = table_with_crashes(&["u1", "u2", "u3"], START + SECOND, popular);
     let record = other
