Refuse requests with a prompt segment that crashes upstreams

No two of them were alike, and crashes were counted for whole requests only: each had one or two.

The table of suspects counts crashes for segments as well. A crash counts for the segments of the requests that had no part of a response, or one that began less than 0.2 s before, unless they survived within two seconds at any instance. Owners combine what instances saw, ask all at the third crash who has seen the segment survive, and send the verdict to all. Verdicts, trials, the store and the exchange with instances that start are those of requests. A request is checked again before each send: it may have waited for tokens or for a connection meanwhile.

Not sent as a trial twice: a request whose digest and segments are all refused is one trial, one event.

--- a/crates/err/src/lib.rs
+++ b/crates/err/src/lib.rs
@@ -61,6 +61,8 @@
     VersionUnavailable,
     /// Upstreams crashed whenever they ran this request.
     EndsUpstreams,
+    /// Upstreams crashed whenever they began to respond to a prompt with a segment of this request.
+    SegmentEndsUpstreams,
     /// The platform's key-value service is unreachable, and the request needs it.
     PlatformDown,
     /// The instance is stopping.
@@ -158,6 +160,13 @@
         Ran::No,
         Some(60),
     ),
+    row(
+        Kind::SegmentEndsUpstreams,
+        "segment_ends_upstreams",
+        503,
+        Ran::No,
+        Some(60),
+    ),
     row(Kind::PlatformDown, "platform_down", 503, Ran::No, Some(5)),
     row(Kind::Draining, "draining", 503, Ran::No, Some(1)),
     row(Kind::NotConfigured, "not_configured", 503, Ran::No, Some(2)),
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -219,6 +219,13 @@
     ctx.asked.clear();
     loop {
         let connected = connect(ctx).await?;
+        // A trial is sent once.
+        if !ctx.is_trial || ctx.attempts > 0 {
+            if let Err(refusal) = ctx.router.suspects.check(ctx.digest, &ctx.segments) {
+                connected.release(ctx);
+                return Err(AttemptError::Suspect(refusal));
+            }
+        }
         match attempt_once(ctx, connected, last_event_id).await {
             Err(AttemptError::NotForwarded(_)) => {}
             result => return result,
--- a/crates/proxy/src/attempt_error.rs
+++ b/crates/proxy/src/attempt_error.rs
@@ -25,6 +25,9 @@
     Unanswered(String),
     /// The request may have run.
     Unknown(String),
+    /// The request, or a segment of its prompt, is refused by now because it crashes upstreams; it was
+    /// not sent.
+    Suspect(Refusal),
     /// The deadline passed before the request was sent.
     Late,
     /// The paths to the upstreams are lost, and no other instance forwards the request; it did not run.
@@ -105,6 +108,7 @@
                 Refusal::new(Kind::NoUpstream, message)
                     .retry_within(RETRY_NO_UPSTREAM_MS, remaining_ms)
             }
+            AttemptError::Suspect(refusal) => refusal,
             AttemptError::Late => Refusal::new(
                 Kind::DeadlinePassed,
                 "the deadline passed before the request was sent",
@@ -146,6 +150,7 @@
     pub(crate) fn try_retry(&mut self, ctx: &RequestContext, error: &AttemptError) -> bool {
         match error {
             AttemptError::Denied(_)
+            | AttemptError::Suspect(_)
             | AttemptError::Late
             | AttemptError::NoPath
             | AttemptError::NotForwarded(_) => false,
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -25,6 +25,15 @@
     pub(crate) via: Option<String>,
 }
 
+impl Connected {
+    /// Keeps the connection for other requests: this one is not sent.
+    pub(crate) fn release(self, ctx: &RequestContext) {
+        if self.via.is_none() {
+            ctx.router.dialer.put_idle(self.conn, None);
+        }
+    }
+}
+
 /// Chooses upstreams until a connection over which the request reaches one is open.
 pub(crate) async fn connect(ctx: &mut RequestContext) -> Result<Connected, AttemptError> {
     loop {
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -92,6 +92,8 @@
     Forwarded,
     /// A request was running on several upstreams when these crashed.
     RequestSuspected,
+    /// A segment was present at so many crashes that requests with it are refused.
+    SegmentRefused,
     /// A trial of a suspected request was granted, or an owner of its record could not be asked for
     /// one.
     SuspectTrial,
@@ -276,6 +278,12 @@
         Level::ERROR,
         "suspected request can't be read",
     ),
+    row(
+        Event::SegmentRefused,
+        2517,
+        Level::WARN,
+        "prompt segment refused",
+    ),
     row(
         Event::Forwarded,
         2512,
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response};
 use origin::Origin;
 use smallvec::SmallVec;
-use suspect::{Digest, Subject};
+use suspect::Digest;
 use tokio::time::timeout_at;
 
 use crate::body::ResponseBody;
@@ -142,6 +142,7 @@
             regions,
             digest: digest(&info, customer.as_deref(), &head, &body),
             segments: info.shared_segments(&service),
+            is_trial: false,
             info,
             head,
             body,
@@ -162,8 +163,10 @@
             timing: AttemptTiming::default(),
             _in_flight: in_flight,
         };
-        let request = Subject::Request(ctx.digest);
-        self.suspects.admit(&self.network, request).await?;
+        let admission = self
+            .suspects
+            .admit(&self.network, ctx.digest, &ctx.segments);
+        ctx.is_trial = admission.await?;
         ctx.reservation = self.reserve_tokens(&active, &ctx).await?;
         if ctx.route.streamed {
             stream::respond(ctx).await
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -8,7 +8,7 @@
 use hyper::http::request;
 use place::UpstreamKey;
 use smallvec::SmallVec;
-use suspect::{Digest, Segment, Subject};
+use suspect::{Digest, Segment};
 
 use crate::budgets::Reservation;
 use crate::event::Event;
@@ -137,6 +137,8 @@
 pub(crate) struct RequestContext {
     pub(crate) router: Arc<Router>,
     pub(crate) info: RequestInfo,
+    /// Whether it is sent although it is suspected of crashing upstreams.
+    pub(crate) is_trial: bool,
     /// Identifies the request by its content, since the caller may send it again with another id.
     pub(crate) digest: Digest,
     /// The segments of the prompt that other requests share.
@@ -211,8 +213,7 @@
             return false;
         }
         // A request that crashes upstreams must not crash another one within the same call.
-        let request = Subject::Request(self.digest);
-        if !self.router.suspects.may_retry(request) {
+        if !self.router.suspects.may_retry(self.digest, &self.segments) {
             return false;
         }
         let (now, instances) = (self.router.clock.now(), self.router.fleet.instance_count());
--- a/crates/proxy/src/suspect_gossip.rs
+++ b/crates/proxy/src/suspect_gossip.rs
@@ -17,7 +17,7 @@
 /// or suspended is up to date again within the time after which it counts as reachable.
 const PAGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of records in a datagram.
-const MAX_RECORDS_PER_DATAGRAM: usize = 12;
+const MAX_RECORDS_PER_DATAGRAM: usize = 8;
 /// Number of records that are sent to one peer in turn. This continues for as long as there are any
 /// records, so it must cost next to nothing.
 const PAGE_SIZE: usize = 4;
@@ -60,21 +60,28 @@
                 let all = network.fleet.peers().into_iter().map(|m| m.addr);
                 send(&network.sender, &to_all, &all.collect::<Vec<_>>());
                 for (record, _) in to_owners {
-                    let owners = network
-                        .fleet
-                        .roster()
-                        .owners(record.subject.placement_key());
-                    let owners = owners
-                        .iter()
-                        .filter(|m| m.id != network.fleet.incarnation());
-                    let owners: Vec<SocketAddr> = owners.map(|m| m.addr).collect();
-                    send(&network.sender, &[record], &owners);
+                    self.send_to_owners(&network, record);
                 }
                 sleep(UPDATE_INTERVAL).await;
             }
         }
     }
 
+    /// Sends a record to its owners, of which this instance may be one.
+    fn send_to_owners(&self, network: &PeerNetwork, record: SuspectRecord) {
+        let owners = network
+            .fleet
+            .roster()
+            .owners(record.subject.placement_key());
+        let own = network.fleet.incarnation();
+        if owners.is_empty() || owners.iter().any(|m| m.id == own) {
+            self.merge(&network.fleet, std::slice::from_ref(&record));
+        }
+        let others = owners.iter().filter(|m| m.id != own);
+        let others: Vec<SocketAddr> = others.map(|m| m.addr).collect();
+        send(&network.sender, &[record], &others);
+    }
+
     /// Sends the records that all instances should have to one peer after another.
     async fn send_pages(self, network: PeerNetwork) {
         let mut turn: usize = rand::random::<u32>() as usize;
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -14,7 +14,8 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use serde::{Deserialize, Serialize};
-use suspect::{Admission, CrashHistory, Segment, Subject, SuspectRecord, SuspectTable};
+use smallvec::SmallVec;
+use suspect::{Admission, CrashHistory, Digest, Segment, Subject, SuspectRecord, SuspectTable};
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
@@ -112,11 +113,16 @@
         let now = self.0.clock.now();
         let mut table = self.table();
         let result = change(&mut table, now);
+        let newly_refused = table.take_newly_refused(now);
         self.0.refused_gauge.set(table.refused_count() as i64);
         if table.has_unsaved() {
             self.0.unsaved.notify_one();
         }
         drop(table);
+        for (segment, history) in newly_refused {
+            let detail = format_args!("segment={segment} {history}");
+            self.0.log.event(Event::SegmentRefused, detail);
+        }
         self.0.changed.notify_one();
         result
     }
@@ -212,9 +218,17 @@
 
     /// Records that a response to a request with these segments went on after it had begun.
     pub(crate) fn segments_survived(&self, segments: &[Segment]) {
-        if !segments.is_empty() {
-            let now = self.0.clock.now();
-            self.table().segments_survived(now, segments);
+        if segments.is_empty() {
+            return;
+        }
+        let now = self.0.clock.now();
+        let cleared = self.table().segments_survived(now, segments);
+        for segment in &cleared {
+            let detail = format_args!("segment={segment}");
+            self.0.log.event(Event::SuspectCleared, detail);
+        }
+        if !cleared.is_empty() {
+            self.update(|_, _| ());
         }
     }
 
@@ -230,37 +244,65 @@
     }
 
     /// Returns whether a request may be retried at another upstream within the same call.
-    pub(crate) fn may_retry(&self, subject: Subject) -> bool {
-        self.table().may_retry(subject)
+    pub(crate) fn may_retry(&self, request: Digest, segments: &[Segment]) -> bool {
+        let table = self.table();
+        subjects(request, segments).all(|subject| table.may_retry(subject))
     }
 
-    /// Decides whether a request may be sent.
+    /// Decides whether a request may be sent; returns whether it is sent as a trial.
     ///
     /// # Errors
     ///
-    /// Returns the refusal of a request that was present at too many crashes of upstreams.
+    /// Returns the refusal of a request that, or a segment of whose prompt, was present at too many
+    /// crashes of upstreams.
     pub(crate) async fn admit(
         &self,
         network: &PeerNetwork,
-        subject: Subject,
-    ) -> Result<(), Refusal> {
-        let admission = {
+        request: Digest,
+        segments: &[Segment],
+    ) -> Result<bool, Refusal> {
+        let mut due = SmallVec::<[(Subject, CrashHistory); 1]>::new();
+        for subject in subjects(request, segments) {
             let now = self.0.clock.now();
-            self.table().admit(now, subject)
-        };
-        let history = match admission {
-            Admission::Allowed => return Ok(()),
-            Admission::Refused(history) => history,
-            Admission::TrialDue(history) => {
-                if self.request_trial(network, subject).await {
-                    let detail = format_args!("{subject} {history}");
-                    self.0.log.event(Event::SuspectTrial, detail);
-                    return Ok(());
+            match self.table().admit(now, subject) {
+                Admission::Allowed => {}
+                Admission::Refused(history) => return Err(refusal(subject, &history)),
+                Admission::TrialDue(history) => due.push((subject, history)),
+            }
+        }
+        for (subject, history) in &due {
+            if !self.request_trial(network, *subject).await {
+                return Err(refusal(*subject, history));
+            }
+        }
+        if !due.is_empty() {
+            let granted = due
+                .iter()
+                .map(|(subject, history)| format!("{subject} {history}"));
+            let detail = granted.collect::<Vec<_>>().join("; ");
+            self.0.log.event(Event::SuspectTrial, detail);
+        }
+        Ok(!due.is_empty())
+    }
+
+    /// Decides again whether a request that was admitted may be sent: meanwhile it has waited for tokens
+    /// or a connection, or was sent once already.
+    ///
+    /// # Errors
+    ///
+    /// Returns its refusal.
+    pub(crate) fn check(&self, request: Digest, segments: &[Segment]) -> Result<(), Refusal> {
+        let now = self.0.clock.now();
+        let mut table = self.table();
+        for subject in subjects(request, segments) {
+            match table.admit(now, subject) {
+                Admission::Allowed => {}
+                Admission::Refused(history) | Admission::TrialDue(history) => {
+                    return Err(refusal(subject, &history));
                 }
-                history
             }
-        };
-        Err(refusal(&history))
+        }
+        Ok(())
     }
 
     /// Asks the owners of a record whether a trial may be made: the first of them that is not
@@ -423,8 +465,18 @@
     format!("{count}({})", texts.join(","))
 }
 
-/// Returns the refusal of a request.
-fn refusal(history: &CrashHistory) -> Refusal {
+/// Returns what may crash an upstream that runs a request.
+fn subjects(request: Digest, segments: &[Segment]) -> impl Iterator<Item = Subject> + '_ {
+    let segments = segments.iter().copied().map(Subject::Segment);
+    std::iter::once(Subject::Request(request)).chain(segments)
+}
+
+/// Returns the refusal of a request because of a subject.
+fn refusal(subject: Subject, history: &CrashHistory) -> Refusal {
     let retry_ms = history.retry_ms.unwrap_or(RETRY_NO_TRIAL_LEFT_MS);
-    Refusal::new(Kind::EndsUpstreams, history.to_string()).retry_after(retry_ms)
+    let (kind, message) = match subject {
+        Subject::Request(_) => (Kind::EndsUpstreams, history.to_string()),
+        Subject::Segment(_) => (Kind::SegmentEndsUpstreams, format!("{subject} {history}")),
+    };
+    Refusal::new(kind, message).retry_after(retry_ms)
 }
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -1,39 +1,60 @@
-//! The table entry of one request.
+//! The table entry of one subject.
 
 use std::collections::BTreeMap;
 
 use crate::record::{CrashReport, SuspectRecord};
 use crate::subject::Subject;
 
-/// Maximum number of crashes kept for a request, to bound memory: further ones add no information.
+/// Maximum number of crashes kept for a subject, to bound memory: further ones add no information.
 /// Which ones are kept must not depend on the order in which they are learned, so it is the first
 /// ones by incarnation.
-const MAX_CRASHES: usize = 8;
+const MAX_CRASHES: usize = 16;
 
-/// A crash of an upstream while it ran the request.
+/// A crash of an upstream at which the subject was present.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Crash {
     pub(crate) seen_by: String,
     pub(crate) at: u64,
 }
 
-/// What is known of a request.
+/// How far the suspicion of a subject has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It was present at no more crashes than many others.
+    #[default]
+    Unremarkable,
+    /// It was present at several crashes; the other instances are to say whether it has survived.
+    Candidate,
+    /// It is refused, unless the crashes are explained by another segment.
+    Suspect {
+        /// Whether it had survived somewhere before the crashes.
+        was_sound: bool,
+    },
+}
+
+/// What is known of a subject.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Entry {
-    /// How often the request got a complete response after crashes.
+    /// How often the subject survived after crashes: a request got a complete response.
     pub(crate) answers: u32,
     /// Crashes since the last such response, by the incarnation of the upstream.
     pub(crate) crashes: BTreeMap<String, Crash>,
     pub(crate) trials: u8,
     pub(crate) last_trial_at: u64,
+    /// Whether chance is unlikely to have had the segment at all these crashes and at no survival.
+    pub(crate) significant: bool,
+    /// Whether the segment had survived somewhere before the crashes.
+    pub(crate) was_sound: bool,
+    /// The stage that this instance, as an owner of the record, has last sent to all instances.
+    pub(crate) announced: Stage,
     /// When a caller last sent the request while it was refused, or something new was learned of it.
     pub(crate) used_at: u64,
-    /// What the store has of the request, as far as known here.
+    /// What the store has of the subject, as far as known here.
     pub(crate) stored: Option<StoredState>,
 }
 
-/// The part of a request's record that the store must have up to date. Crashes are left out: once a
-/// request is refused, further ones add no information.
+/// The part of a subject's record that the store must have up to date. Crashes are left out: once a
+/// subject is refused, further ones add no information.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct StoredState {
     answers: u32,
@@ -71,11 +92,12 @@
         self.crashes.contains_key(incarnation)
     }
 
-    /// Records a complete response: the request did not cause the crashes before it.
-    /// `known_answers` is the number of responses that other instances know of.
+    /// Records a complete response, or a survival: the subject did not cause the crashes before it.
+    /// `known_answers` is the number of these that other instances know of.
     pub(crate) fn clear_crashes(&mut self, known_answers: u32) {
         *self = Entry {
             answers: self.answers.max(known_answers) + 1,
+            announced: self.announced,
             used_at: self.used_at,
             stored: self.stored,
             ..Entry::default()
@@ -107,13 +129,20 @@
             self.last_trial_at = now.saturating_sub(record.trial_ago_ms);
             changed = true;
         }
+        changed |= record.significant && !self.significant;
+        changed |= record.was_sound && !self.was_sound;
+        self.significant |= record.significant;
+        self.was_sound |= record.was_sound;
         let in_record =
             |incarnation: &String| record.crashes.iter().any(|c| c.incarnation == *incarnation);
-        let ahead = self.trials > record.trials || !self.crashes.keys().all(in_record);
+        let ahead = self.trials > record.trials
+            || self.significant && !record.significant
+            || self.was_sound && !record.was_sound
+            || !self.crashes.keys().all(in_record);
         MergeOutcome { changed, ahead }
     }
 
-    /// Returns what the store would have of the request.
+    /// Returns what the store would have of the subject.
     pub(crate) fn to_stored_state(&self) -> StoredState {
         StoredState {
             answers: self.answers,
@@ -121,7 +150,7 @@
         }
     }
 
-    /// Returns the record of the request, for another instance.
+    /// Returns the record of the subject, for another instance.
     pub(crate) fn record(&self, now: u64, subject: Subject) -> SuspectRecord {
         let report = |(incarnation, crash): (&String, &Crash)| CrashReport {
             incarnation: incarnation.clone(),
@@ -134,9 +163,16 @@
             crashes: self.crashes.iter().map(report).collect(),
             trials: self.trials,
             trial_ago_ms: now.saturating_sub(self.last_trial_at),
+            significant: self.significant,
+            was_sound: self.was_sound,
         }
     }
 
+    /// Returns the time of the first crash; none if there is no crash.
+    pub(crate) fn first_crash_at(&self) -> Option<u64> {
+        self.crashes.values().map(|c| c.at).min()
+    }
+
     /// Returns the time of the last crash or trial.
     pub(crate) fn last_crash_or_trial_at(&self) -> u64 {
         let crashes = self.crashes.values().map(|c| c.at);
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -14,12 +14,14 @@
 mod broken_connections;
 mod digest;
 mod entry;
+mod outcomes;
 mod recent_answers;
 mod record;
 mod segment;
 mod subject;
 mod survivals;
 mod table;
+mod verdicts;
 
 pub use digest::Digest;
 pub use record::{CrashReport, SuspectRecord};
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -4,7 +4,7 @@
 
 use crate::subject::Subject;
 
-/// A crash of an upstream while it ran a request.
+/// A crash of an upstream at which a request or segment was present.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Incarnation of the upstream; a later start under the same name is another one.
@@ -24,18 +24,28 @@
     /// The request or segment.
     #[serde(flatten)]
     pub subject: Subject,
-    /// How often the request got a complete response after crashes. Crashes before the last such
-    /// response no longer count, so a record with a higher number supersedes one with a lower
+    /// How often the request got a complete response after crashes, or the segment survived. Crashes
+    /// before that no longer count, so a record with a higher number supersedes one with a lower
     /// number.
     #[serde(rename = "n")]
     pub answers: u32,
-    /// Upstreams that have crashed since while running the request.
+    /// Upstreams that have crashed since with the request or segment present.
     #[serde(rename = "e")]
     pub crashes: Vec<CrashReport>,
-    /// Number of trials since there were enough crashes to refuse the request.
+    /// Number of trials since there were enough crashes to refuse it.
     #[serde(rename = "t")]
     pub trials: u8,
     /// Time since the last trial, in milliseconds.
     #[serde(rename = "s")]
     pub trial_ago_ms: u64,
+    /// Whether chance is unlikely to have had the segment at all these crashes and at no survival.
+    #[serde(rename = "g", default, skip_serializing_if = "is_false")]
+    pub significant: bool,
+    /// Whether the segment had survived somewhere before the crashes.
+    #[serde(rename = "k", default, skip_serializing_if = "is_false")]
+    pub was_sound: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
--- a/crates/suspect/src/segment.rs
+++ b/crates/suspect/src/segment.rs
@@ -29,6 +29,11 @@
         format!("segment-{:016x}-{:016x}", self.service, self.id)
     }
 
+    /// Returns the hash of the service.
+    pub(crate) fn service(&self) -> u64 {
+        self.service
+    }
+
     /// Returns the hash key by which the instances that own the segment's record are selected.
     pub(crate) fn placement_key(&self) -> u64 {
         let bytes = (u128::from(self.service) << 64) | u128::from(self.id);
--- a/crates/suspect/src/survivals.rs
+++ b/crates/suspect/src/survivals.rs
@@ -4,6 +4,10 @@
 
 use crate::segment::Segment;
 
+/// A segment that has survived within this time, in milliseconds, is not blamed for a crash: those in
+/// frequent use survive many times per second. The time is short because a segment may start to
+/// crash upstreams once these have changed.
+const RECENT_MS: u64 = 2_000;
 /// How long the last survival of a segment is remembered, in milliseconds: long enough to tell a
 /// segment that is in use from one that nobody has ever got an answer on.
 const RETENTION_MS: u64 = 60_000;
@@ -39,4 +43,9 @@
         let age = now.saturating_sub(*self.0.get(&segment)?);
         (age < RETENTION_MS).then_some(age)
     }
+
+    /// Returns whether a segment has survived recently.
+    pub(crate) fn is_recent(&self, now: u64, segment: Segment) -> bool {
+        self.age(now, segment).is_some_and(|age| age < RECENT_MS)
+    }
 }
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -1,15 +1,17 @@
-//! The requests that were running on upstreams when these crashed, and whether they may be sent.
+//! The requests and segments that were present when upstreams crashed, and whether they may be sent.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::{self, Display, Formatter};
 
 use crate::broken_connections::BrokenConnections;
-use crate::entry::{Crash, Entry, StoredState};
+use crate::entry::{Crash, Entry, Stage, StoredState};
+use crate::outcomes::Outcomes;
 use crate::recent_answers::RecentAnswers;
 use crate::record::SuspectRecord;
 use crate::segment::Segment;
 use crate::subject::Subject;
 use crate::survivals::Survivals;
+use crate::verdicts::{is_significant, refused_segments, stage};
 
 /// Number of crashes from which a request is refused. One crash proves nothing, and after two the
 /// other requests that were present at both are as likely to be the cause.
@@ -20,7 +22,7 @@
 /// Number of crashes from which a record is sent to all instances. With fewer it is sent to its
 /// owners only, since each crash leaves dozens of requests with one crash.
 const BROADCAST_FROM: usize = 2;
-/// Delays before the trials of a refused request, in milliseconds since its last crash or trial. A
+/// Delays before the trials of a refused subject, in milliseconds since its last crash or trial. A
 /// trial is worth making because upstreams get fixed, and because the request may have been present
 /// by coincidence. If each trial crashes one more upstream, all of them together cost no more
 /// upstreams than the request did before it was refused. After the last trial it stays refused for
@@ -40,16 +42,18 @@
 const MAX_ENTRIES: usize = 1_024;
 /// How many times an update is sent: a datagram may be lost.
 const SEND_ROUNDS: u8 = 3;
+/// How many times all instances are asked whether a segment has survived: any answer suffices.
+const ASK_ROUNDS: u8 = 1;
 
-/// The crashes for which a request is refused.
+/// The crashes for which a subject is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashHistory {
     /// Incarnations of the crashed upstreams, each with the instance that observed the crash and
     /// the milliseconds since then.
     pub crashes: Vec<(String, String, u64)>,
-    /// Number of trials since there were enough crashes to refuse the request.
+    /// Number of trials since there were enough crashes to refuse the subject.
     pub trials: u8,
-    /// Milliseconds until the request may be sent again; `None` if no trial is left.
+    /// Milliseconds until the subject may be sent again; `None` if no trial is left.
     pub retry_ms: Option<u64>,
 }
 
@@ -92,9 +96,9 @@
     to_all: bool,
 }
 
-/// The requests that were running on upstreams when these crashed, as one instance knows them.
+/// The requests and segments that were present when upstreams crashed, as one instance knows them.
 ///
-/// A few instances own the record of a request: they combine what the others report, and the first
+/// A few instances own the record of a subject: they combine what the others report, and the first
 /// of them that can be reached grants trials.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
@@ -104,9 +108,13 @@
     broken_connections: BrokenConnections,
     recent_answers: RecentAnswers,
     survivals: Survivals,
+    /// What became of the segments in the requests for each service.
+    outcomes: HashMap<u64, Outcomes>,
     pending_updates: BTreeMap<Subject, PendingUpdate>,
     /// Requests that were removed from the table but not yet from the store.
     removed: BTreeSet<Subject>,
+    /// The refused segments of which the caller of this table knows.
+    reported: Vec<Segment>,
     /// The last request of the previous page.
     page_cursor: Option<Subject>,
 }
@@ -143,12 +151,16 @@
     pub fn upstream_crashed(&mut self, now: u64, incarnation: &str) -> CrashObservation {
         let mut observation = CrashObservation::default();
         for subject in self.broken_connections.take(incarnation) {
-            if let Subject::Segment(segment) = subject {
-                let age = self.survivals.age(now, segment);
-                observation.waiting.push((segment, age));
-                continue;
-            }
-            let answered = self.recent_answers.contains(now, subject);
+            let answered = match subject {
+                Subject::Request(_) => self.recent_answers.contains(now, subject),
+                Subject::Segment(segment) => {
+                    let age = self.survivals.age(now, segment);
+                    observation.waiting.push((segment, age));
+                    let outcomes = self.outcomes.entry(segment.service()).or_default();
+                    outcomes.record_lost(now, 1);
+                    self.survivals.is_recent(now, segment)
+                }
+            };
             if !answered && self.add_crash(now, incarnation, subject) {
                 observation.counted.push(subject);
             }
@@ -156,25 +168,97 @@
         observation
     }
 
-    /// Records that a response to a request with these segments went on after it had begun.
-    pub fn segments_survived(&mut self, now: u64, segments: &[Segment]) {
+    /// Records that a response to a request with these segments went on after it had begun; returns
+    /// those for which crashes counted until now.
+    pub fn segments_survived(&mut self, now: u64, segments: &[Segment]) -> Vec<Segment> {
         for segment in segments {
             self.survivals.insert(now, *segment);
         }
+        let cleared = segments.iter().copied();
+        let cleared: Vec<Segment> = cleared
+            .filter(|segment| self.clear_crashes(Subject::Segment(*segment), 0))
+            .collect();
+        if let Some(service) = segments.first().map(Segment::service) {
+            let outcomes = self.outcomes.entry(service).or_default();
+            outcomes.record_survived(now, segments.len());
+            self.judge_service(service);
+        }
+        cleared
+    }
+
+    /// Judges the crashes of a service's segments anew, and schedules the records of those that were observed
+    /// here and are refused by now.
+    fn judge_service(&mut self, service: u64) {
+        let subjects = self.entries.keys().copied();
+        let subjects: Vec<Subject> = subjects
+            .filter(|s| matches!(s, Subject::Segment(s) if s.service() == service))
+            .collect();
+        for subject in subjects {
+            if !self.judge(subject) {
+                continue;
+            }
+            let crashes = &self.entries[&subject].crashes;
+            if crashes.values().any(|c| c.seen_by == self.instance) {
+                self.schedule_update(subject, false, SEND_ROUNDS);
+            }
+        }
     }
 
-    /// Adds a crash to a request; returns whether it is new.
+    /// Judges whether the crashes of a segment are significant; returns whether they were not before.
+    fn judge(&mut self, subject: Subject) -> bool {
+        let Subject::Segment(segment) = subject else {
+            return false;
+        };
+        let Some(entry) = self.entries.get_mut(&subject) else {
+            return false;
+        };
+        let Some(first_crash_at) = entry.first_crash_at().filter(|_| !entry.significant) else {
+            return false;
+        };
+        let observed_here = entry
+            .crashes
+            .values()
+            .filter(|c| c.seen_by == self.instance);
+        let outcomes = self.outcomes.get(&segment.service());
+        let lost_share = outcomes.and_then(|o| o.lost_share(first_crash_at, observed_here.count()));
+        entry.significant = is_significant(entry, lost_share);
+        entry.significant
+    }
+
+    /// Adds a crash to a subject; returns whether it is new.
     fn add_crash(&mut self, now: u64, incarnation: &str, subject: Subject) -> bool {
         let seen_by = self.instance.clone();
         let entry = self.entry(now, subject);
         let is_new = entry.add_crash(incarnation, Crash { seen_by, at: now });
-        let to_all = entry.crashes.len() >= BROADCAST_FROM;
+        let to_all = match subject {
+            Subject::Request(_) => entry.crashes.len() >= BROADCAST_FROM,
+            Subject::Segment(_) => false,
+        };
         if is_new {
-            self.schedule_update(subject, to_all);
+            self.add_local_survivals(now, subject);
+            self.schedule_update(subject, to_all, SEND_ROUNDS);
         }
         is_new
     }
 
+    /// Adds to the entry of a segment what this instance knows of survivals; returns whether that is
+    /// new.
+    fn add_local_survivals(&mut self, now: u64, subject: Subject) -> bool {
+        let Subject::Segment(segment) = subject else {
+            return false;
+        };
+        let was_sound = self.survivals.age(now, segment).is_some();
+        let Some(entry) = self.entries.get_mut(&subject) else {
+            return false;
+        };
+        if entry.crashes.is_empty() {
+            return false;
+        }
+        let is_new = was_sound && !entry.was_sound;
+        entry.was_sound |= was_sound;
+        self.judge(subject) || is_new
+    }
+
     /// Records a complete response to a request; returns whether crashes counted for it until now.
     pub fn request_answered(&mut self, now: u64, subject: Subject) -> bool {
         self.recent_answers.insert(now, subject);
@@ -182,6 +266,7 @@
         self.clear_crashes(subject, 0)
     }
 
+    /// Clears the crashes of a subject, and schedules that to be sent; returns whether there were any.
     fn clear_crashes(&mut self, subject: Subject, known_answers: u32) -> bool {
         let Some(entry) = self.entries.get_mut(&subject) else {
             return false;
@@ -191,44 +276,79 @@
             return false;
         }
         entry.clear_crashes(known_answers);
-        self.schedule_update(subject, crash_count >= BROADCAST_FROM);
+        let to_all = match subject {
+            Subject::Request(_) => crash_count >= BROADCAST_FROM,
+            Subject::Segment(_) => false,
+        };
+        self.schedule_update(subject, to_all, SEND_ROUNDS);
         true
     }
 
-    /// Decides whether a request may be sent.
+    /// Decides whether a subject may be sent.
     pub fn admit(&mut self, now: u64, subject: Subject) -> Admission {
-        if self.crash_count(subject) < REFUSE_FROM {
+        if !self.is_refused(subject) {
             return Admission::Allowed;
         }
-        let unresolved = self.broken_connections.incarnation_count(subject) > 0;
-        let entry = self.entry(now, subject);
-        let trial_ms = next_trial_at(entry).map(|at| at.saturating_sub(now));
-        let crashes = entry.crashes.iter();
-        let crashes = crashes.map(|(incarnation, c)| {
-            (
-                incarnation.clone(),
-                c.seen_by.clone(),
-                now.saturating_sub(c.at),
-            )
-        });
-        let mut history = CrashHistory {
-            crashes: crashes.collect(),
-            trials: entry.trials,
-            retry_ms: trial_ms,
+        let unresolved = match subject {
+            Subject::Request(_) => self.broken_connections.incarnation_count(subject) > 0,
+            Subject::Segment(_) => false,
         };
+        let entry = self.entry(now, subject);
+        let mut history = crash_history(now, entry);
         if unresolved {
             history.retry_ms = Some(UNRESOLVED_RETRY_MS);
             Admission::Refused(history)
-        } else if trial_ms == Some(0) {
+        } else if history.retry_ms == Some(0) {
             Admission::TrialDue(history)
         } else {
             Admission::Refused(history)
         }
     }
 
-    /// Returns whether a request may be retried at another upstream within the same call.
+    /// Returns whether a subject is refused, unless a trial is due.
+    pub fn is_refused(&self, subject: Subject) -> bool {
+        match subject {
+            Subject::Request(_) => self.crash_count(subject) >= REFUSE_FROM,
+            Subject::Segment(segment) => {
+                let entry = self.entries.get(&subject);
+                let may_be = entry.is_some_and(|e| matches!(stage(e), Stage::Suspect { .. }));
+                may_be && self.refused_segments().contains(&segment)
+            }
+        }
+    }
+
+    /// Returns the segments that are refused since the last call of this method, with their crashes.
+    pub fn take_newly_refused(&mut self, now: u64) -> Vec<(Segment, CrashHistory)> {
+        let refused = self.refused_segments();
+        let before = std::mem::replace(&mut self.reported, refused.clone());
+        let new = refused.into_iter().filter(|s| !before.contains(s));
+        let with_history = |segment| {
+            let entry = self.entries.get(&Subject::Segment(segment))?;
+            Some((segment, crash_history(now, entry)))
+        };
+        new.filter_map(with_history).collect()
+    }
+
+    /// Returns the refused segments.
+    pub fn refused_segments(&self) -> Vec<Segment> {
+        let mut requests = Vec::new();
+        let mut segments = Vec::new();
+        for (subject, entry) in &self.entries {
+            match subject {
+                Subject::Request(_) if is_suspect(subject, entry) => requests.push(entry),
+                Subject::Request(_) => {}
+                Subject::Segment(segment) => segments.push((*segment, entry)),
+            }
+        }
+        refused_segments(segments.into_iter(), &requests)
+    }
+
+    /// Returns whether a subject may be retried at another upstream within the same call.
     pub fn may_retry(&self, subject: Subject) -> bool {
-        self.crash_count(subject) < NO_RETRY_FROM
+        match subject {
+            Subject::Request(_) => self.crash_count(subject) < NO_RETRY_FROM,
+            Subject::Segment(_) => !self.is_refused(subject),
+        }
     }
 
     /// Returns at how many crashes a request was present, counting upstreams of which it is not
@@ -248,7 +368,7 @@
         if is_due {
             entry.trials += 1;
             entry.last_trial_at = now;
-            self.schedule_update(subject, true);
+            self.schedule_update(subject, true, SEND_ROUNDS);
         }
         is_due
     }
@@ -274,17 +394,58 @@
             entry.used_at = used_at;
         }
         let to_all = entry.crashes.len() >= BROADCAST_FROM || entry.answers > 0;
+        if let Subject::Segment(segment) = subject {
+            let learned = self.merge_survivals(now, segment, record);
+            if is_owner {
+                self.announce(subject);
+            }
+            // An owner sends the rest to all instances; crashes of an outdated record don't count.
+            let outdated = self.entries[&subject].answers > record.answers;
+            let reply = outdated || !is_owner && (outcome.ahead || learned);
+            return reply.then(|| self.record(now, subject)).flatten();
+        }
         if !record.crashes.is_empty() && self.recent_answers.contains(now, subject) {
             self.clear_crashes(subject, record.answers);
             return self.record(now, subject);
         }
         if outcome.ahead && is_owner {
-            self.schedule_update(subject, to_all);
+            self.schedule_update(subject, to_all, SEND_ROUNDS);
         }
         let reply = outcome.ahead && !is_owner;
         reply.then(|| self.record(now, subject)).flatten()
     }
 
+    /// Applies what this instance knows of survivals to the entry of a segment after a record was merged;
+    /// returns whether the record did not contain that.
+    fn merge_survivals(&mut self, now: u64, segment: Segment, record: &SuspectRecord) -> bool {
+        let subject = Subject::Segment(segment);
+        if record.crashes.is_empty() || !self.survivals.is_recent(now, segment) {
+            return self.add_local_survivals(now, subject);
+        }
+        if let Some(entry) = self.entries.get_mut(&subject) {
+            entry.clear_crashes(record.answers);
+        }
+        true
+    }
+
+    /// Schedules the record of a segment to be sent to all instances if its stage has changed since it last
+    /// was. Only its owners do so: each crash is seen by many instances.
+    fn announce(&mut self, subject: Subject) {
+        let Some(entry) = self.entries.get_mut(&subject) else {
+            return;
+        };
+        let stage = stage(entry);
+        if stage == entry.announced {
+            return;
+        }
+        entry.announced = stage;
+        let rounds = match stage {
+            Stage::Candidate => ASK_ROUNDS,
+            Stage::Unremarkable | Stage::Suspect { .. } => SEND_ROUNDS,
+        };
+        self.schedule_update(subject, true, rounds);
+    }
+
     /// Returns the records to send now, each with whether all instances get it or only its owners.
     pub fn updates_to_send(&mut self, now: u64) -> Vec<(SuspectRecord, bool)> {
         let pending = self.pending_updates.iter();
@@ -307,7 +468,7 @@
         self.expire(now);
         let refused = self.entries.iter();
         let mut refused: Vec<Subject> = refused
-            .filter(|(_, e)| e.crashes.len() >= REFUSE_FROM)
+            .filter(|(subject, e)| is_suspect(subject, e))
             .map(|(subject, _)| *subject)
             .collect();
         refused.sort_unstable();
@@ -323,12 +484,19 @@
 
     /// Returns whether the store's record of any request is out of date.
     pub fn has_unsaved(&self) -> bool {
-        !self.removed.is_empty() || self.entries.values().any(is_unsaved)
+        !self.removed.is_empty()
+            || self
+                .entries
+                .iter()
+                .any(|(subject, e)| is_unsaved(subject, e))
     }
 
     /// Returns the requests whose record in the store is out of date.
     pub fn unsaved(&self) -> Vec<Subject> {
-        let unsaved = self.entries.iter().filter(|(_, e)| is_unsaved(e));
+        let unsaved = self
+            .entries
+            .iter()
+            .filter(|(subject, e)| is_unsaved(subject, e));
         let removed = self.removed.iter().copied();
         unsaved
             .map(|(subject, _)| *subject)
@@ -340,7 +508,7 @@
     /// be known after all instances were down at once.
     pub fn to_save(&self, now: u64, subject: Subject) -> Option<SuspectRecord> {
         let entry = self.entries.get(&subject)?;
-        (entry.crashes.len() >= REFUSE_FROM).then(|| entry.record(now, subject))
+        is_suspect(&subject, entry).then(|| entry.record(now, subject))
     }
 
     /// Records what the store now has of a request.
@@ -360,7 +528,7 @@
         let subject = record.subject;
         self.entry(now, subject).merge(now, &record);
         self.mark_saved(subject, Some(&record));
-        self.schedule_update(subject, true);
+        self.schedule_update(subject, true, SEND_ROUNDS);
     }
 
     /// Returns the record of a request, for another instance.
@@ -371,21 +539,27 @@
 
     /// Returns the number of refused requests.
     pub fn refused_count(&self) -> usize {
-        let refused = |e: &&Entry| e.crashes.len() >= REFUSE_FROM;
-        self.entries.values().filter(refused).count()
+        let is_request = |subject: &Subject| matches!(subject, Subject::Request(_));
+        let requests = self.entries.iter();
+        let requests =
+            requests.filter(|(subject, e)| is_request(subject) && is_suspect(subject, e));
+        requests.count() + self.refused_segments().len()
     }
 
     /// Returns the records of all requests that were present at several crashes, for operators and
     /// for instances that start.
     pub fn list(&self, now: u64) -> Vec<SuspectRecord> {
         let listed = self.entries.iter();
-        let listed = listed.filter(|(_, e)| e.crashes.len() >= BROADCAST_FROM);
+        let listed = listed.filter(|(subject, e)| match subject {
+            Subject::Request(_) => e.crashes.len() >= BROADCAST_FROM,
+            Subject::Segment(_) => stage(e) != Stage::Unremarkable,
+        });
         listed.map(|(subject, e)| e.record(now, *subject)).collect()
     }
 
-    fn schedule_update(&mut self, subject: Subject, to_all: bool) {
+    fn schedule_update(&mut self, subject: Subject, to_all: bool, rounds: u8) {
         let update = self.pending_updates.entry(subject).or_default();
-        update.rounds_left = SEND_ROUNDS;
+        update.rounds_left = update.rounds_left.max(rounds);
         update.to_all |= to_all;
     }
 
@@ -430,13 +604,34 @@
     }
 }
 
-/// Returns whether the store's record of a request is out of date.
-fn is_unsaved(entry: &Entry) -> bool {
-    let wanted = (entry.crashes.len() >= REFUSE_FROM).then(|| entry.to_stored_state());
+/// Returns whether a subject is refused, or would be if no other segment explained its crashes.
+fn is_suspect(subject: &Subject, entry: &Entry) -> bool {
+    match subject {
+        Subject::Request(_) => entry.crashes.len() >= REFUSE_FROM,
+        Subject::Segment(_) => matches!(stage(entry), Stage::Suspect { .. }),
+    }
+}
+
+/// Returns whether the store's record of a subject is out of date.
+fn is_unsaved(subject: &Subject, entry: &Entry) -> bool {
+    let wanted = is_suspect(subject, entry).then(|| entry.to_stored_state());
     wanted != entry.stored
 }
 
-/// Returns when the next trial of a request is due; `None` if no trial is left.
+/// Returns the crashes of an entry, and when its next trial is due.
+fn crash_history(now: u64, entry: &Entry) -> CrashHistory {
+    let crashes = entry.crashes.iter().map(|(incarnation, crash)| {
+        let ago_ms = now.saturating_sub(crash.at);
+        (incarnation.clone(), crash.seen_by.clone(), ago_ms)
+    });
+    CrashHistory {
+        crashes: crashes.collect(),
+        trials: entry.trials,
+        retry_ms: next_trial_at(entry).map(|at| at.saturating_sub(now)),
+    }
+}
+
+/// Returns when the next trial of a subject is due; `None` if no trial is left.
 fn next_trial_at(entry: &Entry) -> Option<u64> {
     let delay = TRIAL_DELAYS_MS.get(usize::from(entry.trials));
     delay.map(|ms| entry.last_crash_or_trial_at() + ms)
--- /dev/null
+++ b/crates/suspect/src/verdicts.rs
@@ -0,0 +1,125 @@
+//! Which segments explain the crashes at which they were present.
+
+use std::cmp::Reverse;
+use std::collections::HashSet;
+
+use crate::entry::{Entry, Stage};
+use crate::segment::Segment;
+
+/// The crashes from which a segment is refused.
+#[derive(Clone, Copy, Debug)]
+struct Threshold {
+    crashes: usize,
+    /// Number of moments at which they happened: upstreams that crash at the same moment may do so for
+    /// another reason, such as a loss of power.
+    moments: usize,
+}
+
+/// The threshold of a segment that is not known to have survived before. Chance alone has a segment of
+/// many requests at a crash or two without a survival in between.
+const UNKNOWN: Threshold = Threshold {
+    crashes: 4,
+    moments: 2,
+};
+/// The threshold of a segment that had survived before: it is less likely to crash upstreams.
+const SOUND: Threshold = Threshold {
+    crashes: 6,
+    moments: 3,
+};
+/// Number of crashes from which all instances are asked whether a segment has survived. With fewer its
+/// record is sent to its owners only: each crash leaves some segments with one crash.
+const CANDIDATE_FROM: usize = 3;
+/// Crashes within this time of each other count as one moment, in milliseconds.
+const MOMENT_MS: u64 = 50;
+/// Maximum probability that a segment was lost in all of its crashes by chance.
+const MAX_CHANCE: f64 = 0.0001;
+/// Number of crashes from which that probability does not matter if the segment has never survived: one
+/// that is in many requests takes all upstreams away before any other can survive.
+const CERTAIN_FROM: usize = 5;
+
+/// Returns the segments to refuse, out of those that were present at many crashes. `requests` are the
+/// refused requests.
+///
+/// A segment that was present together with the one that causes the crashes is not refused: its
+/// crashes are explained by the other one, or by a single request that comes again and again.
+/// Segments that have never survived come first, because one that causes crashes can't have, and then
+/// those with most crashes.
+pub(crate) fn refused_segments<'a>(
+    candidates: impl Iterator<Item = (Segment, &'a Entry)>,
+    requests: &[&Entry],
+) -> Vec<Segment> {
+    let mut suspects: Vec<(bool, Segment, &Entry)> = candidates
+        .filter_map(|(segment, entry)| match stage(entry) {
+            Stage::Suspect { was_sound } => Some((was_sound, segment, entry)),
+            Stage::Unremarkable | Stage::Candidate => None,
+        })
+        .collect();
+    suspects.sort_by_key(|(was_sound, segment, entry)| {
+        (*was_sound, Reverse(entry.crashes.len()), *segment)
+    });
+    let mut explained: HashSet<&str> = HashSet::new();
+    let mut refused = Vec::new();
+    for (_, segment, entry) in suspects {
+        let crashes = entry.crashes.keys().map(String::as_str);
+        let unexplained: Vec<&str> = crashes.clone().filter(|c| !explained.contains(c)).collect();
+        let without = |request: &&Entry| {
+            let others = unexplained
+                .iter()
+                .filter(|c| !request.crashes.contains_key(**c));
+            others.count()
+        };
+        let least = requests.iter().map(without).min();
+        if least.unwrap_or(unexplained.len()) >= threshold(entry).crashes {
+            explained.extend(crashes);
+            refused.push(segment);
+        }
+    }
+    refused
+}
+
+/// Returns whether chance is unlikely to have lost a segment in all of its crashes. `lost_share` is the
+/// share of the other segments that were lost since the first of them, none if no other has survived: when
+/// most upstreams crash whatever they run, many segments do not survive for a while.
+pub(crate) fn is_significant(entry: &Entry, lost_share: Option<f64>) -> bool {
+    let count = entry.crashes.len();
+    let threshold = threshold(entry);
+    if count < threshold.crashes || moment_count(entry) < threshold.moments {
+        return false;
+    }
+    let is_unlikely = |share: f64| share.powi(count as i32) <= MAX_CHANCE;
+    lost_share.is_some_and(is_unlikely) || count >= CERTAIN_FROM && !entry.was_sound
+}
+
+fn threshold(entry: &Entry) -> Threshold {
+    if entry.was_sound {
+        SOUND
+    } else {
+        UNKNOWN
+    }
+}
+
+/// Returns the number of moments at which the crashes of an entry happened.
+fn moment_count(entry: &Entry) -> usize {
+    let mut times: Vec<u64> = entry.crashes.values().map(|c| c.at).collect();
+    times.sort_unstable();
+    let mut count = 0;
+    let mut moment_ends_at = 0;
+    for at in times {
+        if count == 0 || at > moment_ends_at {
+            count += 1;
+            moment_ends_at = at + MOMENT_MS;
+        }
+    }
+    count
+}
+
+/// Returns how far the suspicion of a segment has come.
+pub(crate) fn stage(entry: &Entry) -> Stage {
+    match entry.crashes.len() {
+        n if n >= threshold(entry).crashes && entry.significant => Stage::Suspect {
+            was_sound: entry.was_sound,
+        },
+        n if n >= CANDIDATE_FROM => Stage::Candidate,
+        _ => Stage::Unremarkable,
+    }
+}
