--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that crash upstreams: detects crashes, decides with the other instances whether a
+//! Requests and segments of prompts that crash upstreams: detects crashes, decides with the other instances whether a
 //! request is sent, and refuses it.
 
 use std::cmp::Reverse;
@@ -113,14 +113,21 @@
         let now = self.0.clock.now();
         let mut table = self.table();
         let result = change(&mut table, now);
-        let newly_refused = table.take_newly_refused(now);
+        let verdicts = table.take_verdicts(now);
         self.0.refused_gauge.set(table.refused_count() as i64);
         if table.has_unsaved() {
             self.0.unsaved.notify_one();
         }
         drop(table);
-        for (segment, history) in newly_refused {
-            let detail = format_args!("segment={segment} {history}");
+        for verdict in verdicts {
+            let survived_ago_ms = verdict.survived_ago_ms;
+            let detail = format_args!(
+                "segment={} was_sound={} survived_here={} crashes: {}",
+                verdict.segment,
+                verdict.was_sound,
+                survived_ago_ms.map_or("never".to_string(), |ms| format!("{ms} ms ago")),
+                verdict.history.list()
+            );
             self.0.log.event(Event::SegmentRefused, detail);
         }
         self.0.changed.notify_one();
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -57,16 +57,37 @@
     pub retry_ms: Option<u64>,
 }
 
+impl CrashHistory {
+    /// Returns the text that lists the crashes and the number of trials.
+    pub fn list(&self) -> String {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.map(|(incarnation, seen_by, ago_ms)| {
+            format!("{incarnation} (seen by {seen_by} {ago_ms} ms ago) ")
+        });
+        format!("{}trials={}", crashes.collect::<String>(), self.trials)
+    }
+}
+
 impl Display for CrashHistory {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "upstreams crashed while running this request: ")?;
-        for (incarnation, seen_by, ago_ms) in &self.crashes {
-            write!(f, "{incarnation} (seen by {seen_by} {ago_ms} ms ago) ")?;
-        }
-        write!(f, "trials={}", self.trials)
+        let list = self.list();
+        write!(f, "upstreams crashed while running this request: {list}")
     }
 }
 
+/// Why a segment is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// The segment.
+    pub segment: Segment,
+    /// Its crashes.
+    pub history: CrashHistory,
+    /// Milliseconds since it survived at this instance; none if it is not known to have.
+    pub survived_ago_ms: Option<u64>,
+    /// Whether it had survived somewhere before the crashes.
+    pub was_sound: bool,
+}
+
 /// Whether a request may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -317,16 +338,21 @@
         }
     }
 
-    /// Returns the segments that are refused since the last call of this method, with their crashes.
-    pub fn take_newly_refused(&mut self, now: u64) -> Vec<(Segment, CrashHistory)> {
+    /// Returns the verdicts on the segments that are refused since the last call of this method.
+    pub fn take_verdicts(&mut self, now: u64) -> Vec<Verdict> {
         let refused = self.refused_segments();
         let before = std::mem::replace(&mut self.reported, refused.clone());
         let new = refused.into_iter().filter(|s| !before.contains(s));
-        let with_history = |segment| {
+        let verdict = |segment| {
             let entry = self.entries.get(&Subject::Segment(segment))?;
-            Some((segment, crash_history(now, entry)))
+            Some(Verdict {
+                segment,
+                history: crash_history(now, entry),
+                survived_ago_ms: self.survivals.age(now, segment),
+                was_sound: entry.was_sound,
+            })
         };
-        new.filter_map(with_history).collect()
+        new.filter_map(verdict).collect()
     }
 
     /// Returns the refused segments.
