Close new connections unread at an overloaded instance that gets most of them

A load balancer may hand most new connections of a zone to one instance. It accepted all of them, and their callers waited in its queues until they gave up.

--- a/crates/proxy/src/datagram.rs
+++ b/crates/proxy/src/datagram.rs
@@ -113,6 +113,10 @@
     /// none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     forwards: Option<usize>,
+    /// How many new connections of callers the sender gets per second, and whether it is overloaded;
+    /// `None` if it does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    accepts: Option<(u32, bool)>,
     /// Hashes of the services whose upstreams the sender does not reach.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     lost: Vec<u64>,
@@ -170,8 +174,9 @@
             .expect("lock not poisoned")
             .own_loads(router.clock.now());
         let transit = router.transit.report(!router.is_stopping());
+        let accepts = router.with_intake(|i, now| (i.per_sec(now), i.is_late(now)));
         // An instance without load reports that only once.
-        let idle = loads.is_empty().then_some(&transit);
+        let idle = (loads.is_empty() && accepts.0 == 0).then_some(&transit);
         if idle.is_some() && reported_idle.as_ref() == idle {
             continue;
         }
@@ -182,6 +187,7 @@
             sender: sender_id,
             loads: loads.into_iter().map(to_tuple).collect(),
             forwards: Some(transit.available),
+            accepts: Some(accepts),
             lost: transit.lost_services.to_vec(),
         };
         let to = load_peers.into_iter().map(|m| m.addr);
@@ -213,7 +219,8 @@
             }
             match serde_json::from_slice(&buf[..n]) {
                 Ok(Datagram::Loads(report)) => {
-                    receive_loads(&self.router, from, report);
+                    let same_zone = fleet.roster().is_same_zone(from);
+                    receive_loads(&self.router, from, same_zone, report);
                 }
                 Ok(Datagram::Settlements(settlements)) => {
                     self.service.budgets.receive_settlements(&settlements)
@@ -251,7 +258,10 @@
 }
 
 /// Sets the load that another instance puts on the upstreams, and what it would forward.
-fn receive_loads(router: &Router, from: SocketAddr, report: LoadReport) {
+fn receive_loads(router: &Router, from: SocketAddr, same_zone: bool, report: LoadReport) {
+    if let Some((per_sec, is_late)) = report.accepts.filter(|_| same_zone) {
+        router.with_intake(|i, now| i.record_report(now, report.sender, per_sec, is_late));
+    }
     if let Some(available) = report.forwards {
         let report = Report {
             available,
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -23,6 +23,9 @@
     LinkCongested,
     /// The instance's network link is no longer congested.
     LinkRecovered,
+    /// New connections of callers were closed unread: this instance is overloaded and gets far more of
+    /// them than the others of its zone.
+    ConnectionsClosed,
     /// A newer version of the configuration is in force.
     ConfigApplied,
     /// A configuration could not be parsed; the previous one stays in force.
@@ -146,6 +149,12 @@
         Level::INFO,
         "own link is free again",
     ),
+    row(
+        Event::ConnectionsClosed,
+        2009,
+        Level::WARN,
+        "new connections closed unread",
+    ),
     row(
         Event::ConfigApplied,
         2101,
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -8,16 +8,20 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use place::Intake;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::event::Event;
 use crate::router::Router;
 use crate::transit;
 
 /// Delay after a connection could not be accepted, by which file descriptors may be free again.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval at which the number of connections that were closed unread is logged.
+const CLOSED_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum size of the headers that an instance adds to those of its caller, in bytes.
 const ADDED_HEADER_BYTES: usize = 4 << 10;
 
@@ -61,6 +65,8 @@
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
+                // Closed before anything is read: the caller connects to another instance.
+                Ok(_) if clients == Clients::Callers && !router.accepts_connection() => {}
                 Ok((stream, _)) => {
                     let router = Arc::clone(&router);
                     tokio::spawn(serve_connection(stream, clients, router, phase.clone()));
@@ -71,6 +77,23 @@
     });
 }
 
+/// Starts the task that logs how many new connections were closed unread.
+pub(crate) fn spawn_closed_log(router: Arc<Router>) {
+    tokio::spawn(async move {
+        let mut logged = 0;
+        loop {
+            sleep(CLOSED_LOG_INTERVAL).await;
+            let closed = router.metrics.connections_closed.get();
+            if closed > logged {
+                let per_sec = router.with_intake(Intake::per_sec);
+                let detail = format_args!("closed={} new_per_sec={per_sec}", closed - logged);
+                router.log.event(Event::ConnectionsClosed, detail);
+                logged = closed;
+            }
+        }
+    });
+}
+
 async fn serve_connection(
     stream: TcpStream,
     clients: Clients,
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -64,6 +64,8 @@
     pub(crate) transit_sent: Counter,
     /// Requests of other instances that were forwarded.
     pub(crate) transit_forwarded: Counter,
+    /// New connections of callers that were closed unread.
+    pub(crate) connections_closed: Counter,
 }
 
 fn new_histogram() -> Histogram {
@@ -88,6 +90,7 @@
             lost_services: Gauge::default(),
             transit_sent: Counter::default(),
             transit_forwarded: Counter::default(),
+            connections_closed: Counter::default(),
         };
         metrics.register(store_calls, suspects);
         metrics
@@ -146,6 +149,11 @@
             "Requests forwarded for other instances",
             self.transit_forwarded.clone(),
         );
+        r.register(
+            "connections_closed",
+            "New connections closed unread",
+            self.connections_closed.clone(),
+        );
         r.register("store_calls", "Calls of the store", store_calls.counters());
         let (ends, refused) = suspects.metrics();
         r.register("request_ends", "Upstreams' ends laid to requests", ends);
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -5,7 +5,7 @@
 
 use clock::Clock;
 use dial::Dialer;
-use place::{Link, Pool, RequestMemory, RetryBudget};
+use place::{Intake, Link, Pool, RequestMemory, RetryBudget};
 use tokio::sync::watch;
 
 use crate::budgets::Budgets;
@@ -36,6 +36,7 @@
     pub(crate) dialer: Dialer,
     pub(crate) request_memory: Mutex<RequestMemory>,
     pub(crate) link: Mutex<Link>,
+    pub(crate) intake: Mutex<Intake>,
     pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) fleet: Fleet,
     pub(crate) network: PeerNetwork,
@@ -84,6 +85,21 @@
         result
     }
 
+    /// Reads or updates what is known of the new connections of this zone's instances.
+    pub(crate) fn with_intake<T>(&self, f: impl FnOnce(&mut Intake, u64) -> T) -> T {
+        let now = self.clock.now();
+        f(&mut self.intake.lock().expect("lock not poisoned"), now)
+    }
+
+    /// Counts a new connection of a caller; returns whether to accept it.
+    pub(crate) fn accepts_connection(&self) -> bool {
+        let accepted = self.with_intake(Intake::accept);
+        if !accepted {
+            self.metrics.connections_closed.inc();
+        }
+        accepted
+    }
+
     /// Returns whether a planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/proxy/src/transit/monitor.rs
+++ b/crates/proxy/src/transit/monitor.rs
@@ -1,5 +1,5 @@
 //! Probes paths that seem lost, and those that are, until they work again; measures how late this
-//! instance is while it forwards requests.
+//! instance is.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,9 +31,11 @@
             let due_at = Instant::now() + TICK_INTERVAL;
             sleep(TICK_INTERVAL).await;
             let forwarding = router.transit.capacity().in_flight() > 0;
+            let delay_ms = due_at.elapsed().as_millis() as u64;
+            router
+                .with_intake(|i, now| i.record_timer(now, now + TICK_INTERVAL.as_millis() as u64));
             if forwarding {
                 let now = router.clock.now();
-                let delay_ms = due_at.elapsed().as_millis() as u64;
                 router.transit.capacity().record_delay(now, delay_ms);
             } else if was_forwarding {
                 router.transit.capacity().reset();
