--- a/crates/suspect/src/verdicts.rs
+++ b/crates/suspect/src/verdicts.rs
@@ -31,11 +31,8 @@
 const CANDIDATE_FROM: usize = 3;
 /// Crashes within this time of each other count as one moment, in milliseconds.
 const MOMENT_MS: u64 = 50;
-/// Maximum probability that a segment was lost in all of its crashes by chance.
+/// Maximum probability that a segment that had survived before was lost in all of its crashes by chance.
 const MAX_CHANCE: f64 = 0.0001;
-/// Number of crashes from which that probability does not matter if the segment has never survived: one
-/// that is in many requests takes all upstreams away before any other can survive.
-const CERTAIN_FROM: usize = 5;
 
 /// Returns the segments to refuse, out of those that were present at many crashes. `requests` are the
 /// refused requests.
@@ -77,9 +74,11 @@
     refused
 }
 
-/// Returns whether chance is unlikely to have lost a segment in all of its crashes. `lost_share` is the
-/// share of the other segments that were lost since the first of them, none if no other has survived: when
-/// most upstreams crash whatever they run, many segments do not survive for a while.
+/// Returns whether chance is unlikely to have had a segment at all of its crashes and at no survival.
+/// `lost_share` is the share of the other segments that were lost since the first of them, none if no
+/// other has survived: when most upstreams crash whatever they run, many segments do not survive for a
+/// while. One that has never survived is not given that benefit, since a segment in many requests takes
+/// all upstreams away before any other can survive.
 pub(crate) fn is_significant(entry: &Entry, lost_share: Option<f64>) -> bool {
     let count = entry.crashes.len();
     let threshold = threshold(entry);
@@ -87,7 +86,7 @@
         return false;
     }
     let is_unlikely = |share: f64| share.powi(count as i32) <= MAX_CHANCE;
-    lost_share.is_some_and(is_unlikely) || count >= CERTAIN_FROM && !entry.was_sound
+    !entry.was_sound || lost_share.is_some_and(is_unlikely)
 }
 
 fn threshold(entry: &Entry) -> Threshold {
--- a/crates/suspect/tests/verdicts.rs
+++ b/crates/suspect/tests/verdicts.rs
@@ -82,7 +82,7 @@
     let companion = segment(2);
     let mut table = SuspectTable::new("a");
     table.segments_survived(START - 30 * SECOND, &[companion]);
-    crash_repeatedly(&mut table, 10, &[fatal(), companion]);
+    crash_repeatedly(&mut table, 16, &[fatal(), companion]);
     assert_eq!(table.refused_segments(), vec![fatal()]);
 }
 
