--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -1,5 +1,5 @@
-//! Requests and segments of prompts that crash upstreams: detects crashes, decides with the other instances whether a
-//! request is sent, and refuses it.
+//! Requests and segments of prompts that crash upstreams: detects crashes, decides with the other
+//! instances whether a request is sent, and refuses it.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -285,7 +285,7 @@
         if !due.is_empty() {
             let granted = due
                 .iter()
-                .map(|(subject, history)| format!("{subject} {history}"));
+                .map(|(subject, history)| format!("{subject} {}", history.list()));
             let detail = granted.collect::<Vec<_>>().join("; ");
             self.0.log.event(Event::SuspectTrial, detail);
         }
@@ -483,7 +483,12 @@
     let retry_ms = history.retry_ms.unwrap_or(RETRY_NO_TRIAL_LEFT_MS);
     let (kind, message) = match subject {
         Subject::Request(_) => (Kind::EndsUpstreams, history.to_string()),
-        Subject::Segment(_) => (Kind::SegmentEndsUpstreams, format!("{subject} {history}")),
+        Subject::Segment(_) => {
+            let list = history.list();
+            let message =
+                format!("upstreams crashed before responding to requests with {subject}: {list}");
+            (Kind::SegmentEndsUpstreams, message)
+        }
     };
     Refusal::new(kind, message).retry_after(retry_ms)
 }
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -25,7 +25,7 @@
     Unremarkable,
     /// It was present at several crashes; the other instances are to say whether it has survived.
     Candidate,
-    /// It is refused, unless the crashes are explained by another segment.
+    /// It is refused, unless its crashes are explained by another one.
     Suspect {
         /// Whether it had survived somewhere before the crashes.
         was_sound: bool,
--- a/crates/suspect/tests/verdicts.rs
+++ b/crates/suspect/tests/verdicts.rs
@@ -210,6 +210,21 @@
     );
 }
 
+/// Guards against crashes that count for nothing: they are in a record from before a survival, which the
+/// instance that sends it does not know of.
+#[test]
+fn owner_answers_a_record_from_before_a_survival() {
+    let (now, first) = record_after_crashes(1, fatal());
+    let mut owner = SuspectTable::new("a");
+    owner.segments_survived(now, &[fatal()]);
+    assert!(owner
+        .merge(now, &first, true)
+        .is_some_and(|r| r.answers > 0));
+    let (_, second) = record_after_crashes(2, fatal());
+    let reply = owner.merge(now + 30 * SECOND, &second, true);
+    assert!(reply.is_some_and(|r| r.answers > second.answers));
+}
+
 /// Guards against a dozen datagrams to all instances for each crash: only an owner of the record sends
 /// to all, and only when something has changed for them.
 #[test]
