Refuse a segment that never survived only where survivals were known before

Found by reading: after all instances have started anew none knows of a survival, and a segment that all prompts share counted as one that never survived. Suspected from the code, not seen in a run; the new test fails without the condition by construction.

--- a/crates/suspect/src/survivals.rs
+++ b/crates/suspect/src/survivals.rs
@@ -10,7 +10,7 @@
 const RECENT_MS: u64 = 2_000;
 /// How long the last survival of a segment is remembered, in milliseconds: long enough to tell a
 /// segment that is in use from one that nobody has ever got an answer on.
-const RETENTION_MS: u64 = 60_000;
+pub(crate) const RETENTION_MS: u64 = 60_000;
 /// Maximum number of remembered segments, to bound memory: more than the requests of an instance
 /// share within `RETENTION_MS`.
 const MAX_SEGMENTS: usize = 4_096;
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -102,10 +102,10 @@
 /// What was running on an upstream when it crashed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashObservation {
-    /// The requests for which the crash is newly counted.
+    /// The requests and segments for which the crash is newly counted.
     pub counted: Vec<Subject>,
-    /// The segments of the requests that had no part of a response yet, with the milliseconds since
-    /// each has survived at this instance; none if it is not known to have.
+    /// The segments of the requests that had not survived there, with the milliseconds since each has
+    /// survived elsewhere, as this instance knows; none if it is not known to have.
     pub waiting: Vec<(Segment, Option<u64>)>,
 }
 
@@ -150,8 +150,8 @@
     }
 
     /// Records that the connection of a request to an upstream broke, or that of a request with a
-    /// segment before any part of its response was received; returns whether it should now be checked
-    /// if the upstream has crashed.
+    /// segment before it had survived; returns whether it should now be checked if the upstream has
+    /// crashed.
     pub fn connection_broke(&mut self, now: u64, incarnation: &str, subject: Subject) -> bool {
         !self.recent_answers.contains(now, subject)
             && self.broken_connections.insert(now, incarnation, subject)
@@ -242,7 +242,8 @@
             .filter(|c| c.seen_by == self.instance);
         let outcomes = self.outcomes.get(&segment.service());
         let lost_share = outcomes.and_then(|o| o.lost_share(first_crash_at, observed_here.count()));
-        entry.significant = is_significant(entry, lost_share);
+        let were_known = outcomes.is_some_and(|o| o.were_known(first_crash_at));
+        entry.significant = is_significant(entry, lost_share, were_known);
         entry.significant
     }
 
--- a/crates/suspect/src/verdicts.rs
+++ b/crates/suspect/src/verdicts.rs
@@ -77,16 +77,17 @@
 /// Returns whether chance is unlikely to have had a segment at all of its crashes and at no survival.
 /// `lost_share` is the share of the other segments that were lost since the first of them, none if no
 /// other has survived: when most upstreams crash whatever they run, many segments do not survive for a
-/// while. One that has never survived is not given that benefit, since a segment in many requests takes
-/// all upstreams away before any other can survive.
-pub(crate) fn is_significant(entry: &Entry, lost_share: Option<f64>) -> bool {
+/// while. One that has never survived is not given that benefit if survivals were known for a while before
+/// the crashes (`were_known`): a segment in many requests takes all upstreams away before any other can
+/// survive.
+pub(crate) fn is_significant(entry: &Entry, lost_share: Option<f64>, were_known: bool) -> bool {
     let count = entry.crashes.len();
     let threshold = threshold(entry);
     if count < threshold.crashes || moment_count(entry) < threshold.moments {
         return false;
     }
     let is_unlikely = |share: f64| share.powi(count as i32) <= MAX_CHANCE;
-    !entry.was_sound || lost_share.is_some_and(is_unlikely)
+    were_known && !entry.was_sound || lost_share.is_some_and(is_unlikely)
 }
 
 fn threshold(entry: &Entry) -> Threshold {
--- a/crates/suspect/tests/verdicts.rs
+++ b/crates/suspect/tests/verdicts.rs
@@ -137,10 +137,25 @@
     assert!(!is_refused(&table, known));
 }
 
+/// Guards against refusing what all prompts share after all instances have started anew: none of them knows of
+/// a survival, and upstreams crash for another reason.
+#[test]
+fn no_segment_is_refused_before_survivals_are_known() {
+    let shared = [segment(3), segment(4), segment(5)];
+    let mut table = SuspectTable::new("a");
+    for n in 0..12 {
+        let now = START + n * INTERVAL_MS;
+        crash(&mut table, now, &format!("u{n:03}"), &shared);
+    }
+    table.segments_survived(START + 12 * INTERVAL_MS, &[segment(1)]);
+    assert_eq!(table.refused_segments(), vec![]);
+}
+
 /// Guards against a segment in so many requests that no other one ever survives.
 #[test]
 fn unknown_segment_is_refused_although_no_other_survives() {
     let mut table = SuspectTable::new("a");
+    table.segments_survived(START - 5 * SECOND, &[segment(1)]);
     for n in 0..8 {
         crash(
             &mut table,
