--- a/crates/proxy/src/suspect_store.rs
+++ b/crates/proxy/src/suspect_store.rs
@@ -18,7 +18,7 @@
 use crate::store_health::StoreHealth;
 use crate::suspects::Suspects;
 
-/// Prefix of the keys of records; a key continues with the subject of the request.
+/// Prefix of the keys of records; a key continues with the name of the subject.
 const PREFIX: &str = "oriolehitch/suspects/";
 /// The instances that would own a record with this placement key read the store for all when they
 /// start.
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -204,14 +204,18 @@
         if observation.counted.is_empty() && observation.waiting.is_empty() {
             return;
         }
+        let counted = observation.counted.iter();
+        let requests = counted.filter(|s| matches!(s, Subject::Request(_)));
         let detail = format_args!(
             "upstream={incarnation} requests={} waiting={}",
-            observation.counted.len(),
+            requests.count(),
             waiting_segments(observation.waiting)
         );
         self.0.log.event(Event::UpstreamCrashed, detail);
         for subject in observation.counted {
-            self.0.crash_counter.inc();
+            if matches!(subject, Subject::Request(_)) {
+                self.0.crash_counter.inc();
+            }
             let now = self.0.clock.now();
             let record = self.table().record(now, subject);
             let crash_count = record.map_or(0, |r| r.crashes.len());
@@ -458,7 +462,7 @@
     }
 }
 
-/// Describes the segments of the requests that had no part of a response when an upstream crashed, with
+/// Describes the segments of the requests that had not survived when an upstream crashed, with
 /// the milliseconds since each has survived; those that have not come first.
 fn waiting_segments(mut waiting: Vec<(Segment, Option<u64>)>) -> String {
     waiting.sort_by_key(|(segment, age)| (Reverse(age.unwrap_or(u64::MAX)), *segment));
