Let reports of new connections expire after three seconds

Found by reading: a neighbour that had crashed counted for ten seconds as one that can take connections, so an instance left alone in its zone would have closed connections that nobody could take.

--- a/crates/place/src/intake.rs
+++ b/crates/place/src/intake.rs
@@ -2,8 +2,8 @@
 //!
 //! A load balancer may hand most new connections of a zone to one of its instances, by chance or by a
 //! fault of its own. That instance can't serve them all, and its callers wait in queues that nobody
-//! sees. A connection that is closed before anything was read from it costs its caller nothing: it
-//! connects again, to another instance.
+//! sees. A connection that is closed before anything was read from it costs its caller an attempt at
+//! most: it connects again, to another instance.
 
 use std::collections::HashMap;
 
@@ -26,9 +26,9 @@
 const MIN_CROWDED_PER_SEC: u32 = 30;
 /// Length of the window in which new connections are counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
-/// How long the report of another instance is valid, in milliseconds. One without load reports that
-/// only once.
-const REPORT_VALIDITY_MS: u64 = 10_000;
+/// How long the report of another instance is valid, in milliseconds: one that is gone takes no
+/// connections.
+const REPORT_VALIDITY_MS: u64 = 3_000;
 
 /// What another instance of the zone reports of its new connections.
 #[derive(Clone, Copy, Debug)]
