Count crashes whose upstream's address is in use again

Cause: when connections break, the instance checks by a connection whether the upstream has crashed. Where all upstreams of a service crash at once a refused connection shows nothing, because a lost path refuses connections too, so the check is repeated each second. Once another process listened on the address, the check took it for the upstream, and what had run there was forgotten: the crash never counted. Ruled out: lost records (each counted crash is in the lists of all instances), the share of lost segments (waiting=bad:never).

Change: a connection that succeeds after one has failed ends the check, and nothing else. The subjects stay for the ten seconds as before; the list of upstreams shows whether the incarnation has ended. Until then they no longer count as unresolved.

--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -153,6 +153,7 @@
             max_connections: usize::MAX,
         };
         let mut delay = CRASH_CHECK_DELAY;
+        let mut has_failed = false;
         loop {
             sleep(delay).await;
             if !self.update(|table, now| table.is_unresolved(now, &incarnation)) {
@@ -160,8 +161,13 @@
             }
             let until = Instant::now() + CRASH_CHECK_RETRY_DELAY;
             match self.0.dialer.connect(target, until).await {
+                Ok(conn) if has_failed => {
+                    // This may be another incarnation.
+                    self.update(|table, _| table.upstream_listens_again(&incarnation));
+                    return drop(conn);
+                }
                 Ok(conn) => {
-                    self.update(|table, _| table.upstream_alive(&incarnation));
+                    self.update(|table, now| table.upstream_alive(now, &incarnation));
                     return self.0.dialer.put_idle(conn, None);
                 }
                 // A lost path may refuse connections, too.
@@ -170,7 +176,10 @@
                 }
                 // The network path may be down: a later check, or the list of upstreams, will show
                 // whether the upstream has crashed.
-                Err(_) => delay = CRASH_CHECK_RETRY_DELAY,
+                Err(_) => {
+                    has_failed = true;
+                    delay = CRASH_CHECK_RETRY_DELAY;
+                }
             }
         }
     }
--- a/crates/suspect/src/broken_connections.rs
+++ b/crates/suspect/src/broken_connections.rs
@@ -18,25 +18,37 @@
 /// instance.
 const MAX_SUBJECTS: usize = 512;
 
+/// A subject that was present at an upstream.
 #[derive(Clone, Copy, Debug)]
-struct Present {
-    subject: Subject,
-    broke_at: u64,
+pub(crate) struct Present {
+    pub(crate) subject: Subject,
+    pub(crate) broke_at: u64,
+}
+
+/// What is known of the incarnation to which connections broke.
+#[derive(Clone, Debug, Default)]
+struct Broken {
+    present: Vec<Present>,
+    /// Whether something listens on the address again, after connections to it had failed: the path was
+    /// lost, or the upstream has crashed and another incarnation is running.
+    listens_again: bool,
 }
 
 /// Subjects by the incarnation of the upstream to which their connection broke.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct BrokenConnections(HashMap<String, Vec<Present>>);
+pub(crate) struct BrokenConnections(HashMap<String, Broken>);
 
 impl BrokenConnections {
     /// Adds a subject; returns whether it is the first one of its incarnation.
     pub(crate) fn insert(&mut self, now: u64, incarnation: &str, subject: Subject) -> bool {
-        self.retain(|p| now < p.broke_at + RESOLVED_WITHIN_MS);
+        self.expire(now);
         if self.0.len() >= MAX_INCARNATIONS && !self.0.contains_key(incarnation) {
             return false;
         }
-        let present = self.0.entry(incarnation.to_string()).or_default();
-        let is_first = present.is_empty();
+        let broken = self.0.entry(incarnation.to_string()).or_default();
+        let present = &mut broken.present;
+        let is_first = present.is_empty() || broken.listens_again;
+        broken.listens_again = false;
         if present.len() < MAX_SUBJECTS && present.iter().all(|p| p.subject != subject) {
             present.push(Present {
                 subject,
@@ -47,15 +59,23 @@
     }
 
     /// Removes and returns the subjects of an incarnation.
-    pub(crate) fn take(&mut self, incarnation: &str) -> Vec<Subject> {
-        let present = self.0.remove(incarnation).unwrap_or_default();
-        present.iter().map(|p| p.subject).collect()
+    pub(crate) fn take(&mut self, now: u64, incarnation: &str) -> Vec<Present> {
+        self.expire(now);
+        let broken = self.0.remove(incarnation);
+        broken.map(|b| b.present).unwrap_or_default()
     }
 
-    /// Returns whether there are subjects of an incarnation.
-    pub(crate) fn contains(&mut self, now: u64, incarnation: &str) -> bool {
-        self.retain(|p| now < p.broke_at + RESOLVED_WITHIN_MS);
-        self.0.contains_key(incarnation)
+    /// Records that something listens on the address of an incarnation again.
+    pub(crate) fn set_listens_again(&mut self, incarnation: &str) {
+        if let Some(broken) = self.0.get_mut(incarnation) {
+            broken.listens_again = true;
+        }
+    }
+
+    /// Returns whether it has to be checked if an incarnation has crashed.
+    pub(crate) fn is_unresolved(&mut self, now: u64, incarnation: &str) -> bool {
+        self.expire(now);
+        self.0.get(incarnation).is_some_and(|b| !b.listens_again)
     }
 
     /// Removes a subject from all incarnations, because it was answered.
@@ -63,16 +83,22 @@
         self.retain(|p| p.subject != subject);
     }
 
+    fn expire(&mut self, now: u64) {
+        self.retain(|p| now < p.broke_at + RESOLVED_WITHIN_MS);
+    }
+
     fn retain(&mut self, keep: impl Fn(&Present) -> bool) {
-        self.0.retain(|_, present| {
-            present.retain(&keep);
-            !present.is_empty()
+        self.0.retain(|_, broken| {
+            broken.present.retain(&keep);
+            !broken.present.is_empty()
         });
     }
 
-    /// Returns the number of incarnations to which the connection of a subject broke.
-    pub(crate) fn incarnation_count(&self, subject: Subject) -> usize {
-        let has_subject = |p: &&Vec<Present>| p.iter().any(|p| p.subject == subject);
-        self.0.values().filter(has_subject).count()
+    /// Returns the number of incarnations to which the connection of a subject broke, and which have to be
+    /// checked.
+    pub(crate) fn unresolved_count(&self, subject: Subject) -> usize {
+        let unresolved = self.0.values().filter(|b| !b.listens_again);
+        let has_subject = |b: &&Broken| b.present.iter().any(|p| p.subject == subject);
+        unresolved.filter(has_subject).count()
     }
 }
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::{self, Display, Formatter};
 
-use crate::broken_connections::BrokenConnections;
+use crate::broken_connections::{BrokenConnections, Present};
 use crate::entry::{Crash, Entry, Stage, StoredState};
 use crate::outcomes::Outcomes;
 use crate::recent_answers::RecentAnswers;
@@ -159,19 +159,25 @@
 
     /// Returns whether it is not known yet if an upstream has crashed.
     pub fn is_unresolved(&mut self, now: u64, incarnation: &str) -> bool {
-        self.broken_connections.contains(now, incarnation)
+        self.broken_connections.is_unresolved(now, incarnation)
     }
 
     /// Records that an upstream has not crashed.
-    pub fn upstream_alive(&mut self, incarnation: &str) {
-        self.broken_connections.take(incarnation);
+    pub fn upstream_alive(&mut self, now: u64, incarnation: &str) {
+        self.broken_connections.take(now, incarnation);
+    }
+
+    /// Records that something listens on the address of an upstream again, after connections to it had
+    /// failed: the upstream list will show whether that is another incarnation.
+    pub fn upstream_listens_again(&mut self, incarnation: &str) {
+        self.broken_connections.set_listens_again(incarnation);
     }
 
     /// Records that an upstream has crashed, that is, ended without having announced it. Returns
     /// what was running there.
     pub fn upstream_crashed(&mut self, now: u64, incarnation: &str) -> CrashObservation {
         let mut observation = CrashObservation::default();
-        for subject in self.broken_connections.take(incarnation) {
+        for Present { subject, .. } in self.broken_connections.take(now, incarnation) {
             let answered = match subject {
                 Subject::Request(_) => self.recent_answers.contains(now, subject),
                 Subject::Segment(segment) => {
@@ -312,7 +318,7 @@
             return Admission::Allowed;
         }
         let unresolved = match subject {
-            Subject::Request(_) => self.broken_connections.incarnation_count(subject) > 0,
+            Subject::Request(_) => self.broken_connections.unresolved_count(subject) > 0,
             Subject::Segment(_) => false,
         };
         let entry = self.entry(now, subject);
@@ -382,7 +388,7 @@
     /// known yet if they have crashed.
     fn crash_count(&self, subject: Subject) -> usize {
         let crashes = self.entries.get(&subject).map_or(0, |e| e.crashes.len());
-        crashes + self.broken_connections.incarnation_count(subject)
+        crashes + self.broken_connections.unresolved_count(subject)
     }
 
     /// Decides, at the owner that was asked, whether a trial may be made now, and counts it. The
--- a/crates/suspect/tests/table.rs
+++ b/crates/suspect/tests/table.rs
@@ -65,7 +65,7 @@
     let mut table = SuspectTable::new("a");
     for incarnation in ["u1", "u2", "u3", "u4"] {
         table.connection_broke(START, incarnation, harmless);
-        table.upstream_alive(incarnation);
+        table.upstream_alive(START, incarnation);
         assert!(
             table
                 .upstream_crashed(START, incarnation)
@@ -87,10 +87,36 @@
         panic!("two crashes, and perhaps one more");
     };
     assert_eq!(history.retry_ms, Some(300), "the check takes less time");
-    table.upstream_alive("u3");
+    table.upstream_alive(START, "u3");
     assert!(is_allowed(&mut table, START, fatal));
 }
 
+/// Something that listens on the address after connections were refused may be another incarnation: the
+/// upstream list shows whether it is.
+#[test]
+fn crash_of_an_upstream_whose_address_is_in_use_again_counts() {
+    let fatal = request("fatal");
+    let mut table = table_with_crashes(&["u1", "u2"], START, fatal);
+    table.connection_broke(START, "u3", fatal);
+    table.upstream_listens_again("u3");
+    assert!(!table.is_unresolved(START, "u3"));
+    assert!(is_allowed(&mut table, START, fatal), "not shown yet");
+    let later = START + 3 * SECOND;
+    assert_eq!(table.upstream_crashed(later, "u3").counted, [fatal]);
+    assert!(!is_allowed(&mut table, later, fatal));
+}
+
+/// Such an upstream that is still listed later had not crashed.
+#[test]
+fn connections_that_broke_long_before_a_crash_do_not_count() {
+    let harmless = request("harmless");
+    let mut table = SuspectTable::new("a");
+    table.connection_broke(START, "u1", harmless);
+    table.upstream_listens_again("u1");
+    let later = START + 10 * SECOND;
+    assert!(table.upstream_crashed(later, "u1").counted.is_empty());
+}
+
 #[test]
 fn complete_response_clears_crashes() {
     let popular = request("popular");
