Refuse a segment after four crashes only if they happened at three moments

In crash loops for another reason a rare segment is refused now and then: a sound request with it is lost, retried, lost again, and the same with a second request, which makes four crashes at two moments. Four crashes now need three moments; five need two, as before, so that upstreams that all crash within a tenth of a second are still laid to the segment.

Test: four_crashes_at_two_moments_refuse_nothing (failed before).

--- a/crates/suspect/src/verdicts.rs
+++ b/crates/suspect/src/verdicts.rs
@@ -15,17 +15,23 @@
     moments: usize,
 }
 
-/// The threshold of a segment that is not known to have survived before. Chance alone has a segment of
-/// many requests at a crash or two without a survival in between.
-const UNKNOWN: Threshold = Threshold {
-    crashes: 4,
-    moments: 2,
-};
+/// The thresholds of a segment that is not known to have survived before. Chance alone has a segment of
+/// many requests at a crash or two without a survival in between, and a retried request is at two.
+const UNKNOWN: &[Threshold] = &[
+    Threshold {
+        crashes: 4,
+        moments: 3,
+    },
+    Threshold {
+        crashes: 5,
+        moments: 2,
+    },
+];
 /// The threshold of a segment that had survived before: it is less likely to crash upstreams.
-const SOUND: Threshold = Threshold {
+const SOUND: &[Threshold] = &[Threshold {
     crashes: 6,
     moments: 3,
-};
+}];
 /// Number of crashes from which all instances are asked whether a segment has survived. With fewer its
 /// record is sent to its owners only: each crash leaves some segments with one crash.
 const CANDIDATE_FROM: usize = 3;
@@ -66,7 +72,7 @@
             others.count()
         };
         let least = requests.iter().map(without).min();
-        if least.unwrap_or(unexplained.len()) >= threshold(entry).crashes {
+        if least.unwrap_or(unexplained.len()) >= min_crashes(entry) {
             explained.extend(crashes);
             refused.push(segment);
         }
@@ -81,16 +87,17 @@
 /// the crashes (`were_known`): a segment in many requests takes all upstreams away before any other can
 /// survive.
 pub(crate) fn is_significant(entry: &Entry, lost_share: Option<f64>, were_known: bool) -> bool {
-    let count = entry.crashes.len();
-    let threshold = threshold(entry);
-    if count < threshold.crashes || moment_count(entry) < threshold.moments {
+    let (count, moments) = (entry.crashes.len(), moment_count(entry));
+    let is_met = |t: &Threshold| count >= t.crashes && moments >= t.moments;
+    if !thresholds(entry).iter().any(is_met) {
         return false;
     }
     let is_unlikely = |share: f64| share.powi(count as i32) <= MAX_CHANCE;
     were_known && !entry.was_sound || lost_share.is_some_and(is_unlikely)
 }
 
-fn threshold(entry: &Entry) -> Threshold {
+/// Returns the thresholds of an entry, one of which has to be reached.
+fn thresholds(entry: &Entry) -> &'static [Threshold] {
     if entry.was_sound {
         SOUND
     } else {
@@ -98,6 +105,11 @@
     }
 }
 
+/// Returns the number of crashes below which an entry's segment is never refused.
+fn min_crashes(entry: &Entry) -> usize {
+    thresholds(entry)[0].crashes
+}
+
 /// Returns the number of moments at which the crashes of an entry happened.
 fn moment_count(entry: &Entry) -> usize {
     let mut times: Vec<u64> = entry.crashes.values().map(|c| c.at).collect();
@@ -116,7 +128,7 @@
 /// Returns how far the suspicion of a segment has come.
 pub(crate) fn stage(entry: &Entry) -> Stage {
     match entry.crashes.len() {
-        n if n >= threshold(entry).crashes && entry.significant => Stage::Suspect {
+        n if n >= min_crashes(entry) && entry.significant => Stage::Suspect {
             was_sound: entry.was_sound,
         },
         n if n >= CANDIDATE_FROM => Stage::Candidate,
--- a/crates/suspect/tests/verdicts.rs
+++ b/crates/suspect/tests/verdicts.rs
@@ -124,6 +124,19 @@
     assert!(!is_refused(&table, fatal()));
 }
 
+/// Guards against refusing a rare segment of two requests, each of which was retried in a crash loop.
+#[test]
+fn four_crashes_at_two_moments_refuse_nothing() {
+    let mut table = SuspectTable::new("a");
+    table.segments_survived(START - 2 * SECOND, &[segment(1)]);
+    for (at, incarnation) in [(0, "u1"), (0, "u2"), (500, "u3"), (500, "u4")] {
+        crash(&mut table, START + at, incarnation, &[fatal()]);
+    }
+    assert!(!is_refused(&table, fatal()));
+    crash(&mut table, START + 500, "u5", &[fatal()]);
+    assert!(is_refused(&table, fatal()), "five crashes");
+}
+
 /// Guards against refusing segments of use while no upstream lives long enough for any response.
 #[test]
 fn known_segment_is_not_refused_while_no_other_survives() {
