Date crashes that become known late from when connections broke

Crashes counted from then on, so that all of them seemed to have happened at one moment, and what every prompt shares (a1, c0 to c5) counted as present at crashes after which it had survived: its last survival was more than two seconds old when the crash became known, but not when the connections broke.

Change: a crash counts from when the connections broke. A survival from two seconds before that on voids it, at the instance that saw the crash and at those that get its record.

Tests: crashes_that_become_known_late_do_not_count_if_a_survival_followed and crashes_that_become_known_late_count_from_when_connections_broke, both failed before. 17 tests of fleet (segments, suspects, crowding, dump) passed.

--- a/crates/suspect/src/survivals.rs
+++ b/crates/suspect/src/survivals.rs
@@ -44,8 +44,10 @@
         (age < RETENTION_MS).then_some(age)
     }
 
-    /// Returns whether a segment has survived recently.
-    pub(crate) fn is_recent(&self, now: u64, segment: Segment) -> bool {
-        self.age(now, segment).is_some_and(|age| age < RECENT_MS)
+    /// Returns whether a segment has survived after a time, or shortly before it.
+    pub(crate) fn is_recent(&self, at: u64, segment: Segment) -> bool {
+        self.0
+            .get(&segment)
+            .is_some_and(|last| at < last + RECENT_MS)
     }
 }
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -175,9 +175,11 @@
 
     /// Records that an upstream has crashed, that is, ended without having announced it. Returns
     /// what was running there.
+    ///
+    /// The crash counts from when the connections broke: that it was one may become known seconds later.
     pub fn upstream_crashed(&mut self, now: u64, incarnation: &str) -> CrashObservation {
         let mut observation = CrashObservation::default();
-        for Present { subject, .. } in self.broken_connections.take(now, incarnation) {
+        for Present { subject, broke_at } in self.broken_connections.take(now, incarnation) {
             let answered = match subject {
                 Subject::Request(_) => self.recent_answers.contains(now, subject),
                 Subject::Segment(segment) => {
@@ -185,10 +187,10 @@
                     observation.waiting.push((segment, age));
                     let outcomes = self.outcomes.entry(segment.service()).or_default();
                     outcomes.record_lost(now, 1);
-                    self.survivals.is_recent(now, segment)
+                    self.survivals.is_recent(broke_at, segment)
                 }
             };
-            if !answered && self.add_crash(now, incarnation, subject) {
+            if !answered && self.add_crash(now, incarnation, subject, broke_at) {
                 observation.counted.push(subject);
             }
         }
@@ -254,10 +256,10 @@
     }
 
     /// Adds a crash to a subject; returns whether it is new.
-    fn add_crash(&mut self, now: u64, incarnation: &str, subject: Subject) -> bool {
+    fn add_crash(&mut self, now: u64, incarnation: &str, subject: Subject, at: u64) -> bool {
         let seen_by = self.instance.clone();
         let entry = self.entry(now, subject);
-        let is_new = entry.add_crash(incarnation, Crash { seen_by, at: now });
+        let is_new = entry.add_crash(incarnation, Crash { seen_by, at });
         let to_all = match subject {
             Subject::Request(_) => entry.crashes.len() >= BROADCAST_FROM,
             Subject::Segment(_) => false,
@@ -452,7 +454,9 @@
     /// returns whether the record did not contain that.
     fn merge_survivals(&mut self, now: u64, segment: Segment, record: &SuspectRecord) -> bool {
         let subject = Subject::Segment(segment);
-        if record.crashes.is_empty() || !self.survivals.is_recent(now, segment) {
+        let last_crash = record.crashes.iter().map(|c| c.ago_ms).min();
+        let last_crash_at = last_crash.map(|ago_ms| now.saturating_sub(ago_ms));
+        if !last_crash_at.is_some_and(|at| self.survivals.is_recent(at, segment)) {
             return self.add_local_survivals(now, subject);
         }
         if let Some(entry) = self.entries.get_mut(&subject) {
--- a/crates/suspect/tests/verdicts.rs
+++ b/crates/suspect/tests/verdicts.rs
@@ -76,6 +76,39 @@
     assert_eq!(table.refused_segments(), vec![fatal()]);
 }
 
+/// Guards against refusing what all prompts share if it becomes known late that upstreams have crashed: by
+/// then it has survived after the crashes, but not in the last two seconds.
+#[test]
+fn crashes_that_become_known_late_do_not_count_if_a_survival_followed() {
+    let mut table = SuspectTable::new("a");
+    for n in 0..12 {
+        let at = START + n * INTERVAL_MS;
+        table.connection_broke(at, &format!("u{n:03}"), Subject::Segment(segment(1)));
+    }
+    let survived_at = START + 12 * INTERVAL_MS;
+    table.segments_survived(survived_at, &[segment(1)]);
+    for n in 0..12 {
+        table.upstream_crashed(survived_at + 3 * SECOND, &format!("u{n:03}"));
+    }
+    let record = table.record(survived_at, Subject::Segment(segment(1)));
+    assert!(record.is_none_or(|r| r.crashes.is_empty()));
+}
+
+/// Guards against taking crashes for simultaneous because they become known at the same time.
+#[test]
+fn crashes_that_become_known_late_count_from_when_connections_broke() {
+    let mut table = SuspectTable::new("a");
+    table.segments_survived(START - 2 * SECOND, &[segment(1)]);
+    for n in 0..4 {
+        let at = START + n * INTERVAL_MS;
+        table.connection_broke(at, &format!("u{n:03}"), Subject::Segment(fatal()));
+    }
+    for n in 0..4 {
+        table.upstream_crashed(START + 3 * SECOND, &format!("u{n:03}"));
+    }
+    assert!(is_refused(&table, fatal()));
+}
+
 /// Guards against refusing a sound segment that happens to be in the prompts of the fatal one.
 #[test]
 fn crashes_that_another_segment_explains_refuse_nothing_else() {
