Log how long a request was at its instance before it was refused

Late refusals in a test could not be told from a busy machine, nor can an operator tell a refusal at once from one after a wait.

--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -56,11 +56,12 @@
         let chunked = req.headers().contains_key(TRANSFER_ENCODING);
         let (head, body) = req.into_parts();
         let mut caller = CallerGuard::new(self);
+        let arrived_at = self.clock.now();
         let mut res = match self.process(head, body, &mut caller).await {
             Ok(res) => res,
             Err(refusal) => {
                 let info = caller.info.as_ref();
-                self.log_refusal(info, &refusal);
+                self.log_refusal(info, &refusal, arrived_at);
                 let res = self.dialect.refusal_response(info, &refusal);
                 res.map(ResponseBody::Buffered)
             }
@@ -73,12 +74,15 @@
         res
     }
 
-    fn log_refusal(&self, info: Option<&RequestInfo>, refusal: &Refusal) {
+    fn log_refusal(&self, info: Option<&RequestInfo>, refusal: &Refusal, arrived_at: u64) {
         let code = refusal.error.kind.response().code;
         self.metrics.count_request("", code);
         let detail = format_args!(
-            "code={code} ran={:?} retry_ms={:?} why={}",
-            refusal.error.ran, refusal.retry_ms, refusal.error.message
+            "code={code} ran={:?} retry_ms={:?} ms={} why={}",
+            refusal.error.ran,
+            refusal.retry_ms,
+            self.clock.now() - arrived_at,
+            refusal.error.message
         );
         let id = info.map_or("", |i| i.id.as_str());
         self.log.request_event(Event::Refused, id, detail);
