Eject no upstream because of timeouts on a lost path

Cause: requests that were sent before the loss of the path was known, and may not be repeated, go on until their deadline. Each timeout then counted against the upstream, 3.5 s after the path was known to be lost, so the instance ejected upstreams that it reaches through others, up to all four of them.

Change: a timeout of an attempt whose path was lost on the way says nothing about its upstream, before the head, before the first event and within a body alike.

Test: severed_paths::requests_that_time_out_on_a_lost_path_eject_no_upstream, 8 of 8 runs failed before (all four upstreams ejected), 8 of 8 pass.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -160,7 +160,7 @@
 
     /// Returns the outcome of a timeout. It says nothing about the upstream while this instance's own
     /// link is congested, or if the instance that forwards the request may be the one that hangs.
-    fn timeout_outcome(&self) -> Outcome {
+    fn timeout_outcome(&self, path: &PathWatch) -> Outcome {
         if self.router.is_link_congested() {
             return Outcome::Abandoned;
         }
@@ -169,7 +169,7 @@
                 request.record_denial(Denial::Unreachable);
                 Outcome::Abandoned
             }
-            _ => Outcome::Unresponsive,
+            _ => path.timeout_outcome(),
         }
     }
 
@@ -310,7 +310,7 @@
         Ok(Ok(outcome)) => outcome,
         Ok(Err(_)) => {
             let waited_ms = ctx.router.clock.now() - guard.sent_at;
-            let outcome = guard.timeout_outcome();
+            let outcome = guard.timeout_outcome(&path);
             guard.end(outcome);
             let why = format!("upstream={upstream} no response within {waited_ms} ms");
             return Err(AttemptError::Unknown(why));
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -116,7 +116,7 @@
             return Err(format!("upstream={upstream} response aborted: {why}"));
         }
         Err(_) => {
-            guard.end(Outcome::Unresponsive);
+            guard.end(path.timeout_outcome());
             return Err(format!(
                 "upstream={upstream} response not complete before the deadline"
             ));
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -252,7 +252,7 @@
             Err(AttemptError::Unknown(format!("upstream={upstream} {why}")))
         }
         Err(_) => {
-            stream.guard.end(Outcome::Unresponsive);
+            stream.guard.end(path.timeout_outcome());
             let why = format!("upstream={upstream} no event before the deadline");
             Err(AttemptError::Unknown(why))
         }
--- a/crates/proxy/src/transit/mod.rs
+++ b/crates/proxy/src/transit/mod.rs
@@ -8,7 +8,7 @@
 
 use clock::Clock;
 use dial::ConnectError;
-use place::{Choice, Pool, Spec};
+use place::{Choice, Outcome, Pool, Spec};
 use smallvec::SmallVec;
 use tokio::sync::watch;
 use transit::{Capacity, Criteria, Denial, Distance, Mode, Paths, Peer, Peers, Report};
@@ -410,6 +410,8 @@
     direct: Option<(Transit, Choice)>,
     changes: watch::Receiver<u64>,
     retryable: bool,
+    /// Whether the path was lost and the request goes on.
+    lost: bool,
 }
 
 /// The path to the upstream of a request in flight is lost.
@@ -428,6 +430,17 @@
             direct: is_direct.then(|| (transit.clone(), choice.clone())),
             changes: transit.0.mode_changes.subscribe(),
             retryable,
+            lost: false,
+        }
+    }
+
+    /// Returns the outcome of an attempt that takes too long: that says nothing about its upstream if the
+    /// path to it was lost.
+    pub(crate) fn timeout_outcome(&self) -> Outcome {
+        if self.lost {
+            Outcome::Abandoned
+        } else {
+            Outcome::Unresponsive
         }
     }
 
@@ -454,6 +467,7 @@
         }
         transit.pool().mark_undelivered(choice);
         self.direct = None;
+        self.lost = true;
         pending().await
     }
 }
