--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -61,7 +61,11 @@
             if self.seal { "yes" } else { "no" },
             self.framing,
             self.body.len(),
-            if self.complete { "complete" } else { "incomplete" },
+            if self.complete {
+                "complete"
+            } else {
+                "incomplete"
+            },
             self.end,
             self.ms
         )
@@ -93,7 +97,12 @@
     );
     stream.write_all(head.as_bytes())?;
     stream.write_all(body)?;
-    let slow = SlowReader { stream, per_sec, began, read: 0 };
+    let slow = SlowReader {
+        stream,
+        per_sec,
+        began,
+        read: 0,
+    };
     let mut reader = BufReader::with_capacity(8 << 10, slow);
     let mut answer = Answer {
         status: 0,
@@ -105,10 +114,20 @@
         ms: 0,
     };
     if let Some(head) = http::read_head(&mut reader)? {
-        answer.status = head.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        answer.status = head
+            .first
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0);
         answer.seal = head.header("oriolehitch-response-seal").is_some();
-        let length = head.header("content-length").and_then(|v| v.parse::<usize>().ok());
-        if head.header("transfer-encoding").is_some_and(|v| v.contains("chunked")) {
+        let length = head
+            .header("content-length")
+            .and_then(|v| v.parse::<usize>().ok());
+        if head
+            .header("transfer-encoding")
+            .is_some_and(|v| v.contains("chunked"))
+        {
             answer.framing = "chunks".to_string();
             (answer.complete, answer.end) = read_chunks(&mut reader, &mut answer.body);
         } else if let Some(length) = length {
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -19,7 +19,10 @@
 impl Record {
     pub fn create(path: &Path) -> Record {
         let file = File::create(path).expect("record.txt can be written");
-        Record { file: Arc::new(Mutex::new(file)), start: Instant::now() }
+        Record {
+            file: Arc::new(Mutex::new(file)),
+            start: Instant::now(),
+        }
     }
 
     pub fn line(&self, text: &str) {
@@ -118,7 +121,12 @@
                 let end = line[at..].find([' ', '"']).expect("an end") + at;
                 line[at..end].parse().expect("an address")
             };
-            return Instance { child, name: name.to_string(), front: addr("callers="), ready: addr("ready=") };
+            return Instance {
+                child,
+                name: name.to_string(),
+                front: addr("callers="),
+                ready: addr("ready="),
+            };
         }
     }
 }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -33,7 +33,11 @@
         }
         let text = line.trim_end();
         if text.is_empty() {
-            return Ok(Some(Message { first, headers, body: Vec::new() }));
+            return Ok(Some(Message {
+                first,
+                headers,
+                body: Vec::new(),
+            }));
         }
         if let Some((name, value)) = text.split_once(':') {
             headers.push((name.trim().to_ascii_lowercase(), value.trim().to_string()));
@@ -58,7 +62,10 @@
             }
             message.body.extend_from_slice(&chunk[..size]);
         }
-    } else if let Some(n) = message.header("content-length").and_then(|v| v.parse().ok()) {
+    } else if let Some(n) = message
+        .header("content-length")
+        .and_then(|v| v.parse().ok())
+    {
         message.body = vec![0; n];
         reader.read_exact(&mut message.body)?;
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -36,7 +36,10 @@
         let mut workers = Vec::new();
         for (i, zone) in ZONES.iter().enumerate() {
             let worker = Worker::start(&format!("i-desk{i}"), answer_bytes, record);
-            store.put(&format!("servers/{}", worker.id), &worker.entry("order-desk", zone));
+            store.put(
+                &format!("servers/{}", worker.id),
+                &worker.entry("order-desk", zone),
+            );
             workers.push(worker);
         }
         let route = |name: &str, kind: &str, attempts: u32| {
@@ -56,13 +59,22 @@
         );
         store.put("op/config", &config);
         let files = Files::create();
-        let start = |zone: &&str| files.start(&format!("edge-{zone}-1"), zone, store.addr, MEMORY_MB);
+        let start =
+            |zone: &&str| files.start(&format!("edge-{zone}-1"), zone, store.addr, MEMORY_MB);
         let instances: Vec<Instance> = ZONES.iter().map(start).collect();
         let ready = wait_for(20, || instances.iter().all(Instance::is_ready));
-        record.line(&format!("{} instances started, ready: {ready}", instances.len()));
+        record.line(&format!(
+            "{} instances started, ready: {ready}",
+            instances.len()
+        ));
         // The lists of the instances settle.
         thread::sleep(Duration::from_secs(2));
-        ready.then_some(Deployment { instances, workers, _store: store, _files: files })
+        ready.then_some(Deployment {
+            instances,
+            workers,
+            _store: store,
+            _files: files,
+        })
     }
 
     fn runs(&self, id: &str) -> usize {
@@ -90,9 +102,12 @@
             "requester sends {id} ({method} {path}, Deadline-Ms {DEADLINE_MS}) to {}, reads {per_sec} bytes a second (0: at once)",
             instance.name
         ));
-        reading.push((id.clone(), thread::spawn(move || {
-            client::request(front, method, path, &id, DEADLINE_MS, b"", per_sec)
-        })));
+        reading.push((
+            id.clone(),
+            thread::spawn(move || {
+                client::request(front, method, path, &id, DEADLINE_MS, b"", per_sec)
+            }),
+        ));
     }
     for (id, reading) in reading {
         let answer = match reading.join().expect("no panic") {
@@ -113,10 +128,14 @@
         let success = (200..300).contains(&answer.status) && answer.seal && answer.complete;
         if success && !whole {
             broken += 1;
-            record.line(&format!("MIXED: {id} got a success that looks complete and isn't the worker's whole body"));
+            record.line(&format!(
+                "MIXED: {id} got a success that looks complete and isn't the worker's whole body"
+            ));
         }
     }
-    record.line(&format!("answers with status 200: {answered} of 3; MIXED broken by {broken} of 3"));
+    record.line(&format!(
+        "answers with status 200: {answered} of 3; MIXED broken by {broken} of 3"
+    ));
     match (broken, answered) {
         (0, 0) => 2,
         (0, _) => 0,
@@ -136,9 +155,20 @@
     let id = "reserve00000001";
     let instance = &deployment.instances[0];
     let front = instance.front;
-    record.line(&format!("requester sends {id} to {}, reads {SLOW_PER_SEC} bytes a second", instance.name));
+    record.line(&format!(
+        "requester sends {id} to {}, reads {SLOW_PER_SEC} bytes a second",
+        instance.name
+    ));
     let reading = thread::spawn(move || {
-        client::request(front, "POST", "/reserve/2f", id, 10_000, b"{\"pallets\":2}", SLOW_PER_SEC)
+        client::request(
+            front,
+            "POST",
+            "/reserve/2f",
+            id,
+            10_000,
+            b"{\"pallets\":2}",
+            SLOW_PER_SEC,
+        )
     });
     thread::sleep(Duration::from_millis(500));
     if trouble {
@@ -152,7 +182,9 @@
             if let Some(status) = deployment.instances[0].exited() {
                 let ms = began.elapsed().as_millis() as u64;
                 ended_ms = Some(ms);
-                record.line(&format!("the process has ended by itself {ms} ms after the SIGTERM: {status}"));
+                record.line(&format!(
+                    "the process has ended by itself {ms} ms after the SIGTERM: {status}"
+                ));
             }
         }
         if trouble && began.elapsed().as_millis() as u64 >= GRACE_MS && ended_ms.is_none() {
@@ -181,7 +213,9 @@
     if answer.complete && whole {
         return 0;
     }
-    record.line(&format!("LOST: {id} was passed on to a worker, and its channel ended without a complete answer"));
+    record.line(&format!(
+        "LOST: {id} was passed on to a worker, and its channel ended without a complete answer"
+    ));
     1
 }
 
@@ -193,7 +227,10 @@
         return ExitCode::from(2);
     };
     let record = Record::create(Path::new(path));
-    record.line(&format!("case {case}, disruption: {}", if trouble { "on" } else { "off" }));
+    record.line(&format!(
+        "case {case}, disruption: {}",
+        if trouble { "on" } else { "off" }
+    ));
     let code = match case.as_str() {
         "cut-answer" => cut_answer(&record, trouble),
         "cut-by-stop" => cut_by_stop(&record, trouble),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -32,9 +32,15 @@
 impl State {
     fn put(&mut self, key: &str, value: String, lease: i64) {
         let created = self.items.get(key).map_or(self.revision, |i| i.created);
-        let item = Item { value, revision: self.revision, created, lease };
+        let item = Item {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_string(), item.clone());
-        self.history.push((self.revision, key.to_string(), Some(item)));
+        self.history
+            .push((self.revision, key.to_string(), Some(item)));
     }
 
     fn remove(&mut self, key: &str) {
@@ -66,7 +72,11 @@
 fn item_json(key: &str, item: &Item) -> String {
     format!(
         r#"{{"Key":{},"Value":"{}","Revision":{},"CreatedRev":{},"Lease":{}}}"#,
-        quote(key), item.value, item.revision, item.created, item.lease
+        quote(key),
+        item.value,
+        item.revision,
+        item.created,
+        item.lease
     )
 }
 
@@ -74,8 +84,14 @@
     pub fn start() -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("bound");
-        let state = State { revision: 100, ..State::default() };
-        let store = Store { shared: Arc::new((Mutex::new(state), Condvar::new())), addr };
+        let state = State {
+            revision: 100,
+            ..State::default()
+        };
+        let store = Store {
+            shared: Arc::new((Mutex::new(state), Condvar::new())),
+            addr,
+        };
         let accepting = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -144,7 +160,10 @@
                 let items: Vec<String> = items.map(|(k, i)| item_json(k, i)).collect();
                 let text = items.join(",");
                 let as_of = state.revision;
-                (200, format!(r#"{{"Items":[{text}],"MorePages":false,"AsOf":{as_of}}}"#))
+                (
+                    200,
+                    format!(r#"{{"Items":[{text}],"MorePages":false,"AsOf":{as_of}}}"#),
+                )
             }
             ("GET", "/oriolehitch/kv-watch") => {
                 let prefix = param(query, "Prefix");
@@ -158,7 +177,9 @@
                     let events: Vec<String> = newer
                         .map(|(r, k, item)| match item {
                             Some(item) => item_json(k, item),
-                            None => format!(r#"{{"Key":{},"Revision":{r},"Tombstone":true}}"#, quote(k)),
+                            None => {
+                                format!(r#"{{"Key":{},"Revision":{r},"Tombstone":true}}"#, quote(k))
+                            }
                         })
                         .collect();
                     let left = until.saturating_duration_since(Instant::now());
@@ -173,7 +194,9 @@
                 let mut state = lock();
                 let expected = body.get("ExpectedRevision").list();
                 let current = |key: &str| state.items.get(key).map_or(0, |i| i.revision);
-                let holds = expected.iter().all(|e| current(e.get("Key").str()) == e.get("Revision").int());
+                let holds = expected
+                    .iter()
+                    .all(|e| current(e.get("Key").str()) == e.get("Revision").int());
                 if !holds {
                     let items = expected.iter().filter_map(|e| {
                         let key = e.get("Key").str();
@@ -183,12 +206,18 @@
                     return (412, format!(r#"{{"Items":[{}]}}"#, items.join(",")));
                 }
                 let puts = body.get("SetKeys").list();
-                if puts.iter().any(|p| p.get("Lease").int() != 0 && !state.leases.contains_key(&p.get("Lease").int())) {
+                if puts.iter().any(|p| {
+                    p.get("Lease").int() != 0 && !state.leases.contains_key(&p.get("Lease").int())
+                }) {
                     return (404, "{}".to_string());
                 }
                 state.revision += 1;
                 for p in puts {
-                    state.put(p.get("Key").str(), p.get("Value").str().to_string(), p.get("Lease").int());
+                    state.put(
+                        p.get("Key").str(),
+                        p.get("Value").str().to_string(),
+                        p.get("Lease").int(),
+                    );
                 }
                 for key in body.get("Remove").list() {
                     state.remove(key.str());
@@ -203,11 +232,17 @@
                 let mut state = lock();
                 state.last_lease += 1;
                 let lease = state.last_lease;
-                state.leases.insert(lease, (ttl, Instant::now() + Duration::from_millis(ttl)));
+                state
+                    .leases
+                    .insert(lease, (ttl, Instant::now() + Duration::from_millis(ttl)));
                 (200, format!(r#"{{"Lease":{lease},"TtlMs":{ttl}}}"#))
             }
             _ => {
-                let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let id = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 let mut state = lock();
                 if path.starts_with("/oriolehitch/kv-keep/") {
                     return match state.leases.get_mut(&id) {
@@ -233,7 +268,11 @@
 /// Returns a parameter of a query, percent-decoded.
 fn param(query: &str, name: &str) -> String {
     let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    let value = pairs.filter(|(n, _)| *n == name).map(|(_, v)| v).next().unwrap_or("");
+    let value = pairs
+        .filter(|(n, _)| *n == name)
+        .map(|(_, v)| v)
+        .next()
+        .unwrap_or("");
     let (bytes, mut out, mut i) = (value.as_bytes(), Vec::new(), 0);
     while i < bytes.len() {
         if bytes[i] == b'%' && i + 2 < bytes.len() {
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -37,7 +37,11 @@
                 });
             }
         });
-        Worker { id: id.to_string(), addr, ran }
+        Worker {
+            id: id.to_string(),
+            addr,
+            ran,
+        }
     }
 
     /// Returns its entry in the store.
@@ -67,23 +71,36 @@
             writer.write_all(head.as_bytes())?;
             continue;
         }
-        let id = req.header("oriolehitch-request-id").unwrap_or_default().to_string();
-        if req.header("oriolehitch-expect-instance").is_some_and(|i| i != name) {
+        let id = req
+            .header("oriolehitch-request-id")
+            .unwrap_or_default()
+            .to_string();
+        if req
+            .header("oriolehitch-expect-instance")
+            .is_some_and(|i| i != name)
+        {
             writer.write_all(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")?;
             continue;
         }
         runs.lock().unwrap().push(id.clone());
         let deadline = req.header("oriolehitch-deadline-ms").unwrap_or("-");
-        record.line(&format!("worker {name} runs {id}: {} (Deadline-Ms {deadline})", req.first));
+        record.line(&format!(
+            "worker {name} runs {id}: {} (Deadline-Ms {deadline})",
+            req.first
+        ));
         let head = format!(
             "HTTP/1.1 200 OK\r\nOriolehitch-Request-Id: {id}\r\nOriolehitch-Response-Seal: seal-of-{id}\r\n\
              Oriolehitch-Server-Load: 1,0,6\r\nContent-Length: {bytes}\r\n\r\n"
         );
         writer.write_all(head.as_bytes())?;
         match writer.write_all(&body_for(&id, bytes)) {
-            Ok(()) => record.line(&format!("worker {name} has sent its whole answer to {id}: {bytes} bytes")),
+            Ok(()) => record.line(&format!(
+                "worker {name} has sent its whole answer to {id}: {bytes} bytes"
+            )),
             Err(e) => {
-                record.line(&format!("worker {name}: its answer to {id} was cut by the other side: {e}"));
+                record.line(&format!(
+                    "worker {name}: its answer to {id} was cut by the other side: {e}"
+                ));
                 return Err(e);
             }
         }
