--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -21,6 +21,8 @@
 /// Memory of a machine of the deployment, in MB.
 const MEMORY_MB: u64 = 110;
 const SIGTERM: i32 = 15;
+/// Time between the start of the instances and the first request: more than `ContactMs` of any deployment.
+const AFTER_START_MS: u64 = 4_500;
 
 /// A small deployment: the store, one worker and one instance in each zone.
 struct Deployment {
@@ -67,8 +69,8 @@
             "{} instances started, ready: {ready}",
             instances.len()
         ));
-        // The lists of the instances settle.
-        thread::sleep(Duration::from_secs(2));
+        // The start is no longer within `ContactMs` (3,000) before the requests.
+        thread::sleep(Duration::from_millis(AFTER_START_MS));
         ready.then_some(Deployment {
             instances,
             workers,
