Keep only the socket of a connection between two requests

Nothing else was large when an instance died: its last lines are refusals and short responses.

Ruled out: requests in flight and responses are counted, and few were in progress.

Change: `connection.rs` gives hyper a connection when a request begins to arrive and takes the socket back when the response is written. `Exchange` says when that is: the request's body was read to its end (what follows otherwise is no request), hyper has dropped the response's body and has flushed since, which it does only with nothing left to write, and neither side closes the connection. Bytes of the next request that hyper has read go back to the socket. As a consequence HeaderTimeoutMs now limits the time for a head, instead of IdleTimeoutMs, which limits the time between requests; limits of a new configuration apply from the next request on.

Tests: the memory of idle connections (fails before); bytes of a refused request's body are no next request; requests that arrive together and in parts (both guard the new code, and pass before).

--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -1,4 +1,4 @@
-//! The connection of a caller, which ends if the caller reads nothing for too long.
+//! The socket of a caller's connection, which fails if the caller reads nothing for too long.
 
 use std::future::Future;
 use std::io::{Error, ErrorKind, IoSlice, Result};
@@ -7,10 +7,12 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use bytes::{Buf, Bytes};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
+use crate::exchange::Exchange;
 use crate::router::Router;
 
 /// Interval at which a connection to which nothing can be written is checked.
@@ -19,9 +21,12 @@
 /// up, since others wait for it.
 const MAX_CHECKS: u32 = 10;
 
-/// The connection of a caller.
+/// The socket of a caller's connection.
 pub(crate) struct CallerStream {
     stream: TcpStream,
+    /// Bytes of the next request that were read together with the one before.
+    unread: Bytes,
+    exchange: Exchange,
     /// None if the caller may read as late as it wants.
     router: Option<Arc<Router>>,
     /// The time of the next check, and the number of checks since something was written; none while the
@@ -30,15 +35,43 @@
 }
 
 impl CallerStream {
-    /// Watches a connection; without a router, it is never closed.
-    pub(crate) fn new(stream: TcpStream, router: Option<Arc<Router>>) -> CallerStream {
+    /// Watches a socket; without a router, it never fails.
+    pub(crate) fn new(
+        stream: TcpStream,
+        exchange: Exchange,
+        router: Option<Arc<Router>>,
+    ) -> CallerStream {
         CallerStream {
             stream,
+            unread: Bytes::new(),
+            exchange,
             router,
             stalled: None,
         }
     }
 
+    /// Puts back bytes that were read and are not processed yet.
+    pub(crate) fn put_back(&mut self, unread: Bytes) {
+        // An empty slice would keep the buffer allocated.
+        self.unread = if unread.is_empty() {
+            Bytes::new()
+        } else {
+            unread
+        };
+    }
+
+    /// Waits until there is something to read, or the caller has closed the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the socket can't be watched.
+    pub(crate) async fn readable(&self) -> Result<()> {
+        if self.unread.is_empty() {
+            self.stream.ready(Interest::READABLE).await?;
+        }
+        Ok(())
+    }
+
     /// Passes on the result of writing, or an error if nothing could be written for too long.
     fn check_written<T>(
         &mut self,
@@ -73,6 +106,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
+        if !self.unread.is_empty() {
+            let len = self.unread.len().min(buf.remaining());
+            buf.put_slice(&self.unread[..len]);
+            self.unread.advance(len);
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
@@ -101,7 +140,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        // hyper flushes only when it has nothing left to write.
+        self.exchange.record_flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 mod caller_stream;
 mod config;
 mod connect;
+mod connection;
 mod datagram;
 mod dialect;
 #[cfg(test)]
@@ -28,6 +29,7 @@
 mod encoding;
 mod evacuation;
 pub mod event;
+mod exchange;
 mod fleet;
 mod follower;
 mod instance;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -8,7 +8,6 @@
 use err::Kind;
 use escrow::{Claim, ReserveError};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Request, Response};
@@ -22,6 +21,7 @@
 use crate::config::ActiveConfig;
 use crate::connect;
 use crate::event::Event;
+use crate::exchange::RequestBody;
 use crate::origins::Found;
 use crate::refusal::Refusal;
 use crate::request_context::{
@@ -46,7 +46,10 @@
 
 impl Router {
     /// Processes a request, and returns the response to its caller.
-    pub(crate) async fn handle(self: &Arc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
+    pub(crate) async fn handle(
+        self: &Arc<Self>,
+        req: Request<RequestBody>,
+    ) -> Response<ResponseBody> {
         // A chunked body ends where its sender says. If the request has a Content-Length as well,
         // the two may differ, and bytes after the body could be taken for another request. The
         // connection is therefore closed after the response.
@@ -90,7 +93,7 @@
     async fn process(
         self: &Arc<Self>,
         head: request::Parts,
-        body: Incoming,
+        body: RequestBody,
         caller: &mut CallerGuard,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let arrived_at = self.clock.now();
@@ -350,7 +353,7 @@
         &self,
         active: &ActiveConfig,
         head: &request::Parts,
-        body: Incoming,
+        body: RequestBody,
         deadline: u64,
     ) -> Result<Bytes, Refusal> {
         let max_bytes = active.routing.limits.max_body_bytes;
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -22,6 +22,7 @@
 use crate::body::{ResponseAborted, ResponseBody};
 use crate::dialect::{Disposition, ResponseInfo};
 use crate::event::Event;
+use crate::exchange::RequestBody;
 use crate::request_context::InFlightGuard;
 use crate::request_info::RequestInfo;
 use crate::router::Router;
@@ -106,7 +107,10 @@
 }
 
 /// Forwards a request of another instance, and returns the upstream's response.
-pub(crate) async fn handle(router: &Arc<Router>, req: Request<Incoming>) -> Response<ResponseBody> {
+pub(crate) async fn handle(
+    router: &Arc<Router>,
+    req: Request<RequestBody>,
+) -> Response<ResponseBody> {
     let (mut head, body) = req.into_parts();
     let result = match admit(router, &head, body).await {
         Ok((forwarding, body)) => {
@@ -135,7 +139,7 @@
 async fn admit(
     router: &Arc<Router>,
     head: &request::Parts,
-    body: Incoming,
+    body: RequestBody,
 ) -> Result<(Forwarding, Bytes), Error> {
     let arrived_at = router.clock.now();
     let transit = &router.transit;
