Limit the open connections by memory and descriptors, and close idle ones

Cause: the rate of new connections is limited (`Intake`), their number by nothing but IdleTimeoutMs. Whether memory or descriptors end first was a matter of their ratio on the machine.

When they are used up, the connection that has been idle for longest is closed for a new one, of the customer with the most idle ones, so that one customer with many does not close those of the others. A request in progress is never cut off: a connection that is to be closed can't begin a request any more, and if all are in use the new one is closed unread. Event 2528 and the metrics connections_open, idle_connections_closed and connections_denied show it.

--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -94,6 +94,7 @@
     optional("retry_slack", Schema::Number(0.0, 1_000_000.0)),
     optional("link_mbps", Schema::Number(0.001, 10_000_000.0)),
     optional("memory_mb", Schema::Integer(16, 1_000_000_000)),
+    optional("max_fds", Schema::Integer(64, 1_000_000_000)),
     optional("lease_least_ms", Schema::Integer(1, 600_000)),
     optional("cold_over", Schema::Number(0.0, 1_000.0)),
     optional("cold_slack", Schema::Number(0.0, 1_000_000.0)),
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -88,6 +88,8 @@
     /// Memory limit of the process, in megabytes; if unset, memory does not limit the requests in
     /// progress.
     pub memory_mb: Option<u64>,
+    /// Maximum number of file descriptors of the process; if unset, they do not limit its connections.
+    pub max_fds: Option<u64>,
     /// Shortest lease that the platform grants, in milliseconds.
     pub lease_least_ms: Option<u64>,
     /// Factor that multiplies the request rate which a cold upstream sustains, to get the limit for all
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,6 +6,7 @@
 //! randomness: callers pass the time with each event, in milliseconds.
 
 mod announcements;
+mod caller_connections;
 mod choice;
 mod cold_start;
 mod connections;
@@ -27,6 +28,7 @@
 mod upstream;
 mod usage;
 
+pub use caller_connections::{Admission, CallerConnections, ConnectionId};
 pub use choice::{Choice, ChooseError, Criteria};
 pub use cold_start::ColdStart;
 pub use connections::max_connections;
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -19,6 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::caller_stream::CallerStream;
+use crate::connections::OpenConnection;
 use crate::exchange::Exchange;
 use crate::listen::{Clients, Phase};
 use crate::router::Router;
@@ -37,6 +38,7 @@
 pub(crate) async fn serve(
     stream: TcpStream,
     clients: Clients,
+    open: OpenConnection,
     router: Arc<Router>,
     mut phase: watch::Receiver<Phase>,
 ) {
@@ -72,6 +74,9 @@
             _ = phase.wait_for(|p| *p != Phase::Serving), if may_wait => return,
             () = sleep(idle_timeout) => return,
         }
+        if !open.begin() {
+            return;
+        }
         exchange.reset();
         // Boxed, since the connection keeps room for the largest future that it contains.
         let served = Box::pin(serve_request(
@@ -81,6 +86,7 @@
             Some(rest) => stream = rest,
             None => return,
         }
+        open.end(exchange.customer());
     }
 }
 
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -30,6 +30,8 @@
     CustomerOverShare,
     /// New connections were closed because their callers had left before anything was read from them.
     ConnectionsAbandoned,
+    /// The maximum number of connections was reached: idle ones, or new ones, were closed.
+    ConnectionLimitReached,
     /// Connections were closed because nothing could be written to their callers for some time.
     SlowCallers,
     /// A newer version of the configuration is in force.
@@ -390,6 +392,12 @@
         Level::WARN,
         "callers left before they were read",
     ),
+    row(
+        Event::ConnectionLimitReached,
+        2528,
+        Level::WARN,
+        "maximum number of connections reached",
+    ),
     row(
         Event::SlowCallers,
         2527,
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, CONNECTION};
 use hyper::{Request, Response, Version};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::body::{ResponseAborted, ResponseBody};
 
@@ -32,6 +33,19 @@
     body_read: bool,
     /// Whether the connection is to be closed after the response.
     closing: bool,
+    /// The customer of the last request.
+    customer: CustomerHash,
+}
+
+/// Hash of a customer's name; 0 if a request has none. A response carries it as an extension.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CustomerHash(pub(crate) u64);
+
+impl CustomerHash {
+    /// Returns the hash of a name.
+    pub(crate) fn of(name: &str) -> CustomerHash {
+        CustomerHash(xxh3_64(name.as_bytes()))
+    }
 }
 
 /// The request and response in progress on a connection; clones share it.
@@ -63,7 +77,11 @@
 
     /// Records the response that is to be written.
     pub(crate) fn respond(&self, res: Response<ResponseBody>) -> Response<CallerBody> {
-        self.lock().closing |= is_closing(res.headers());
+        let mut state = self.lock();
+        state.closing |= is_closing(res.headers());
+        let customer = res.extensions().get::<CustomerHash>();
+        state.customer = customer.copied().unwrap_or_default();
+        drop(state);
         res.map(|body| CallerBody {
             body,
             _end: ResponseEnd(self.clone()),
@@ -78,6 +96,11 @@
         }
     }
 
+    /// Returns the hash of the last request's customer.
+    pub(crate) fn customer(&self) -> u64 {
+        self.lock().customer.0
+    }
+
     /// Returns whether the request is complete, its response is written and the connection stays open.
     pub(crate) fn is_complete(&self) -> bool {
         let state = self.lock();
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -11,13 +11,14 @@
 use conf::Settings;
 use dial::Dialer;
 use kv::Store;
-use place::{Link, Pool, RequestMemory, RetryBudget, RetryLimits};
+use place::{CallerConnections, Link, Pool, RequestMemory, RetryBudget, RetryLimits};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::accounts::{self, EngineAccounts};
 use crate::budgets::{BudgetDeps, Budgets};
 use crate::config::{ColdStartTolerance, Config, ConfigDeps};
+use crate::connections::Connections;
 use crate::datagram::{self, Sender};
 use crate::dialect::Dialect;
 use crate::evacuation::Evacuations;
@@ -213,6 +214,10 @@
             request_memory: Mutex::new(RequestMemory::new(fleet_settings.memory_mb)),
             link: Mutex::new(Link::new(fleet_settings.link_mbps)),
             intake: Mutex::default(),
+            connections: Connections::new(CallerConnections::new(
+                fleet_settings.memory_mb,
+                fleet_settings.max_fds,
+            )),
             shares: Mutex::default(),
             retry_budget: Mutex::new(RetryBudget::new(retry_limits(&fleet_settings))),
             wait_queues: WaitQueues::new(clock, Arc::clone(&log)),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod config;
 mod connect;
 mod connection;
+mod connections;
 mod datagram;
 mod dialect;
 #[cfg(test)]
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::connection;
+use crate::connections::OpenConnection;
 use crate::event::Event;
 use crate::router::Router;
 
@@ -62,8 +63,15 @@
                 // Closed before anything is read: the caller connects to another instance.
                 Ok(_) if clients == Clients::Callers && !router.accepts_connection() => {}
                 Ok((stream, _)) => {
-                    let router = Arc::clone(&router);
-                    tokio::spawn(connection::serve(stream, clients, router, phase.clone()));
+                    // Without room for one more connection, it is closed like those above.
+                    let Some(open) = OpenConnection::new(&router) else {
+                        continue;
+                    };
+                    let id = open.id();
+                    let (served, phase) = (Arc::clone(&router), phase.clone());
+                    let task =
+                        tokio::spawn(connection::serve(stream, clients, open, served, phase));
+                    router.connections.set_task(id, task.abort_handle());
                 }
                 Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             }
@@ -76,6 +84,7 @@
 pub(crate) fn spawn_overload_log(router: Arc<Router>) {
     tokio::spawn(async move {
         let (mut logged_closed, mut logged_abandoned, mut logged_slow) = (0, 0, 0);
+        let mut logged_replaced = 0;
         loop {
             sleep(OVERLOAD_LOG_INTERVAL).await;
             let closed = router.metrics.connections_closed.get();
@@ -86,6 +95,17 @@
                 router.log.event(Event::ConnectionsClosed, detail);
                 logged_closed = closed;
             }
+            let idle_closed = router.metrics.idle_connections_closed.get();
+            let denied = router.metrics.connections_denied.get();
+            if idle_closed + denied > logged_replaced {
+                let open = router.connections.count();
+                let count = idle_closed + denied - logged_replaced;
+                let detail = format_args!(
+                    "count={count} open={open} all_idle_closed={idle_closed} all_denied={denied}"
+                );
+                router.log.event(Event::ConnectionLimitReached, detail);
+                logged_replaced = idle_closed + denied;
+            }
             let abandoned = router.metrics.connections_abandoned.get();
             if abandoned > logged_abandoned {
                 let detail = format_args!("count={}", abandoned - logged_abandoned);
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -108,6 +108,12 @@
     pub(crate) engine_tokens_cached: Gauge,
     /// Connections whose callers had left before anything was read from them.
     pub(crate) connections_abandoned: Counter,
+    /// Open connections of callers and of other instances.
+    pub(crate) connections_open: Gauge,
+    /// Idle connections that were closed because the maximum number of connections was reached.
+    pub(crate) idle_connections_closed: Counter,
+    /// New connections that were closed unread because that many were in use.
+    pub(crate) connections_denied: Counter,
     /// Requests that were refused because their customer was over its share of this overloaded instance.
     pub(crate) refused_over_share: Counter,
     /// Connections that were closed because their callers read nothing.
@@ -150,6 +156,9 @@
             engine_tokens_held: Gauge::default(),
             engine_tokens_cached: Gauge::default(),
             connections_abandoned: Counter::default(),
+            connections_open: Gauge::default(),
+            idle_connections_closed: Counter::default(),
+            connections_denied: Counter::default(),
             refused_over_share: Counter::default(),
             slow_callers: Counter::default(),
         };
@@ -276,6 +285,21 @@
             "Connections whose callers left before they were read",
             self.connections_abandoned.clone(),
         );
+        r.register(
+            "connections_open",
+            "Open connections of callers and other instances",
+            self.connections_open.clone(),
+        );
+        r.register(
+            "idle_connections_closed",
+            "Idle connections closed since the maximum number was reached",
+            self.idle_connections_closed.clone(),
+        );
+        r.register(
+            "connections_denied",
+            "New connections closed since the maximum number was in use",
+            self.connections_denied.clone(),
+        );
         r.register(
             "refused_over_share",
             "Requests over their customer's share of an overloaded instance",
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -21,7 +21,7 @@
 use crate::config::ActiveConfig;
 use crate::connect;
 use crate::event::Event;
-use crate::exchange::RequestBody;
+use crate::exchange::{CustomerHash, RequestBody};
 use crate::origins::Found;
 use crate::refusal::Refusal;
 use crate::request_context::{
@@ -67,6 +67,7 @@
             }
         };
         caller.ended = true;
+        res.extensions_mut().insert(caller.customer);
         if chunked || self.is_stopping() || self.is_link_congested() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
@@ -114,6 +115,10 @@
         };
         let route = self.route(&active, &info, &head)?.clone();
         let customer = self.customer(&active, &info, &route)?;
+        caller.customer = customer
+            .as_deref()
+            .map(CustomerHash::of)
+            .unwrap_or_default();
         let deadline = arrived_at + timeout_ms.min(route.timeout_ms);
         let body = self.read_body(&active, &head, body, deadline).await?;
         if !self.is_within_share(customer.as_deref(), body.len()) {
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -14,6 +14,7 @@
 use crate::accounts::{Asking, Consultation};
 use crate::budgets::Reservation;
 use crate::event::Event;
+use crate::exchange::CustomerHash;
 use crate::request_info::RequestInfo;
 use crate::router::Router;
 use crate::transit::Asked;
@@ -81,6 +82,8 @@
     pub(crate) progress: Arc<Progress>,
     /// The request, once its head is parsed.
     pub(crate) info: Option<RequestInfo>,
+    /// The customer, once it is known.
+    pub(crate) customer: CustomerHash,
     pub(crate) ended: bool,
 }
 
@@ -92,6 +95,7 @@
             arrived_at: router.clock.now(),
             progress: Arc::default(),
             info: None,
+            customer: CustomerHash::default(),
             ended: false,
         }
     }
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -12,6 +12,7 @@
 use crate::accounts::EngineAccounts;
 use crate::budgets::Budgets;
 use crate::config::Config;
+use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::event::Event;
 use crate::fleet::Fleet;
@@ -42,6 +43,7 @@
     pub(crate) request_memory: Mutex<RequestMemory>,
     pub(crate) link: Mutex<Link>,
     pub(crate) intake: Mutex<Intake>,
+    pub(crate) connections: Connections,
     pub(crate) shares: Mutex<Shares>,
     pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) wait_queues: WaitQueues,
