Reserve memory for heads and bodies while they are received

Cause: a body was read whole before memory was reserved for it, in the pipeline and for requests of other instances alike; heads that arrive slowly were never counted.

Change: a connection reserves 32 kB when a request begins to arrive, and closes it unread without them; `request_body::read_body`, now one copy for both paths, reserves what it has received beyond that, and refuses the request (503, not run) when nothing is left. What is being received may use 40 % of the memory for requests, so that slow callers don't keep others out, and exceed the whole by a tenth, so that a request that does not fit is still read and gets its 503 and a time to come back. Before, a body of unknown length was also copied once more after it had been received.

Two tests of the shares in `place/tests/request_memory.rs`.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -40,7 +40,7 @@
 pub use pool::{
     shared_segment_sizes, shared_segments, EntryChange, InquiredEngine, Inquiry, KnownEngine, Pool,
 };
-pub use request_memory::RequestMemory;
+pub use request_memory::{RequestMemory, HEAD_BYTES};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use reused_addresses::AddressState;
 pub use room::Entry;
--- a/crates/place/src/request_memory.rs
+++ b/crates/place/src/request_memory.rs
@@ -3,10 +3,19 @@
 //! Callers may send faster than upstreams respond, or over a slow link; each waiting request keeps its
 //! body, two connections and its state in memory. A process above its memory limit is killed together
 //! with all of its requests, so a request that does not fit is refused and goes to another instance.
+//! Heads and bodies count from their first byte on: many callers may send them slowly at the same time.
 
 /// Memory of a request in addition to its body, in bytes: two connections with their buffers, and its
 /// state. Derived from peaks of 57 MB with 900 requests of 10 kB in progress.
 const REQUEST_BYTES: usize = 48 << 10;
+/// Memory of a request whose head is being received, in bytes: its connection with its buffers, and as much of a
+/// body as arrives with the head.
+pub const HEAD_BYTES: usize = 32 << 10;
+/// Percentage of the memory for requests that heads and bodies may use while they are received: slow callers must
+/// not keep others out.
+const RECEIVING_PCT: usize = 40;
+/// Percentage by which these may exceed the memory for requests, so that a request that does not fit gets an answer.
+const RECEIVING_EXCESS_PCT: usize = 10;
 /// Percentage of the memory limit that requests may use: the rest is for the program itself and for
 /// received data that has not been read yet.
 const USABLE_PCT: usize = 60;
@@ -24,6 +33,8 @@
     max_bytes: Option<usize>,
     /// Number of bytes reserved for requests.
     reserved: usize,
+    /// Number of bytes reserved for heads and bodies that are being received.
+    receiving: usize,
     /// Number of bytes reserved for responses.
     responses: usize,
 }
@@ -35,17 +46,45 @@
         RequestMemory {
             max_bytes: bytes.map(|b| b / 100 * USABLE_PCT),
             reserved: 0,
+            receiving: 0,
             responses: 0,
         }
     }
 
+    fn used(&self) -> usize {
+        self.reserved + self.receiving + self.responses
+    }
+
+    /// Reserves memory for a part of a head or body that is being received; returns whether it fits.
+    pub fn receive(&mut self, bytes: usize) -> bool {
+        let fits = self.max_bytes.is_none_or(|max_bytes| {
+            let total = max_bytes / 100 * (100 + RECEIVING_EXCESS_PCT);
+            self.receiving + bytes <= max_bytes / 100 * RECEIVING_PCT
+                && self.used() + bytes <= total
+        });
+        if fits {
+            self.receiving += bytes;
+        }
+        fits
+    }
+
+    /// Releases the bytes reserved for what was received.
+    ///
+    /// # Panics
+    ///
+    /// Panics if more bytes are released than were reserved: the limit would no longer hold.
+    pub fn end_receiving(&mut self, bytes: usize) {
+        let left = self.receiving.checked_sub(bytes);
+        self.receiving = left.expect("no more bytes are released than were reserved");
+    }
+
     /// Reserves memory for a request with a body of some bytes; returns the number of reserved bytes,
     /// or none if the request does not fit.
     pub fn reserve(&mut self, body: usize) -> Option<usize> {
         let bytes = body + REQUEST_BYTES;
         let fits = self
             .max_bytes
-            .is_none_or(|max_bytes| self.reserved + self.responses + bytes <= max_bytes);
+            .is_none_or(|max_bytes| self.used() + bytes <= max_bytes);
         fits.then(|| {
             self.reserved += bytes;
             bytes
@@ -54,16 +93,15 @@
 
     /// Returns whether the memory for requests is nearly used up.
     pub fn is_nearly_full(&self) -> bool {
-        let used = self.reserved + self.responses;
         self.max_bytes
-            .is_some_and(|max_bytes| used > max_bytes / 100 * NEARLY_FULL_PCT)
+            .is_some_and(|max_bytes| self.used() > max_bytes / 100 * NEARLY_FULL_PCT)
     }
 
     /// Reserves memory for a part of a response of some bytes; returns whether it fits.
     pub fn reserve_response(&mut self, bytes: usize) -> bool {
         let fits = self.max_bytes.is_none_or(|max_bytes| {
             let responses = self.responses + bytes;
-            responses <= max_bytes / 100 * RESPONSES_PCT && self.reserved + responses <= max_bytes
+            responses <= max_bytes / 100 * RESPONSES_PCT && self.used() + bytes <= max_bytes
         });
         if fits {
             self.responses += bytes;
--- a/crates/place/tests/request_memory.rs
+++ b/crates/place/tests/request_memory.rs
@@ -1,6 +1,6 @@
 //! Memory for requests in progress.
 
-use place::RequestMemory;
+use place::{RequestMemory, HEAD_BYTES};
 
 /// Guards against a process that is killed for its memory use together with all of its requests. It happens if
 /// requests with bodies of 100 kB arrive faster than they are answered, and nothing limits their number.
@@ -45,3 +45,31 @@
     assert!(!memory.is_short_for_responses());
     assert!(memory.reserve(10_000).is_some());
 }
+
+/// Guards against slow callers whose heads and bodies fill the memory while nothing of it is reserved, and against
+/// slow callers that keep others out.
+#[test]
+fn what_is_being_received_counts_and_leaves_memory_for_requests() {
+    let mut memory = RequestMemory::new(Some(88));
+    let mut bodies = 0;
+    while memory.receive(1 << 20) {
+        bodies += 1;
+    }
+    assert!((18..=21).contains(&bodies), "{bodies}");
+    let requests = (0..1_000)
+        .filter(|_| memory.reserve(10_000).is_some())
+        .count();
+    assert!(requests > 400, "{requests}");
+    assert!(!memory.receive(1 << 20));
+    memory.end_receiving(10 << 20);
+    assert!(memory.reserve(10_000).is_some());
+}
+
+/// Guards against closing a connection unread although its request could be refused with a time to come back.
+#[test]
+fn a_head_fits_when_requests_fill_the_memory() {
+    let mut memory = RequestMemory::new(Some(88));
+    while memory.reserve(10_000).is_some() {}
+    let heads = (0..1_000).filter(|_| memory.receive(HEAD_BYTES)).count();
+    assert!((100..200).contains(&heads), "{heads}");
+}
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -22,6 +22,7 @@
 use crate::connections::OpenConnection;
 use crate::exchange::Exchange;
 use crate::listen::{Clients, Phase};
+use crate::request_body::ReceivingMemory;
 use crate::router::Router;
 use crate::transit;
 
@@ -77,7 +78,12 @@
         if !open.begin() {
             return;
         }
-        exchange.reset();
+        // Without memory for a head, the connection is closed unread: its caller may send the request again.
+        let Some(memory) = ReceivingMemory::reserve(&router) else {
+            router.metrics.connections_closed.inc();
+            return;
+        };
+        exchange.reset(memory);
         // Boxed, since the connection keeps room for the largest future that it contains.
         let served = Box::pin(serve_request(
             stream, clients, &router, &exchange, &mut phase,
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::body::{ResponseAborted, ResponseBody};
+use crate::request_body::ReceivingMemory;
 
 /// How far a connection has come with its current request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,6 +34,8 @@
     body_read: bool,
     /// Whether the connection is to be closed after the response.
     closing: bool,
+    /// The memory of a head that is being received.
+    memory: Option<ReceivingMemory>,
     /// The customer of the last request.
     customer: CustomerHash,
 }
@@ -57,9 +60,12 @@
         self.0.lock().expect("lock not poisoned")
     }
 
-    /// Starts waiting for the next request.
-    pub(crate) fn reset(&self) {
-        *self.lock() = State::default();
+    /// Starts waiting for the next request, whose head has this memory.
+    pub(crate) fn reset(&self, memory: ReceivingMemory) {
+        *self.lock() = State {
+            memory: Some(memory),
+            ..State::default()
+        };
     }
 
     /// Records a request whose head was read.
@@ -67,10 +73,12 @@
         let mut state = self.lock();
         state.phase = Phase::Responding;
         state.body_read = req.body().is_end_stream();
+        let memory = state.memory.take();
         state.closing = req.version() != Version::HTTP_11 || is_closing(req.headers());
         drop(state);
         req.map(|body| RequestBody {
             body,
+            memory,
             exchange: self.clone(),
         })
     }
@@ -129,9 +137,18 @@
 #[derive(Debug)]
 pub(crate) struct RequestBody {
     body: Incoming,
+    /// None if the head arrived together with another request, whose memory was that of its connection.
+    memory: Option<ReceivingMemory>,
     exchange: Exchange,
 }
 
+impl RequestBody {
+    /// Returns the memory of what is being received.
+    pub(crate) fn memory(&mut self) -> Option<&mut ReceivingMemory> {
+        self.memory.as_mut()
+    }
+}
+
 impl Body for RequestBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -46,6 +46,7 @@
 mod refusal;
 mod relay;
 mod replication;
+mod request_body;
 mod request_context;
 mod request_info;
 mod response_memory;
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -7,8 +7,7 @@
 use conf::{Route, Service};
 use err::Kind;
 use escrow::{Claim, ReserveError};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Request, Response};
 use origin::Origin;
@@ -24,6 +23,7 @@
 use crate::exchange::{CustomerHash, RequestBody};
 use crate::origins::Found;
 use crate::refusal::Refusal;
+use crate::request_body::{read_body, BodyError};
 use crate::request_context::{
     AttemptTiming, CallerGuard, InFlightGuard, RequestContext, StreamVersion, DEFAULT_TIMEOUT_MS,
 };
@@ -37,6 +37,8 @@
 /// Retry time if the instance is stopping, or its link or memory is full, in milliseconds: another
 /// instance can answer the retry.
 const RETRY_OTHER_INSTANCE_MS: u64 = 50;
+/// Why a request is refused for which there is no memory.
+const NO_MEMORY: &str = "this instance has no memory left for more requests";
 /// Minimum retry time if the customer is over its share of this overloaded instance, in milliseconds; up to
 /// as much is added at random: its callers must not come back together.
 const RETRY_OVER_SHARE_MS: u64 = 500;
@@ -120,7 +122,11 @@
             .map(CustomerHash::of)
             .unwrap_or_default();
         let deadline = arrived_at + timeout_ms.min(route.timeout_ms);
-        let body = self.read_body(&active, &head, body, deadline).await?;
+        let body = self.read_body(&active, body, deadline).await;
+        let body = body.map_err(|refusal| match refusal.error.kind {
+            Kind::Overloaded => refusal.retry_within(RETRY_OTHER_INSTANCE_MS, timeout_ms),
+            _ => refusal,
+        })?;
         if !self.is_within_share(customer.as_deref(), body.len()) {
             let message = "this instance is overloaded and the customer sends far more than usual";
             let retry_ms = RETRY_OVER_SHARE_MS + rand::random_range(0..RETRY_OVER_SHARE_MS);
@@ -303,7 +309,7 @@
         let why = if saturated {
             "the network link of this instance is saturated"
         } else if !in_flight.reserve_memory(body) {
-            "this instance has no memory left for more requests"
+            NO_MEMORY
         } else {
             return Ok(());
         };
@@ -357,33 +363,28 @@
     async fn read_body(
         &self,
         active: &ActiveConfig,
-        head: &request::Parts,
         body: RequestBody,
         deadline: u64,
     ) -> Result<Bytes, Refusal> {
         let max_bytes = active.routing.limits.max_body_bytes;
-        let too_large = || {
-            let message = format!("the request body exceeds {max_bytes} bytes");
-            Refusal::new(Kind::TooLarge, message)
-        };
-        let length = head.headers.get(CONTENT_LENGTH);
-        let length = length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
-        if length.is_some_and(|n| n > max_bytes) {
-            return Err(too_large());
-        }
-        let limited = Limited::new(body, max_bytes);
-        match timeout_at(self.clock.at(deadline), limited.collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
-            Ok(Err(e)) => {
-                let message = format!("failed to read the request body: {e}");
-                Err(Refusal::new(Kind::BadRequest, message))
+        let read = timeout_at(self.clock.at(deadline), read_body(body, max_bytes));
+        let (kind, message) = match read.await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(BodyError::TooLarge)) => {
+                let message = format!("the request body exceeds {max_bytes} bytes");
+                (Kind::TooLarge, message)
+            }
+            Ok(Err(BodyError::NoMemory)) => (Kind::Overloaded, NO_MEMORY.to_string()),
+            Ok(Err(BodyError::Broken(why))) => {
+                let message = format!("failed to read the request body: {why}");
+                (Kind::BadRequest, message)
             }
             Err(_) => {
                 let message = "the request body was not received before the deadline";
-                Err(Refusal::new(Kind::BadRequest, message))
+                (Kind::BadRequest, message.to_string())
             }
-        }
+        };
+        Err(Refusal::new(kind, message))
     }
 
     /// Reserves the maximum number of tokens that a request can cost.
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -41,11 +41,7 @@
 
     /// Reserves memory for a request with a body of `body` bytes; returns whether there was enough.
     pub(crate) fn reserve_memory(&mut self, body: usize) -> bool {
-        let mut memory = self
-            .router
-            .request_memory
-            .lock()
-            .expect("lock not poisoned");
+        let mut memory = self.router.lock_request_memory();
         let reserved = memory.reserve(body);
         self.reserved_bytes = reserved.unwrap_or_default();
         reserved.is_some()
@@ -54,11 +50,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        let mut memory = self
-            .router
-            .request_memory
-            .lock()
-            .expect("lock not poisoned");
+        let mut memory = self.router.lock_request_memory();
         memory.release(self.reserved_bytes);
         drop(memory);
         self.router.in_flight.send_modify(|n| *n -= 1);
--- a/crates/proxy/src/response_memory.rs
+++ b/crates/proxy/src/response_memory.rs
@@ -24,11 +24,7 @@
     /// Reserves more memory, so that it is `bytes` in total; returns whether there was enough.
     pub(crate) fn grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
-        let mut memory = self
-            .router
-            .request_memory
-            .lock()
-            .expect("lock not poisoned");
+        let mut memory = self.router.lock_request_memory();
         let fits = memory.reserve_response(more);
         if fits {
             self.bytes += more;
@@ -47,11 +43,7 @@
 
 impl Drop for ResponseMemory {
     fn drop(&mut self) {
-        let mut memory = self
-            .router
-            .request_memory
-            .lock()
-            .expect("lock not poisoned");
+        let mut memory = self.router.lock_request_memory();
         memory.release_response(self.bytes);
     }
 }
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -1,7 +1,7 @@
 //! The state that requests share.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use clock::Clock;
 use dial::Dialer;
@@ -130,9 +130,7 @@
 
     /// Returns whether this instance's timers are late, or its memory or link is nearly used up.
     fn is_overloaded(&self) -> bool {
-        let memory = self.request_memory.lock().expect("lock not poisoned");
-        let nearly_full = memory.is_nearly_full();
-        drop(memory);
+        let nearly_full = self.lock_request_memory().is_nearly_full();
         nearly_full || self.is_late() || self.with_link(|l, now| l.is_backed_up(now))
     }
 
@@ -153,10 +151,14 @@
         admitted
     }
 
+    /// Locks the memory for requests and responses.
+    pub(crate) fn lock_request_memory(&self) -> MutexGuard<'_, RequestMemory> {
+        self.request_memory.lock().expect("lock not poisoned")
+    }
+
     /// Returns whether the memory for responses that callers have not read yet is nearly used up.
     pub(crate) fn is_short_of_response_memory(&self) -> bool {
-        let memory = self.request_memory.lock().expect("lock not poisoned");
-        memory.is_short_for_responses()
+        self.lock_request_memory().is_short_for_responses()
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use dial::{ConnectError, SendError, Target};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use hyper::http::request;
@@ -23,6 +23,7 @@
 use crate::dialect::{Disposition, ResponseInfo};
 use crate::event::Event;
 use crate::exchange::RequestBody;
+use crate::request_body::{read_body, BodyError};
 use crate::request_context::InFlightGuard;
 use crate::request_info::RequestInfo;
 use crate::router::Router;
@@ -164,12 +165,12 @@
     let timeout_ms = header_text(&head.headers, header::TIMEOUT).parse();
     let deadline = arrived_at + timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let mut in_flight = InFlightGuard::new(router);
-    let body = Limited::new(body, active.routing.limits.max_body_bytes);
-    let body = timeout_at(router.clock.at(deadline), body.collect()).await;
-    let Ok(Ok(body)) = body else {
-        return Err(Error::NotSent);
+    let body = read_body(body, active.routing.limits.max_body_bytes);
+    let body = match timeout_at(router.clock.at(deadline), body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::NoMemory)) => return Err(Error::Full),
+        Ok(Err(BodyError::TooLarge | BodyError::Broken(_))) | Err(_) => return Err(Error::NotSent),
     };
-    let body = body.to_bytes();
     router.with_link(|l, now| l.record_request_received(now, body.len()));
     if !in_flight.reserve_memory(body.len()) {
         return Err(Error::Full);
