Abort a streamed response unless its end was sent

Cause: the end of the channel between the task that forwards a response and the connection meant the end of the body, and an abort was an item in the channel. At the deadline that item was offered once and dropped if the queue of a slow caller was full. "Complete" was what remained when something went wrong.

Change: `BodySender::complete` is the only way to end a streamed body; dropping the sender aborts it after what was sent. It holds for streams of events as well, whose forwarder could end without either if it panicked or was cancelled. An abort no longer waits for room in the queue.

--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -10,12 +10,11 @@
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 use place::Outcome;
-use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
 use crate::attempt::{attempt, OpenResponse};
 use crate::attempt_error::{AttemptError, AttemptHistory};
-use crate::body::{ResponseAborted, ResponseBody};
+use crate::body::{BodySender, CallerDisconnected, ResponseBody};
 use crate::event::Event;
 use crate::refusal::Refusal;
 use crate::request_context::{InFlightGuard, RequestContext};
@@ -211,9 +210,9 @@
     open: OpenResponse,
     received: Bytes,
 ) -> Response<ResponseBody> {
-    let (tx, rx) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    let (tx, body) = BodySender::new(MAX_QUEUED_CHUNKS);
     let mut res = new_response(ctx, &open.head, Bytes::new());
-    *res.body_mut() = ResponseBody::Streamed(rx);
+    *res.body_mut() = body;
     let until = ctx.router.clock.at(ctx.deadline);
     let (log, id) = (ctx.router.log.clone(), ctx.info.id.clone());
     let router = ctx.router.clone();
@@ -227,19 +226,15 @@
         let forwarded = timeout_at(until, forward_chunks(open.body, received, &router, &tx)).await;
         match forwarded {
             Ok(Ok(())) => {
+                tx.complete();
                 open.guard.end(outcome);
                 router.dialer.put_idle(open.conn, open.info.keep_alive);
             }
             Ok(Err(why)) => {
                 open.guard.end(Outcome::InvalidResponse);
                 log.request_event(Event::ResponseAborted, &id, why);
-                // Fails if the caller has disconnected.
-                let _ = tx.send(Err(ResponseAborted)).await;
-            }
-            Err(_) => {
-                log.request_event(Event::ResponseAborted, &id, "deadline");
-                let _ = tx.try_send(Err(ResponseAborted));
             }
+            Err(_) => log.request_event(Event::ResponseAborted, &id, "deadline"),
         }
     });
     res
@@ -250,17 +245,17 @@
     mut body: Incoming,
     received: Bytes,
     router: &Router,
-    tx: &mpsc::Sender<Result<Bytes, ResponseAborted>>,
+    tx: &BodySender,
 ) -> Result<(), String> {
-    let disconnected = |_| "the caller disconnected".to_string();
+    let disconnected = |CallerDisconnected| "the caller disconnected".to_string();
     if !received.is_empty() {
-        tx.send(Ok(received)).await.map_err(disconnected)?;
+        tx.send(received).await.map_err(disconnected)?;
     }
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| e.to_string())?;
         if let Ok(data) = frame.into_data() {
             router.with_link(|l, now| l.record_response(now, data.len()));
-            tx.send(Ok(data)).await.map_err(disconnected)?;
+            tx.send(data).await.map_err(disconnected)?;
         }
     }
     Ok(())
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -2,7 +2,6 @@
 //! stream that is aborted by its upstream is resumed at another one if that is allowed; otherwise
 //! the response to the caller is aborted too.
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -10,12 +9,11 @@
 use hyper::Response;
 use origin::{Origin, OriginRecord};
 use place::{Choice, Outcome};
-use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
 use crate::attempt::{attempt, AttemptGuard, OpenResponse};
 use crate::attempt_error::{AttemptError, AttemptHistory};
-use crate::body::{ResponseAborted, ResponseBody};
+use crate::body::{BodySender, ResponseBody};
 use crate::buffered;
 use crate::dialect::ResponseInfo;
 use crate::event::Event;
@@ -130,8 +128,8 @@
         log_beginning(&ctx, &stream);
         bind(&mut ctx, &stream);
     }
-    let (tx, rx) = mpsc::channel(MAX_QUEUED_EVENTS);
-    let mut res = Response::new(ResponseBody::Streamed(rx));
+    let (tx, body) = BodySender::new(MAX_QUEUED_EVENTS);
+    let mut res = Response::new(body);
     *res.status_mut() = head.status;
     *res.headers_mut() = ctx.router.dialect.response_headers(&head);
     let forwarder = Forwarder {
@@ -271,7 +269,7 @@
 /// Forwards a stream to its caller.
 struct Forwarder {
     ctx: RequestContext,
-    tx: mpsc::Sender<Result<Bytes, ResponseAborted>>,
+    tx: BodySender,
     /// Id of the last event that was forwarded, or that the caller already had.
     last_event_id: Option<u64>,
     /// Number of events forwarded.
@@ -290,10 +288,10 @@
                     stream.finish(&self.ctx);
                     self.ctx.router.origins.complete(self.ctx.stream_id());
                     self.ctx.record_end("ok", &upstream);
-                    return;
+                    return self.tx.complete();
                 }
                 End::CallerDisconnected => return self.log_disconnected(&upstream),
-                End::DeadlinePassed => return self.abort("deadline").await,
+                End::DeadlinePassed => return self.abort("deadline"),
                 End::PathLost => {
                     stream.guard.end(Outcome::Abandoned);
                     "path lost".to_string()
@@ -308,7 +306,7 @@
             stream = match self.resume(&why, &version).await {
                 Ok(stream) => stream,
                 Err(_) if self.tx.is_closed() => return self.log_disconnected(&upstream),
-                Err(why) => return self.abort(&why).await,
+                Err(why) => return self.abort(&why),
             };
         }
     }
@@ -369,7 +367,7 @@
         self.ctx
             .router
             .with_link(|l, now| l.record_response(now, bytes));
-        let sent = self.tx.send(Ok(event.bytes)).await;
+        let sent = self.tx.send(event.bytes).await;
         sent.is_err().then_some(End::CallerDisconnected)
     }
 
@@ -408,7 +406,7 @@
     }
 
     /// Aborts the response, so that the caller can't take it for a complete one.
-    async fn abort(self, why: &str) {
+    fn abort(self, why: &str) {
         let log = &self.ctx.router.log;
         let detail = format!(
             "events={} request={} why={why}",
@@ -419,7 +417,5 @@
             .router
             .metrics
             .count_request(&self.ctx.route.name, "cut");
-        // Fails if the caller has disconnected.
-        let _ = self.tx.send(Err(ResponseAborted)).await;
     }
 }
