Let a planned stop wait until responses are written

Cause: the stop waits for requests in flight, and a request stops counting when its buffered response is handed to the connection, which may have most of it still to write. The tasks of the connections end with the runtime.

Change: the stop also waits until no connection is busy. `Connections` knows this now: busy from the first byte of a request until its response is written. `cut=` in event 2003 counts such connections too.

--- a/crates/place/src/caller_connections.rs
+++ b/crates/place/src/caller_connections.rs
@@ -60,6 +60,7 @@
     open: HashMap<ConnectionId, State>,
     /// Idle connections by customer, those first that have been idle for longest.
     idle: HashMap<u64, BTreeMap<IdleSince, ConnectionId>>,
+    idle_count: usize,
 }
 
 impl CallerConnections {
@@ -111,6 +112,7 @@
         let before = std::mem::replace(state, State::Idle { customer, since });
         self.forget_idle(before);
         self.idle.entry(customer).or_default().insert(since, id);
+        self.idle_count += 1;
     }
 
     /// Removes a connection that was closed.
@@ -132,7 +134,7 @@
 
     /// Returns the number of connections with a request in progress.
     pub fn busy_count(&self) -> usize {
-        self.open.len() - self.idle.values().map(BTreeMap::len).sum::<usize>()
+        self.open.len() - self.idle_count
     }
 
     /// Removes the connection that has been idle for longest, of the customer with the most idle ones: a customer
@@ -151,7 +153,7 @@
         let Some(idle) = self.idle.get_mut(&customer) else {
             return;
         };
-        idle.remove(&since);
+        self.idle_count -= usize::from(idle.remove(&since).is_some());
         if idle.is_empty() {
             self.idle.remove(&customer);
         }
--- a/crates/proxy/src/connections.rs
+++ b/crates/proxy/src/connections.rs
@@ -4,15 +4,18 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use place::{Admission, CallerConnections, ConnectionId};
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
 use crate::router::Router;
 
 /// The open connections.
-#[derive(Default)]
-pub(crate) struct Connections(Mutex<State>);
+pub(crate) struct Connections {
+    state: Mutex<State>,
+    /// Number of connections with a request in progress: from its first byte until its response is written.
+    busy: watch::Sender<usize>,
+}
 
-#[derive(Default)]
 struct State {
     connections: CallerConnections,
     /// The tasks that serve the connections.
@@ -23,11 +26,36 @@
     /// Creates the connections of a process with limits.
     pub(crate) fn new(connections: CallerConnections) -> Connections {
         let tasks = HashMap::new();
-        Connections(Mutex::new(State { connections, tasks }))
+        Connections {
+            state: Mutex::new(State { connections, tasks }),
+            busy: watch::channel(0).0,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().expect("lock not poisoned")
+        self.state.lock().expect("lock not poisoned")
+    }
+
+    /// Changes the connections, and notifies who waits until none is busy.
+    fn update<T>(&self, f: impl FnOnce(&mut CallerConnections) -> T) -> T {
+        let mut state = self.lock();
+        let result = f(&mut state.connections);
+        let busy = state.connections.busy_count();
+        self.busy
+            .send_if_modified(|n| std::mem::replace(n, busy) != busy);
+        result
+    }
+
+    /// Returns the number of connections with a request in progress.
+    pub(crate) fn busy_count(&self) -> usize {
+        *self.busy.borrow()
+    }
+
+    /// Waits until no connection has a request in progress.
+    pub(crate) async fn wait_idle(&self) {
+        let mut busy = self.busy.subscribe();
+        // The sender is owned by the connections, so waiting can't fail.
+        let _ = busy.wait_for(|n| *n == 0).await;
     }
 
     /// Returns the number of open connections.
@@ -74,22 +102,19 @@
 
     /// Marks the connection as busy with a request; returns whether it is still open.
     pub(crate) fn begin(&self) -> bool {
-        self.router.connections.lock().connections.begin(self.id)
+        self.router.connections.update(|c| c.begin(self.id))
     }
 
     /// Marks the connection as idle after a request of the customer with this hash.
     pub(crate) fn end(&self, customer: u64) {
-        let mut state = self.router.connections.lock();
-        state.connections.end(self.id, customer);
+        self.router.connections.update(|c| c.end(self.id, customer));
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        let mut state = self.router.connections.lock();
-        state.connections.close(self.id);
-        state.tasks.remove(&self.id);
-        drop(state);
+        self.router.connections.update(|c| c.close(self.id));
+        self.router.connections.lock().tasks.remove(&self.id);
         self.router.metrics.connections_open.dec();
     }
 }
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -371,11 +371,17 @@
         *self.router.in_flight.borrow()
     }
 
-    /// Waits until no request is in flight.
+    /// Waits until no request is in flight, and all responses are written.
     async fn wait_idle(&self) {
         let mut in_flight = self.router.in_flight.subscribe();
-        // The sender is owned by the router, so waiting can't fail.
-        let _ = in_flight.wait_for(|n| *n == 0).await;
+        loop {
+            // The sender is owned by the router, so waiting can't fail.
+            let _ = in_flight.wait_for(|n| *n == 0).await;
+            self.router.connections.wait_idle().await;
+            if self.in_flight() == 0 {
+                return;
+            }
+        }
     }
 
     /// Performs a planned stop: reports that the instance is not ready, waits for requests in
@@ -412,7 +418,8 @@
         // If the lease is not ended in time, it expires.
         let _ = timeout(CLEANUP_PERIOD / 4, router.fleet.deregister()).await;
         self.store_calls.log_totals(&router.log);
-        let detail = format_args!("cut={} handed_back={returned}", self.in_flight());
+        let cut = self.in_flight().max(router.connections.busy_count() as u64);
+        let detail = format_args!("cut={cut} handed_back={returned}");
         router.log.event(Event::Stopped, detail);
         self.ready.stop(CLOSE_TIMEOUT);
         if let Some(ops) = &self.ops {
