Limit what an upstream may send before the head of its response is complete

What callers saw: an upstream that sends informational responses (100 to 199) one after another keeps its request until the caller's deadline (504 after 4 s in the test, up to 10 s on a route of that timeout), while the instance parses them as fast as they come.

Cause: a single head is limited to 64 kB, but hyper ignores informational responses one at a time, and nothing limits their number.

Change: the socket of an upstream's connection (`dial::socket`) fails when 256 kB were received after a request without a complete head. The connection is closed, the attempt counts as an invalid response, as for bytes that are no HTTP: a request that may be repeated is sent to another upstream, others get 502 at once.

--- a/crates/dial/src/conn.rs
+++ b/crates/dial/src/conn.rs
@@ -12,6 +12,7 @@
 use tokio::task::AbortHandle;
 
 use crate::pool::Pools;
+use crate::socket::HeadLimit;
 
 /// Why a request has no response.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,6 +38,7 @@
 pub struct Conn {
     pub(crate) upstream: String,
     pub(crate) send: SendRequest<Full<Bytes>>,
+    pub(crate) head_limit: HeadLimit,
     pub(crate) task: AbortHandle,
     pub(crate) pools: Arc<Mutex<Pools>>,
 }
@@ -51,7 +53,9 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.head_limit.apply();
         let sent = self.send.try_send_request(req).await;
+        self.head_limit.lift();
         sent.map_err(|mut e| {
             let why = e.error().to_string();
             let closed = is_closed(e.error());
--- a/crates/dial/src/lib.rs
+++ b/crates/dial/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod conn;
 mod pool;
+mod socket;
 
 pub use conn::{Conn, SendError};
 pub use pool::{set_send_buffer_size, set_socket_options, ConnectError, Dialer, Target};
--- a/crates/dial/src/pool.rs
+++ b/crates/dial/src/pool.rs
@@ -14,6 +14,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::conn::Conn;
+use crate::socket::{HeadLimit, UpstreamSocket};
 
 /// Maximum number of bytes of a response that are read ahead of a caller which reads slowly. The head of a
 /// response must fit.
@@ -141,9 +142,11 @@
                 _ => unreachable(e),
             })?;
         set_socket_options(&stream).map_err(unreachable)?;
+        let head_limit = HeadLimit::new();
+        let socket = UpstreamSocket::new(stream, head_limit.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(|e| ConnectError::Unreachable(e.to_string()))?;
         let (send, conn) = handshake;
@@ -156,6 +159,7 @@
         Ok(Conn {
             upstream: target.upstream.to_string(),
             send,
+            head_limit,
             task: task.abort_handle(),
             pools: Arc::clone(&self.0),
         })
