Limit the body of a response to a health check

What callers saw: nothing yet; it was found by the tests for upstreams whose bytes never end. An instance that checks whether its path to a service is lost reads the body of a health check until it ends or a second has passed: 503 MB in the test, which ends an instance of 88 MB together with all of its requests.

Cause: the body was collected without a limit.

Change: at most 64 kB are read; then the connection is closed. The result of the check does not depend on the body.

Test: `health_checks_without_end_use_bounded_memory`: 503 MB before, failed; 26 MB now. The upstreams answer all requests with bytes that are no HTTP, so that the instance suspects its path.

--- a/crates/proxy/src/transit/monitor.rs
+++ b/crates/proxy/src/transit/monitor.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use dial::Target;
 use futures_util::future::join_all;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Request, Uri};
 use place::Spec;
@@ -23,6 +23,9 @@
 /// Time until the response to a probe: a connection that lasts as long has not broken.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum size of the body of a response to a health check, in bytes.
+const MAX_HEALTH_BODY_BYTES: usize = 64 << 10;
+
 /// Starts the task that checks the paths.
 pub(crate) fn spawn(router: Arc<Router>) {
     tokio::spawn(async move {
@@ -95,7 +98,8 @@
     };
     match timeout_at(until, conn.send(req)).await {
         Ok(Ok(res)) => {
-            if let Ok(Ok(_)) = timeout(PROBE_TIMEOUT, res.into_body().collect()).await {
+            let body = Limited::new(res.into_body(), MAX_HEALTH_BODY_BYTES);
+            if let Ok(Ok(_)) = timeout(PROBE_TIMEOUT, body.collect()).await {
                 router.dialer.put_idle(conn, None);
             }
             ProbeResult::Success
