Reserve memory for large events of streams

Cause: an event may have 1 MiB, and up to 16 events wait for a slow caller; neither was reserved, unlike other responses.

Change: what has been received of an event beyond 16 kB is reserved as memory for responses, and the event holds it until it is written to the caller. Without memory the stream ends like one whose upstream broke off, which says nothing about the upstream's health then; an event above 1 MiB still does.

--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -27,7 +27,7 @@
 const MAX_QUEUED_CHUNKS: usize = 2;
 /// Size up to which a response is buffered even if the memory for responses is used up, in bytes: error responses
 /// are smaller, and must not go out instead of another attempt. So much fits into a caller's send buffer.
-const ALWAYS_BUFFERED_BYTES: usize = 16 << 10;
+pub(crate) const ALWAYS_BUFFERED_BYTES: usize = 16 << 10;
 /// Step in which memory for a response of unknown length is reserved, in bytes.
 const MEMORY_STEP_BYTES: usize = 64 << 10;
 
--- a/crates/proxy/src/response_memory.rs
+++ b/crates/proxy/src/response_memory.rs
@@ -8,7 +8,7 @@
 
 /// Reserves memory for a response until dropped.
 pub(crate) struct ResponseMemory {
-    router: Arc<Router>,
+    pub(crate) router: Arc<Router>,
     bytes: usize,
 }
 
@@ -21,6 +21,11 @@
         }
     }
 
+    /// Returns whether no memory is reserved.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bytes == 0
+    }
+
     /// Reserves more memory, so that it is `bytes` in total; returns whether there was enough.
     pub(crate) fn grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
@@ -33,7 +38,7 @@
     }
 
     /// Returns the bytes of a response, which hold this memory until they are written to the caller.
-    pub(crate) fn hold(self, bytes: Vec<u8>) -> Bytes {
+    pub(crate) fn hold(self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
         Bytes::from_owner(Held {
             bytes,
             _memory: self,
@@ -48,13 +53,13 @@
     }
 }
 
-struct Held {
-    bytes: Vec<u8>,
+struct Held<T> {
+    bytes: T,
     _memory: ResponseMemory,
 }
 
-impl AsRef<[u8]> for Held {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
--- a/crates/proxy/src/sse.rs
+++ b/crates/proxy/src/sse.rs
@@ -32,6 +32,11 @@
         self.buf.len() <= MAX_EVENT_BYTES
     }
 
+    /// Returns the number of received bytes that were not returned as events yet.
+    pub fn buffered_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<SseEvent> {
         let end = self.event_end()?;
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -2,6 +2,8 @@
 //! stream that is aborted by its upstream is resumed at another one if that is allowed; otherwise
 //! the response to the caller is aborted too.
 
+use std::sync::Arc;
+
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -14,11 +16,13 @@
 use crate::attempt::{attempt, AttemptGuard, OpenResponse};
 use crate::attempt_error::{AttemptError, AttemptHistory};
 use crate::body::{BodySender, ResponseBody};
-use crate::buffered;
+use crate::buffered::{self, ALWAYS_BUFFERED_BYTES};
 use crate::dialect::ResponseInfo;
 use crate::event::Event;
 use crate::refusal::Refusal;
 use crate::request_context::{RequestContext, StreamVersion};
+use crate::response_memory::ResponseMemory;
+use crate::router::Router;
 use crate::sse::{SseEvent, SseParser};
 
 /// Maximum number of events that are queued for a slow caller.
@@ -35,6 +39,8 @@
     body: Incoming,
     info: ResponseInfo,
     parser: SseParser,
+    /// Memory of an event that is large.
+    memory: ResponseMemory,
 }
 
 /// What a stream yields next.
@@ -42,13 +48,15 @@
     Event(SseEvent),
     /// The stream is complete.
     End,
-    Aborted(String),
+    /// The stream can't go on, and what that says about its upstream.
+    Aborted(String, Outcome),
 }
 
 impl UpstreamStream {
     /// Creates a stream from a response; also returns the response's head.
-    fn new(open: OpenResponse) -> (UpstreamStream, response::Parts) {
+    fn new(router: &Arc<Router>, open: OpenResponse) -> (UpstreamStream, response::Parts) {
         let stream = UpstreamStream {
+            memory: ResponseMemory::new(router),
             guard: open.guard,
             conn: open.conn,
             body: open.body,
@@ -63,26 +71,42 @@
     }
 
     async fn next(&mut self) -> Next {
+        let invalid = |why: &str| Next::Aborted(why.to_string(), Outcome::InvalidResponse);
         loop {
             if let Some(event) = self.parser.next_event() {
                 self.guard.record_event();
-                return Next::Event(event);
+                return Next::Event(self.hold(event));
             }
             match self.body.frame().await {
                 None if self.parser.is_at_event_boundary() => return Next::End,
-                None => return Next::Aborted("the stream ended within an event".to_string()),
-                Some(Err(e)) => return Next::Aborted(e.to_string()),
+                None => return invalid("the stream ended within an event"),
+                Some(Err(e)) => return invalid(&e.to_string()),
                 Some(Ok(frame)) => {
                     self.guard.record_received();
                     let fits = frame.data_ref().is_none_or(|d| self.parser.push(d));
                     if !fits {
-                        return Next::Aborted("an event exceeds the maximum size".to_string());
+                        return invalid("an event exceeds the maximum size");
+                    }
+                    let len = self.parser.buffered_len();
+                    if len > ALWAYS_BUFFERED_BYTES && !self.memory.grow_to(len) {
+                        let why = "there is no memory left for a large event";
+                        return Next::Aborted(why.to_string(), Outcome::Abandoned);
                     }
                 }
             }
         }
     }
 
+    /// Lets a large event hold its memory until it is written to the caller.
+    fn hold(&mut self, mut event: SseEvent) -> SseEvent {
+        if !self.memory.is_empty() {
+            let unused = ResponseMemory::new(&self.memory.router);
+            let memory = std::mem::replace(&mut self.memory, unused);
+            event.bytes = memory.hold(event.bytes);
+        }
+        event
+    }
+
     /// Records the success of the attempt, and keeps the connection for later requests.
     fn finish(self, ctx: &RequestContext) {
         self.guard.end(Outcome::Success);
@@ -218,7 +242,7 @@
         let res = buffered::read_response(ctx, open).await;
         return res.map(Begun::NotStream).map_err(AttemptError::Unknown);
     }
-    let (mut stream, head) = UpstreamStream::new(open);
+    let (mut stream, head) = UpstreamStream::new(&ctx.router, open);
     let until = ctx.router.clock.at(ctx.deadline);
     let mut path = stream.guard.path_watch();
     let next = path.run(timeout_at(until, stream.next())).await;
@@ -245,8 +269,8 @@
             head,
             first: None,
         }),
-        Ok(Next::Aborted(why)) => {
-            stream.guard.end(Outcome::InvalidResponse);
+        Ok(Next::Aborted(why, outcome)) => {
+            stream.guard.end(outcome);
             Err(AttemptError::Unknown(format!("upstream={upstream} {why}")))
         }
         Err(_) => {
@@ -263,7 +287,8 @@
     CallerDisconnected,
     DeadlinePassed,
     PathLost,
-    Aborted(String),
+    /// Why, and what it says about the upstream.
+    Aborted(String, Outcome),
 }
 
 /// Forwards a stream to its caller.
@@ -296,8 +321,8 @@
                     stream.guard.end(Outcome::Abandoned);
                     "path lost".to_string()
                 }
-                End::Aborted(why) => {
-                    stream.guard.end(Outcome::InvalidResponse);
+                End::Aborted(why, outcome) => {
+                    stream.guard.end(outcome);
                     why
                 }
             };
@@ -340,7 +365,7 @@
             let event = match next {
                 Ok(Next::Event(event)) => event,
                 Ok(Next::End) => return End::Complete,
-                Ok(Next::Aborted(why)) => return End::Aborted(why),
+                Ok(Next::Aborted(why, outcome)) => return End::Aborted(why, outcome),
                 Err(_) => return End::DeadlinePassed,
             };
             if let Some(end) = self.forward_event(event).await {
@@ -356,7 +381,8 @@
                 return None;
             }
             if id > last + 1 && self.event_count > 0 {
-                return Some(End::Aborted(format!("event {id} received after {last}")));
+                let why = format!("event {id} received after {last}");
+                return Some(End::Aborted(why, Outcome::InvalidResponse));
             }
         }
         self.last_event_id = event.id.or(self.last_event_id);
@@ -401,7 +427,7 @@
         );
         let log = &self.ctx.router.log;
         log.request_event(Event::StreamResumed, &self.ctx.info.id, detail);
-        let (stream, _) = UpstreamStream::new(open);
+        let (stream, _) = UpstreamStream::new(&self.ctx.router, open);
         Ok(stream)
     }
 
