Divide the descriptors among callers and upstreams

What callers saw: nothing yet; it follows from the limit on callers' connections. That limit left 30 % of the descriptors to everything else, and connections to upstreams were limited for each upstream only. A process without descriptors fails to connect, which looks like an upstream that can't be reached, and ejects it.

At the limit the idle connection that would expire first is closed, of any upstream; without one the attempt is refused as for an upstream whose connections are all in use. Probes are exempt: their failure would mean a lost path, or a crash. An instance that can't connect to another one for this reason asks again later instead of taking it for unreachable.

--- a/crates/dial/src/pool.rs
+++ b/crates/dial/src/pool.rs
@@ -47,6 +47,9 @@
     pub addr: SocketAddr,
     /// Maximum number of connections to it from this instance.
     pub max_connections: usize,
+    /// Whether it is connected although the maximum number for all upstreams is reached: the result of a probe must
+    /// not depend on that.
+    pub is_probe: bool,
 }
 
 /// Why a connection was not established; nothing was sent.
@@ -54,7 +57,7 @@
 /// The names of the variants are written to the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ConnectError {
-    /// All connections to the upstream that this instance may have are in use.
+    /// All connections that this instance may have, to the upstream or to all upstreams, are in use.
     Full,
     /// Nothing listens at the address.
     Refused(String),
@@ -81,19 +84,47 @@
 
 /// The connections of all upstreams.
 #[derive(Default)]
-pub(crate) struct Pools(HashMap<String, Pool>);
+pub(crate) struct Pools {
+    by_upstream: HashMap<String, Pool>,
+    /// Number of connections to all upstreams, and maximum number of them; none if there is no limit.
+    open: usize,
+    max: Option<usize>,
+    /// Number of idle connections to all upstreams.
+    idle: usize,
+}
 
 impl Pools {
     /// Releases the slot of a connection that was closed or not established.
     pub(crate) fn release_slot(&mut self, upstream: &str) {
-        if let Some(pool) = self.0.get_mut(upstream) {
+        if let Some(pool) = self.by_upstream.get_mut(upstream) {
+            self.open -= 1;
             pool.open -= 1;
             pool.tasks.retain(|t| !t.is_finished());
             if pool.open == 0 {
-                self.0.remove(upstream);
+                self.by_upstream.remove(upstream);
             }
         }
     }
+
+    /// Removes the idle connections that expire first, `count` at most.
+    fn take_first_expiring(&mut self, count: usize) -> Vec<IdleConn> {
+        let pools = self.by_upstream.values();
+        let idle = pools.flat_map(|p| p.idle.iter().map(|i| i.expires_at));
+        let mut expiries: Vec<Instant> = idle.collect();
+        expiries.sort_unstable();
+        let Some(last) = expiries.get(count.min(expiries.len()).wrapping_sub(1)) else {
+            return Vec::new();
+        };
+        let mut taken = Vec::new();
+        for pool in self.by_upstream.values_mut() {
+            let idle = std::mem::take(&mut pool.idle).into_iter();
+            let (expiring, kept): (Vec<_>, Vec<_>) = idle.partition(|i| i.expires_at <= *last);
+            pool.idle = kept;
+            taken.extend(expiring);
+        }
+        self.idle -= taken.len();
+        taken
+    }
 }
 
 /// Opens connections, and keeps idle ones for later requests; clones share them.
@@ -101,6 +132,14 @@
 pub struct Dialer(Arc<Mutex<Pools>>);
 
 impl Dialer {
+    /// Creates a dialer with a maximum number of connections to all upstreams.
+    pub fn new(max_connections: Option<usize>) -> Dialer {
+        Dialer(Arc::new(Mutex::new(Pools {
+            max: max_connections,
+            ..Pools::default()
+        })))
+    }
+
     /// Takes the most recently used idle connection that can be reused.
     pub fn take_idle(&self, upstream: &str) -> Option<Conn> {
         let now = Instant::now();
@@ -108,7 +147,9 @@
             // Dropped after the lock is released, because dropping a connection takes the lock.
             let idle = {
                 let mut pools = self.0.lock().expect("lock not poisoned");
-                pools.0.get_mut(upstream)?.idle.pop()?
+                let idle = pools.by_upstream.get_mut(upstream)?.idle.pop()?;
+                pools.idle -= 1;
+                idle
             };
             if idle.expires_at > now && idle.conn.is_reusable() {
                 return Some(idle.conn);
@@ -166,15 +207,43 @@
     }
 
     fn reserve_slot(&self, target: Target<'_>) -> Result<(), ConnectError> {
+        if !target.is_probe && self.is_full() && self.close_first_expiring(1) == 0 {
+            return Err(ConnectError::Full);
+        }
         let mut pools = self.0.lock().expect("lock not poisoned");
-        let pool = pools.0.entry(target.upstream.to_string()).or_default();
+        let pool = pools
+            .by_upstream
+            .entry(target.upstream.to_string())
+            .or_default();
         if pool.open >= target.max_connections.max(1) {
             return Err(ConnectError::Full);
         }
         pool.open += 1;
+        pools.open += 1;
         Ok(())
     }
 
+    /// Returns whether there are as many connections as allowed.
+    fn is_full(&self) -> bool {
+        let pools = self.0.lock().expect("lock not poisoned");
+        pools.max.is_some_and(|max| pools.open >= max)
+    }
+
+    /// Closes the idle connections that expire first, `count` at most of different times; returns how many.
+    pub fn close_first_expiring(&self, count: usize) -> usize {
+        // Dropped after the lock is released, because dropping a connection takes the lock.
+        let taken = {
+            let mut pools = self.0.lock().expect("lock not poisoned");
+            pools.take_first_expiring(count)
+        };
+        taken.len()
+    }
+
+    /// Returns the number of idle connections to all upstreams.
+    pub fn idle_count(&self) -> usize {
+        self.0.lock().expect("lock not poisoned").idle
+    }
+
     /// Keeps a connection whose response was read completely for later requests. `keep_alive` is the
     /// upstream's timeout for idle connections, if it specified one.
     pub fn put_idle(&self, conn: Conn, keep_alive: Option<Duration>) {
@@ -188,8 +257,9 @@
             expires_at: Instant::now() + timeout,
         };
         let mut pools = self.0.lock().expect("lock not poisoned");
-        if let Some(pool) = pools.0.get_mut(&upstream) {
+        if let Some(pool) = pools.by_upstream.get_mut(&upstream) {
             pool.idle.push(idle);
+            pools.idle += 1;
         }
     }
 
@@ -197,8 +267,12 @@
     pub fn close_idle(&self, upstream: &str) {
         let dropped = {
             let mut pools = self.0.lock().expect("lock not poisoned");
-            let pool = pools.0.get_mut(upstream);
-            pool.map(|p| std::mem::take(&mut p.idle))
+            let pool = pools.by_upstream.get_mut(upstream);
+            let idle = pool
+                .map(|p| std::mem::take(&mut p.idle))
+                .unwrap_or_default();
+            pools.idle -= idle.len();
+            idle
         };
         drop(dropped);
     }
@@ -208,7 +282,7 @@
     pub fn close_all(&self, upstream: &str) {
         let tasks = {
             let mut pools = self.0.lock().expect("lock not poisoned");
-            let pool = pools.0.get_mut(upstream);
+            let pool = pools.by_upstream.get_mut(upstream);
             pool.map(|p| std::mem::take(&mut p.tasks))
         };
         for task in tasks.unwrap_or_default() {
@@ -223,7 +297,7 @@
         let mut dropped = Vec::new();
         {
             let mut pools = self.0.lock().expect("lock not poisoned");
-            for pool in pools.0.values_mut() {
+            for pool in pools.by_upstream.values_mut() {
                 let (kept, expired) = std::mem::take(&mut pool.idle)
                     .into_iter()
                     .partition(|i| i.expires_at > now && !i.conn.send.is_closed());
@@ -231,6 +305,7 @@
                 let expired: Vec<IdleConn> = expired;
                 dropped.extend(expired);
             }
+            pools.idle -= dropped.len();
         }
         drop(dropped);
     }
@@ -238,7 +313,7 @@
     /// Returns the number of connections, including those that are being opened.
     pub fn connection_count(&self) -> usize {
         let pools = self.0.lock().expect("lock not poisoned");
-        pools.0.values().map(|p| p.open).sum()
+        pools.open
     }
 }
 
@@ -254,7 +329,7 @@
     fn keep(mut self, task: AbortHandle) {
         self.in_use = true;
         let mut pools = self.pools.lock().expect("lock not poisoned");
-        if let Some(pool) = pools.0.get_mut(self.upstream) {
+        if let Some(pool) = pools.by_upstream.get_mut(self.upstream) {
             pool.tasks.push(task);
         }
     }
--- a/crates/place/src/caller_connections.rs
+++ b/crates/place/src/caller_connections.rs
@@ -10,9 +10,6 @@
 const CONNECTION_BYTES: u64 = 4 << 10;
 /// Percentage of the memory limit that idle connections may use.
 const MEMORY_PCT: u64 = 15;
-/// Percentage of the descriptors that callers' connections may use: each request in progress needs another one
-/// for its upstream.
-const DESCRIPTORS_PCT: u64 = 70;
 
 /// Key of an open connection; it is not used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -64,13 +61,12 @@
 }
 
 impl CallerConnections {
-    /// Creates the connections of a process with a memory limit in megabytes and a number of descriptors.
-    pub fn new(memory_mb: Option<u64>, max_fds: Option<u64>) -> CallerConnections {
+    /// Creates the connections of a process with a memory limit in megabytes and a maximum number of connections.
+    pub fn new(memory_mb: Option<u64>, max: Option<usize>) -> CallerConnections {
         let by_memory = memory_mb.map(|mb| (mb << 20) / 100 * MEMORY_PCT / CONNECTION_BYTES);
-        let by_descriptors = max_fds.map(|fds| fds * DESCRIPTORS_PCT / 100);
-        let max = by_memory.into_iter().chain(by_descriptors).min();
+        let by_memory = by_memory.map(|max| (max as usize).max(1));
         CallerConnections {
-            max: max.map(|max| (max as usize).max(1)),
+            max: by_memory.into_iter().chain(max).min(),
             ..CallerConnections::default()
         }
     }
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -197,6 +197,7 @@
         upstream: &incarnation,
         addr: spec.addr,
         max_connections: max.unwrap_or(usize::MAX),
+        is_probe: false,
     };
     let until = router.clock.at(ctx.deadline);
     router.metrics.connection_attempts.inc();
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -11,7 +11,7 @@
 use conf::Settings;
 use dial::Dialer;
 use kv::Store;
-use place::{CallerConnections, Link, Pool, RequestMemory, RetryBudget, RetryLimits};
+use place::{CallerConnections, Descriptors, Link, Pool, RequestMemory, RetryBudget, RetryLimits};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
@@ -129,7 +129,8 @@
         };
         let budgets = Budgets::new(clock, Arc::clone(&log));
         let pool = Arc::new(Mutex::new(new_pool(&fleet_settings)));
-        let dialer = Dialer::default();
+        let descriptors = fleet_settings.max_fds.map(Descriptors::divide);
+        let dialer = Dialer::new(descriptors.map(|d| d.upstreams));
         let transit = Transit::new(clock, Arc::clone(&log), Arc::clone(&pool));
         let notices = Notices::default();
         let config = Config::new(ConfigDeps {
@@ -216,7 +217,7 @@
             intake: Mutex::default(),
             connections: Connections::new(CallerConnections::new(
                 fleet_settings.memory_mb,
-                fleet_settings.max_fds,
+                descriptors.map(|d| d.callers),
             )),
             shares: Mutex::default(),
             retry_budget: Mutex::new(RetryBudget::new(retry_limits(&fleet_settings))),
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -151,6 +151,7 @@
             upstream: &incarnation,
             addr,
             max_connections: usize::MAX,
+            is_probe: true,
         };
         let mut delay = CRASH_CHECK_DELAY;
         let mut has_failed = false;
@@ -197,6 +198,7 @@
                 upstream: &incarnation,
                 addr: spec.addr,
                 max_connections: usize::MAX,
+                is_probe: true,
             };
             let until = Instant::now() + CRASH_CHECK_RETRY_DELAY;
             let conn = self.0.dialer.connect(target, until).await.ok()?;
--- a/crates/proxy/src/transit/client.rs
+++ b/crates/proxy/src/transit/client.rs
@@ -1,7 +1,7 @@
 //! Sends requests through another instance.
 
 use bytes::Bytes;
-use dial::{SendError, Target};
+use dial::{ConnectError, SendError, Target};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -94,19 +94,27 @@
         let member = self.transit.member(request.addr)?;
         let key = pool_key(&member);
         let conn = match self.dialer.take_idle(&key) {
-            Some(conn) => Some(conn),
+            Some(conn) => Ok(conn),
             None => {
                 let target = Target {
                     upstream: &key,
                     addr: member.transit_addr?,
                     max_connections: usize::MAX,
+                    is_probe: false,
                 };
-                self.dialer.connect(target, until).await.ok()
+                self.dialer.connect(target, until).await
             }
         };
-        let Some(conn) = conn else {
-            request.record_denial(Denial::Unreachable);
-            return None;
+        let conn = match conn {
+            Ok(conn) => conn,
+            Err(ConnectError::Full) => {
+                request.record_denial(Denial::Full);
+                return None;
+            }
+            Err(_) => {
+                request.record_denial(Denial::Unreachable);
+                return None;
+            }
         };
         Some(Connection {
             conn,
--- a/crates/proxy/src/transit/monitor.rs
+++ b/crates/proxy/src/transit/monitor.rs
@@ -84,6 +84,7 @@
         upstream: &incarnation,
         addr: spec.addr,
         max_connections: usize::MAX,
+        is_probe: true,
     };
     let until = Instant::now() + PROBE_TIMEOUT;
     let Ok(mut conn) = router.dialer.connect(target, until).await else {
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -264,6 +264,7 @@
         upstream: &incarnation,
         addr: spec.addr,
         max_connections: max.unwrap_or(usize::MAX),
+        is_probe: false,
     };
     router.metrics.connection_attempts.inc();
     let until = router.clock.at(forwarding.deadline);
