Limit bodies that upstreams of the own interface send

On the own interface the response of a service, the reply to a cancellation, the count of a prompt's tokens and a load report were read until they end or their time is over, whatever their size.

A larger response ends like a broken one (the call may have run), a larger reply counts as none.

Not covered here: informational responses without end, which the HTTP client of the own interface reads until the request's time is over.

--- a/crates/entry/src/budget_io.rs
+++ b/crates/entry/src/budget_io.rs
@@ -11,6 +11,7 @@
 use crate::messages::{method, OpenStepMsg, RecallMsg, StoreCopyMsg};
 use crate::peer_clients::PeerRef;
 use crate::shared_state::SharedState;
+use crate::upstream_body;
 
 /// Timeout of a call that cancels an attempt at an upstream.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -148,7 +149,7 @@
     };
     let url = format!("{url}/v1/requests/{}/cancel", attempt.id);
     let sent = shared.http.post(url).timeout(CANCEL_TIMEOUT).send().await;
-    let usage: Value = sent.ok()?.json().await.ok()?;
+    let usage: Value = upstream_body::read_reply(sent.ok()?).await?;
     match usage["known"].as_bool()? {
         true => usage["total_tokens"].as_u64(),
         // The upstream does not know the attempt and will refuse it if it still arrives, so it
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod pipeline;
 pub mod registry;
 pub mod shared_state;
+mod upstream_body;
 pub mod wait_queues;
 
 pub use ::clock;
--- a/crates/entry/src/load_reports.rs
+++ b/crates/entry/src/load_reports.rs
@@ -9,6 +9,7 @@
 
 use crate::event::Event;
 use crate::shared_state::SharedState;
+use crate::upstream_body;
 
 /// Interval between two rounds.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -75,7 +76,7 @@
     let Ok(res) = sent.await else {
         return;
     };
-    let Ok(value) = res.json::<Value>().await else {
+    let Some(value) = upstream_body::read_reply::<Value>(res).await else {
         return;
     };
     let load = Load {
--- a/crates/entry/src/pipeline/reservation.rs
+++ b/crates/entry/src/pipeline/reservation.rs
@@ -12,6 +12,7 @@
 use super::context::{Hold, RequestContext};
 use crate::messages::{method, ExtendMsg, ReserveMsg, VoidMsg};
 use crate::shared_state::SharedState;
+use crate::upstream_body;
 
 /// Time that a home has to obtain the tokens, in milliseconds.
 const TOKEN_WAIT_MS: u64 = 1_500;
@@ -251,6 +252,6 @@
     let url = format!("{}/tokenize", cx.upstream.as_ref()?.url);
     let sent = cx.shared.http.post(url).json(&chat.engine_body);
     let res = sent.timeout(TOKENIZE_TIMEOUT).send().await.ok()?;
-    let value: Value = res.json().await.ok()?;
+    let value: Value = upstream_body::read_reply(res).await?;
     value["tokens"].as_u64()
 }
--- a/crates/entry/src/pipeline/service_call.rs
+++ b/crates/entry/src/pipeline/service_call.rs
@@ -16,6 +16,7 @@
 use super::stream::add_headers;
 use super::{auth, choose};
 use crate::shared_state::SharedState;
+use crate::upstream_body::{self, MAX_RESPONSE_BYTES};
 
 const SERVICE: upstream::UpstreamKind = upstream::UpstreamKind::Service;
 /// Maximum number of attempts, each at a different upstream.
@@ -229,7 +230,7 @@
         .and_then(|v| v.to_str().ok())
         .unwrap_or("application/octet-stream");
     let content_type = content_type.to_string();
-    match res.bytes().await {
+    match upstream_body::read(res, MAX_RESPONSE_BYTES).await {
         Ok(body) => CallEnd::Responded(ServiceResponse {
             status,
             content_type,
