Wait for bytes of a request, not for readiness, on idle connections

What callers would have seen: a new connection without a request yet was closed after HeaderTimeoutMs instead of IdleTimeoutMs, and counted as busy until then.

Cause: a socket may be reported as readable although nothing has arrived; the connection was handed to hyper then, which waits for a head. Two lines of debug output in the task of a connection showed it: "readable", then the end of the connection, with nothing sent by the caller.

Change: the first 8 kB of a request are read before anything else, and hyper gets them from there; its own first read would have been as large. A connection that its caller has closed is no longer handed to hyper either.

Test: `an_idle_connection_outlives_the_time_for_a_head`: connections that are fresh, and idle after bodies of 0, 10 and 50,000 bytes, stay open and are not busy; a head that does not end is overdue. `/dump` has `open_connections` and `busy_connections`.

--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -7,7 +7,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes};
+use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
@@ -15,6 +15,8 @@
 use crate::exchange::Exchange;
 use crate::router::Router;
 
+/// Maximum number of bytes that are read of a request before the connection is handed over to the HTTP library.
+const FIRST_READ_BYTES: usize = 8 << 10;
 /// Interval at which a connection to which nothing can be written is checked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of checks after which it is closed; after the first one if the memory for responses is nearly used
@@ -60,16 +62,25 @@
         };
     }
 
-    /// Waits until there is something to read, or the caller has closed the connection.
+    /// Waits for the first bytes of the next request, and keeps them to be read; returns whether there are any
+    /// before the caller closes the connection.
     ///
     /// # Errors
     ///
-    /// Returns why the socket can't be watched.
-    pub(crate) async fn readable(&self) -> Result<()> {
-        if self.unread.is_empty() {
+    /// Returns why the socket can't be read.
+    pub(crate) async fn wait_for_request(&mut self) -> Result<bool> {
+        while self.unread.is_empty() {
+            // It may say so although there is nothing to read.
             self.stream.ready(Interest::READABLE).await?;
+            let mut buf = BytesMut::with_capacity(FIRST_READ_BYTES);
+            match self.stream.try_read_buf(&mut buf) {
+                Ok(0) => return Ok(false),
+                Ok(_) => self.unread = buf.freeze(),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
         }
-        Ok(())
+        Ok(true)
     }
 
     /// Passes on the result of writing, or an error if nothing could be written for too long.
@@ -109,7 +120,8 @@
         if !self.unread.is_empty() {
             let len = self.unread.len().min(buf.remaining());
             buf.put_slice(&self.unread[..len]);
-            self.unread.advance(len);
+            let rest = self.unread.split_off(len);
+            self.put_back(rest);
             return Poll::Ready(Ok(()));
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -69,7 +69,7 @@
         let idle_timeout = Duration::from_millis(limits(&router).idle_timeout_ms);
         tokio::select! {
             biased;
-            readable = stream.readable() => if readable.is_err() {
+            arrived = stream.wait_for_request() => if !matches!(arrived, Ok(true)) {
                 return;
             },
             _ = phase.wait_for(|p| *p != Phase::Serving), if may_wait => return,
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -94,6 +94,8 @@
             "instances": router.fleet.live_incarnations(),
             "inflight": *router.in_flight.borrow(),
             "connections": router.dialer.connection_count(),
+            "open_connections": router.connections.count(),
+            "busy_connections": router.connections.busy_count(),
             "log_lines_cut": router.log.dropped_lines(),
             "budgets": router.budgets.dump(),
             "upstreams": upstreams,
