Move the log of overload and the start of a connection into their own places

The listener accepted, limited, spawned and logged; the log of what was turned away repeated the same four lines for each counter. No change of behaviour: the fleet tests of idle connections, crowding and one customer pass.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -35,8 +35,25 @@
 /// Maximum size of the headers that an instance adds to those of its caller, in bytes.
 const ADDED_HEADER_BYTES: usize = 4 << 10;
 
+/// Starts the task that serves a new connection. If there are too many, the connection is closed unread: the caller
+/// connects to another instance.
+pub(crate) fn spawn(
+    stream: TcpStream,
+    clients: Clients,
+    router: &Arc<Router>,
+    phase: watch::Receiver<Phase>,
+) {
+    let Some(open) = OpenConnection::new(router) else {
+        return;
+    };
+    let id = open.id();
+    let served = serve(stream, clients, open, Arc::clone(router), phase);
+    let task = tokio::spawn(served);
+    router.connections.set_task(id, task.abort_handle());
+}
+
 /// Serves the requests of a connection until it is closed.
-pub(crate) async fn serve(
+async fn serve(
     stream: TcpStream,
     clients: Clients,
     open: OpenConnection,
--- a/crates/proxy/src/connections.rs
+++ b/crates/proxy/src/connections.rs
@@ -62,6 +62,16 @@
     pub(crate) fn count(&self) -> usize {
         self.lock().connections.open_count()
     }
+
+    /// Sets the task that serves a connection, unless the connection was closed meanwhile.
+    pub(crate) fn set_task(&self, id: ConnectionId, task: AbortHandle) {
+        let mut state = self.lock();
+        if state.connections.is_open(id) {
+            state.tasks.insert(id, task);
+        } else {
+            task.abort();
+        }
+    }
 }
 
 /// An open connection, which is idle until its first request; dropping it removes it.
@@ -118,15 +128,3 @@
         self.router.metrics.connections_open.dec();
     }
 }
-
-impl Connections {
-    /// Sets the task that serves a connection, unless the connection was closed meanwhile.
-    pub(crate) fn set_task(&self, id: ConnectionId, task: AbortHandle) {
-        let mut state = self.lock();
-        if state.connections.is_open(id) {
-            state.tasks.insert(id, task);
-        } else {
-            task.abort();
-        }
-    }
-}
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -31,6 +31,7 @@
 use crate::notices::{NoticeHandler, Notices};
 use crate::ops::{OpsEndpoint, ReadinessEndpoint};
 use crate::origins::Origins;
+use crate::overload_log;
 use crate::peers::{self, PeerClients, PeerService};
 use crate::relay::Relay;
 use crate::router::Router;
@@ -302,7 +303,7 @@
         spawn_sweep(dialer);
         store_calls.spawn_logging(Arc::clone(&log));
 
-        listen::spawn_overload_log(Arc::clone(&router));
+        overload_log::spawn(Arc::clone(&router));
         let (phase, phase_rx) = watch::channel(Phase::Serving);
         listen::serve(
             listener,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -41,6 +41,7 @@
 mod notices;
 mod ops;
 mod origins;
+mod overload_log;
 mod peers;
 mod pipeline;
 mod refusal;
