Keep memory for heads while bodies fill theirs

What callers would have seen: 40 slow uploads take the whole share of what is being received, and from then on new requests are closed unread instead of served.

Cause: heads and bodies had one share.

Change: bodies may grow as long as what is being received has 30 % of the memory for requests, heads as long as it has 40 %.

--- a/crates/place/src/request_memory.rs
+++ b/crates/place/src/request_memory.rs
@@ -13,10 +13,11 @@
 /// Memory of a request whose head is being received, in bytes: its connection with its buffers, and as much of a
 /// body as arrives with the head.
 pub const HEAD_BYTES: usize = 32 << 10;
-/// Percentage of the memory for requests that heads and bodies may use while they are received: slow callers must
-/// not keep others out.
-const RECEIVING_PCT: usize = 40;
-/// Percentage by which these may exceed the memory for requests, so that a request that does not fit gets an answer.
+/// Percentages of the memory for requests that may be used by what is being received, for a further part of a body and
+/// for a further head: slow callers must not keep others out.
+const RECEIVING_BODY_PCT: usize = 30;
+const RECEIVING_HEAD_PCT: usize = 40;
+/// Percentage by which this may exceed the memory for requests, so that a request that does not fit gets an answer.
 const RECEIVING_EXCESS_PCT: usize = 10;
 /// Percentage of the memory limit that requests may use: the rest is for the program itself and for
 /// received data that has not been read yet.
@@ -57,12 +58,20 @@
         self.reserved + self.receiving + self.responses
     }
 
-    /// Reserves memory for a part of a head or body that is being received; returns whether it fits.
-    pub fn receive(&mut self, bytes: usize) -> bool {
+    /// Reserves memory for a head that is being received; returns whether it fits.
+    pub fn receive_head(&mut self) -> bool {
+        self.receive(HEAD_BYTES, RECEIVING_HEAD_PCT)
+    }
+
+    /// Reserves memory for a part of a body that is being received; returns whether it fits.
+    pub fn receive_body(&mut self, bytes: usize) -> bool {
+        self.receive(bytes, RECEIVING_BODY_PCT)
+    }
+
+    fn receive(&mut self, bytes: usize, pct: usize) -> bool {
         let fits = self.max_bytes.is_none_or(|max_bytes| {
             let total = max_bytes / 100 * (100 + RECEIVING_EXCESS_PCT);
-            self.receiving + bytes <= max_bytes / 100 * RECEIVING_PCT
-                && self.used() + bytes <= total
+            self.receiving + bytes <= max_bytes / 100 * pct && self.used() + bytes <= total
         });
         if fits {
             self.receiving += bytes;
--- a/crates/proxy/src/request_body.rs
+++ b/crates/proxy/src/request_body.rs
@@ -26,16 +26,16 @@
 impl ReceivingMemory {
     /// Reserves memory for a head; none if it does not fit.
     pub(crate) fn reserve(router: &Arc<Router>) -> Option<ReceivingMemory> {
-        let mut memory = ReceivingMemory {
+        let fits = router.lock_request_memory().receive_head();
+        fits.then(|| ReceivingMemory {
             router: Arc::clone(router),
-            bytes: 0,
-        };
-        memory.grow(HEAD_BYTES).then_some(memory)
+            bytes: HEAD_BYTES,
+        })
     }
 
-    /// Reserves more memory; returns whether it fits.
+    /// Reserves more memory for a body; returns whether it fits.
     fn grow(&mut self, bytes: usize) -> bool {
-        let fits = self.router.lock_request_memory().receive(bytes);
+        let fits = self.router.lock_request_memory().receive_body(bytes);
         if fits {
             self.bytes += bytes;
         }
