Reserve what requests and forwarded responses take

Idle connections, slow readers, waiting requests and uploads at the same time take an instance of 110 MB to 116 to 118 MB (release build), and it is killed with all of its requests.

Cause, by the new figures of `/dump` (`memory`): at 112 MB (debug build, 31 before the load) 62 MiB were reserved. - A request in progress was reserved at 48 kB and its body; 386 waiting streams with bodies of 17 kB take 82 kB each. - A large response that is forwarded to a slow caller was reserved at 128 kB, and not at all if that did not fit; 60 of them take some 220 kB more: chunks of 64 kB in the buffers of both connections, in the queue and on their way into it. - A caller's connection could read ahead, and queue, 64 kB.

Change: 70 kB and the body are reserved for a request; 384 kB for a forwarded response, whether they fit or not, so that they keep new requests out; one chunk waits in the queue instead of two, and a caller's connection reads ahead and queues 16 kB. The request's future is boxed, so that it is freed when a stream begins to be sent.

--- a/crates/place/src/request_memory.rs
+++ b/crates/place/src/request_memory.rs
@@ -6,8 +6,8 @@
 //! Heads and bodies count from their first byte on: many callers may send them slowly at the same time.
 
 /// Memory of a request in addition to its body, in bytes: two connections with their buffers, and its
-/// state. Derived from peaks of 57 MB with 900 requests of 10 kB in progress.
-const REQUEST_BYTES: usize = 48 << 10;
+/// state.
+const REQUEST_BYTES: usize = 70 << 10;
 /// Memory of an idle connection to an upstream, in bytes: its buffers grow with the responses, and don't shrink.
 const IDLE_UPSTREAM_BYTES: usize = 32 << 10;
 /// Memory of a request whose head is being received, in bytes: its connection with its buffers, and as much of a
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Returns the number of bytes that are reserved for requests, for what is being received and for responses.
+    pub fn reserved(&self) -> [usize; 3] {
+        [self.reserved, self.receiving, self.responses]
+    }
+
     fn used(&self) -> usize {
         self.reserved + self.receiving + self.responses
     }
@@ -126,6 +131,12 @@
         fits
     }
 
+    /// Reserves memory for a part of a response that has to be held although it may not fit: what exceeds the limit
+    /// keeps new requests out.
+    pub fn reserve_response_anyway(&mut self, bytes: usize) {
+        self.responses += bytes;
+    }
+
     /// Returns whether the memory for responses is nearly used up.
     pub fn is_short_for_responses(&self) -> bool {
         self.max_bytes.is_some_and(|max_bytes| {
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -24,7 +24,10 @@
 /// Maximum size of a buffered response, in bytes; a larger one is forwarded as it is received.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Maximum number of chunks of a large response that are queued for a slow caller.
-const MAX_QUEUED_CHUNKS: usize = 2;
+const MAX_QUEUED_CHUNKS: usize = 1;
+/// Memory of a large response that is forwarded to a slow caller, in bytes: chunks of up to 64 kB in the buffers of both
+/// connections, in the queue, and on their way into it.
+const FORWARDED_BYTES: usize = 6 * (64 << 10);
 /// Size up to which a response is buffered even if the memory for responses is used up, in bytes: error responses
 /// are smaller, and must not go out instead of another attempt. So much fits into a caller's send buffer.
 pub(crate) const ALWAYS_BUFFERED_BYTES: usize = 16 << 10;
@@ -218,11 +221,12 @@
     let router = ctx.router.clone();
     ctx.record_end("ok", &open.guard.choice.spec.id);
     let outcome = response_outcome(open.head.status);
-    let mut in_flight = InFlightGuard::new(&ctx.router);
-    // What does not fit is bounded by the upstreams' slots.
-    in_flight.reserve_memory(MAX_QUEUED_CHUNKS * MEMORY_STEP_BYTES);
+    let in_flight = InFlightGuard::new(&ctx.router);
+    // The request has run, so its response is forwarded although there may be no memory left.
+    let mut memory = ResponseMemory::new(&ctx.router);
+    memory.grow_anyway(FORWARDED_BYTES);
     tokio::spawn(async move {
-        let _in_flight = in_flight;
+        let _guards = (in_flight, memory);
         let forwarded = timeout_at(until, forward_chunks(open.body, received, &router, &tx)).await;
         match forwarded {
             Ok(Ok(())) => {
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -31,7 +31,7 @@
 const FIRST_READ_WAIT: Duration = Duration::from_millis(50);
 /// Maximum number of bytes that are read ahead of a request's processing, or queued to be written, for each
 /// connection.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+const MAX_BUFFER_BYTES: usize = 16 << 10;
 /// Maximum size of the headers that an instance adds to those of its caller, in bytes.
 const ADDED_HEADER_BYTES: usize = 4 << 10;
 
@@ -138,7 +138,8 @@
         async move {
             let req = exchange.begin(req);
             let res = match clients {
-                Clients::Callers => router.handle(req).await,
+                // Boxed, so that its memory is free while the rest of a stream is sent.
+                Clients::Callers => Box::pin(router.handle(req)).await,
                 Clients::Instances => transit::handle(&router, req).await,
             };
             Ok::<_, Infallible>(exchange.respond(res))
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -84,6 +84,7 @@
         });
         let queues: Vec<_> = queues.collect();
         let (transit_sent, transit_forwarded) = router.transit.in_flight();
+        let [requests, receiving, responses] = router.lock_request_memory().reserved();
         let value = json!({
             "id": router.fleet.incarnation(),
             "at_ms": now,
@@ -94,6 +95,12 @@
             "instances": router.fleet.live_incarnations(),
             "inflight": *router.in_flight.borrow(),
             "connections": router.dialer.connection_count(),
+            "memory": {
+                "requests": requests,
+                "receiving": receiving,
+                "responses": responses,
+                "idle_upstreams": router.dialer.idle_count(),
+            },
             "open_connections": router.connections.count(),
             "busy_connections": router.connections.busy_count(),
             "log_lines_cut": router.log.dropped_lines(),
--- a/crates/proxy/src/response_memory.rs
+++ b/crates/proxy/src/response_memory.rs
@@ -21,6 +21,14 @@
         }
     }
 
+    /// Reserves more memory, whether there is enough or not.
+    pub(crate) fn grow_anyway(&mut self, bytes: usize) {
+        self.router
+            .lock_request_memory()
+            .reserve_response_anyway(bytes);
+        self.bytes += bytes;
+    }
+
     /// Returns whether no memory is reserved.
     pub(crate) fn is_empty(&self) -> bool {
         self.bytes == 0
