--- a/crates/place/src/request_memory.rs
+++ b/crates/place/src/request_memory.rs
@@ -100,7 +100,7 @@
         self.reserve_beside(body, 0)
     }
 
-    /// Reserves memory for a request as long as so many connections to upstreams are idle.
+    /// Reserves memory for a request beside a number of idle connections to upstreams.
     pub fn reserve_beside(&mut self, body: usize, idle_upstreams: usize) -> Option<usize> {
         let bytes = body + REQUEST_BYTES;
         let used = self.used() + idle_upstreams * IDLE_UPSTREAM_BYTES;
--- a/crates/place/tests/caller_connections.rs
+++ b/crates/place/tests/caller_connections.rs
@@ -6,7 +6,7 @@
 const HEAVY: u64 = 7;
 const LIGHT: u64 = 8;
 
-/// Returns the connections of an instance that keeps so many.
+/// Returns the connections of an instance with a maximum number of them.
 fn connections(max: usize) -> CallerConnections {
     CallerConnections::new(None, Some(max))
 }
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -70,7 +70,7 @@
     /// Returns why the socket can't be read.
     pub(crate) async fn wait_for_request(&mut self) -> Result<bool> {
         while self.unread.is_empty() {
-            // It may say so although there is nothing to read.
+            // The socket may be reported as readable although nothing has arrived.
             self.stream.ready(Interest::READABLE).await?;
             let mut buf = BytesMut::with_capacity(FIRST_READ_BYTES);
             match self.stream.try_read_buf(&mut buf) {
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -173,7 +173,7 @@
         _ = phase.wait_for(|p| *p != Phase::Serving), if may_wait => {}
     }
     Pin::new(&mut conn).graceful_shutdown();
-    // As above.
+    // An error is the caller's here, too.
     let _ = conn.await;
     None
 }
--- a/crates/proxy/src/request_body.rs
+++ b/crates/proxy/src/request_body.rs
@@ -91,6 +91,7 @@
         if len > max_bytes {
             return Err(BodyError::TooLarge);
         }
+        // A body of unknown length gets room in steps.
         let used = if length.is_some() || len <= buf.capacity() {
             len
         } else if len <= WITH_HEAD_BYTES {
