--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -16,8 +16,8 @@
 impl Process {
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) {
-        let pid = self.0.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &pid]).status();
+        let command = format!("kill -s {name} {}", self.0.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
     }
 }
 
--- a/review/standins-2/src/reborn.rs
+++ b/review/standins-2/src/reborn.rs
@@ -17,7 +17,7 @@
 const DRAIN_MS: u128 = 2_000;
 /// How long the worker serves on after the store has accepted that it drains.
 const SERVES_ON: Duration = Duration::from_millis(6_000);
-const PER_S: u64 = 40;
+const PER_S: u64 = 50;
 
 fn config() -> &'static str {
     r#"{"Version":1,"Routes":[{"Name":"order","Hostname":"h.example","Prefix":"/order/",
