--- a/review/standins-2/src/dark.rs
+++ b/review/standins-2/src/dark.rs
@@ -171,10 +171,14 @@
         ran(&files),
         ran(&files) as u64 * PROMPT + record.events * STRIDE
     );
+    let notes: String = files
+        .iter()
+        .map(|f| fs::read_to_string(f).unwrap_or_default())
+        .collect();
     print!("{summary}");
     let _ = fs::write(
         folder.join("record.txt"),
-        format!("{summary}{}", record.lines),
+        format!("{summary}{}{notes}", record.lines),
     );
     drop(workers);
     drop(instances);
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -57,8 +57,7 @@
     let until = Instant::now() + timeout;
     while !done() {
         if Instant::now() > until {
-            eprintln!("no {what} in time");
-            std::process::exit(2);
+            panic!("no {what} in time");
         }
         thread::sleep(Duration::from_millis(20));
     }
@@ -125,10 +124,7 @@
             .spawn();
         let process = match child {
             Ok(child) => Process(child),
-            Err(why) => {
-                eprintln!("the program doesn't start: {why}");
-                std::process::exit(2);
-            }
+            Err(why) => panic!("the program does not start: {why}"),
         };
         Instance {
             _process: process,
--- a/review/standins-2/src/reborn.rs
+++ b/review/standins-2/src/reborn.rs
@@ -17,7 +17,7 @@
 const DRAIN_MS: u128 = 2_000;
 /// How long the worker serves on after the store has accepted that it drains.
 const SERVES_ON: Duration = Duration::from_millis(6_000);
-const PER_S: u64 = 50;
+const PER_S: u64 = 60;
 
 fn config() -> &'static str {
     r#"{"Version":1,"Routes":[{"Name":"order","Hostname":"h.example","Prefix":"/order/",
@@ -48,6 +48,14 @@
     process
 }
 
+/// Returns what the workers wrote about the requests that they ran.
+fn notes(files: &[std::path::PathBuf]) -> String {
+    files
+        .iter()
+        .map(|f| fs::read_to_string(f).unwrap_or_default())
+        .collect()
+}
+
 /// Plays the scenario; returns the exit status.
 pub fn play(folder: &Path) -> i32 {
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -56,12 +64,12 @@
     fleet.put("op/config", Some(config()));
     let ahead = if trouble { STEP_MS } else { 0 };
     let (addrs, ids) = (
-        [free_addr(), free_addr(), free_addr()],
-        ["i-0", "i-1", "i-2"],
+        [free_addr(), free_addr(), free_addr(), free_addr()],
+        ["i-0", "i-1", "i-2", "i-3"],
     );
     let files: Vec<_> = ids.iter().map(|id| dir.join(format!("w-{id}"))).collect();
     let mut workers: Vec<Process> = Vec::new();
-    for i in 1..3 {
+    for i in 1..4 {
         workers.push(start(addrs[i], ids[i], &files[i]));
         fleet.put(
             &format!("servers/{}", ids[i]),
@@ -120,8 +128,11 @@
     burst(Duration::from_secs(3));
     fleet.put("servers/i-0", Some(&entry(addrs[0], "draining", born, 2)));
     let acked = wall_ms();
+    let flag = |name: &str| fs::write(format!("{}.{name}", files[0].display()), "");
+    let _ = flag("draining");
     burst(SERVES_ON);
-    drop(workers.remove(0));
+    // It ends what it runs, and exits.
+    let _ = flag("leave");
     burst(Duration::from_millis(300));
     fleet.put("servers/i-0", None);
     burst(Duration::from_millis(700));
@@ -142,7 +153,7 @@
     print!("{summary}");
     let _ = fs::write(
         folder.join("record.txt"),
-        format!("{summary}{lines}i-0:\n{text}"),
+        format!("{summary}{lines}{}", notes(&files)),
     );
     drop(workers);
     drop(instances);
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -20,6 +20,8 @@
     pub interval: Duration,
     pub file: Mutex<File>,
     pub running: AtomicU32,
+    /// It drains while the file PATH.draining exists, and exits once PATH.leave does and nothing runs.
+    pub path: String,
 }
 
 pub fn wall_ms() -> u128 {
@@ -34,10 +36,23 @@
         let _ = writeln!(file, "{} {} {line}", wall_ms(), self.id);
     }
 
+    fn is_draining(&self) -> bool {
+        std::path::Path::new(&format!("{}.draining", self.path)).exists()
+    }
+
+    fn is_leaving(&self) -> bool {
+        std::path::Path::new(&format!("{}.leave", self.path)).exists()
+    }
+
     fn headers(&self, id: &str) -> String {
+        let close = if self.is_draining() {
+            "connection: close\r\n"
+        } else {
+            ""
+        };
         format!(
             "oriolehitch-request-id: {id}\r\noriolehitch-response-seal: {}.{id}\r\n\
-             oriolehitch-instance-id: {}\r\noriolehitch-server-load: {},0,{}\r\n",
+             oriolehitch-instance-id: {}\r\noriolehitch-server-load: {},0,{}\r\n{close}",
             self.id,
             self.id,
             self.running.load(Ordering::Relaxed),
@@ -50,7 +65,17 @@
 pub fn run(addr: SocketAddr, worker: Worker) {
     let listener = TcpListener::bind(addr).expect("a free port");
     let worker = Arc::new(worker);
+    let leaving = Arc::clone(&worker);
+    thread::spawn(move || loop {
+        thread::sleep(Duration::from_millis(10));
+        if leaving.is_leaving() && leaving.running.load(Ordering::Relaxed) == 0 {
+            std::process::exit(0);
+        }
+    });
     for stream in listener.incoming().flatten() {
+        if worker.is_leaving() {
+            continue;
+        }
         let worker = Arc::clone(&worker);
         thread::spawn(move || serve(stream, &worker));
     }
@@ -62,7 +87,7 @@
         worker.running.fetch_add(1, Ordering::Relaxed);
         let kept = respond(&mut conn, worker, &req);
         worker.running.fetch_sub(1, Ordering::Relaxed);
-        if kept.is_err() {
+        if kept.is_err() || worker.is_draining() {
             return;
         }
     }
@@ -82,7 +107,12 @@
     }
     let headers = worker.headers(&id);
     if id.is_empty() {
-        return conn.respond("200 OK", &headers, "");
+        let status = if worker.is_draining() {
+            "503 Service Unavailable"
+        } else {
+            "200 OK"
+        };
+        return conn.respond(status, &headers, "");
     }
     let Some(usage) = req.header("oriolehitch-token-usage") else {
         worker.write(&format!("ran {id}"));
