Don't report prompts as spent that may not have run

Callers saw: one of six engines fell silent for good; what it had been sent ended with 504 and was run by nobody.

Cause: a reservation knew reserved and spent only. A prompt without any part of a response, unless the upstream had closed the connection, was settled as spent, since it may have run and has to stay charged. The ledger and the record carried that as `spent`, a lower bound by their docs, and 402 is said by it.

Now such a prompt is uncertain: charged, not usable, not reported as spent. A request that fits only with uncertain tokens gets 503 and a time; one that doesn't fit even with them 402 at once. The tokens are released once all upstreams that got the prompt are gone from the list, have no attempt in flight and were not heard of since: they were lost before they could run it. The formats in the store are unchanged.

The same cause on related paths, mended alike: callers that leave before the first byte, deadlines, lost paths, lost forwarding instances (never released there), invalid responses, a response without an event.

--- a/crates/escrow/src/lib.rs
+++ b/crates/escrow/src/lib.rs
@@ -6,6 +6,9 @@
 //! The sum of all tokens taken therefore never exceeds the prepaid amount, whichever instances crash, freeze or are
 //! cut off.
 //!
+//! A prompt that was sent and not answered may have run. Its tokens stay charged, but do not count as spent, until the
+//! upstreams that got it are gone.
+//!
 //! A customer's tokens are normally held by one instance, its home, from which the others draw.
 //!
 //! No I/O, clock or randomness: the time is passed with each event, in milliseconds.
@@ -19,6 +22,7 @@
 mod request_sizes;
 mod retry;
 mod totals;
+mod uncertain_prompts;
 mod urgency;
 mod usual_rate;
 
@@ -29,4 +33,5 @@
 pub use record::{BudgetRecord, Ledger, LedgerEntry};
 pub use retry::{retry_ms, Outage};
 pub use totals::CumulativeTotal;
+pub use uncertain_prompts::{GoneUpstream, SentPrompt, UncertainPrompt, UncertainPrompts};
 pub use urgency::Claim;
--- a/crates/escrow/src/local_budget.rs
+++ b/crates/escrow/src/local_budget.rs
@@ -54,6 +54,9 @@
     /// Spent tokens forwarded by other instances, to be reported in the own entry.
     spending_received: PeerTotals,
     reserved: u64,
+    /// Tokens of prompts of which it is not known whether an upstream ran them: they may be spent, so they are not
+    /// usable, but they are not reported as spent.
+    uncertain: u64,
     demand: Demand,
     request_sizes: RequestSizes,
     /// Requested tokens by priority and size.
@@ -85,14 +88,15 @@
         self.prepaid
     }
 
-    /// Returns the tokens held here that are neither spent nor reserved.
+    /// Returns the tokens held here that are neither spent nor reserved, and may not have been spent.
     ///
     /// # Panics
     ///
-    /// Panics if more tokens are spent and reserved than were granted: the budget would be exceeded.
+    /// Panics if more tokens are used than were granted: the budget would be exceeded.
     pub fn balance(&self) -> u64 {
         let covered = self.detached_charged + self.entry.granted + self.tokens_received.sum();
-        let used = self.returned + self.tokens_sent.sum() + self.spent + self.reserved;
+        let used =
+            self.returned + self.tokens_sent.sum() + self.spent + self.reserved + self.uncertain;
         covered
             .checked_sub(used)
             .expect("used tokens exceed granted tokens")
@@ -147,6 +151,33 @@
         self.spent += spent;
     }
 
+    /// Ends a reservation for a prompt of which it is not known whether an upstream ran it; the other tokens can be
+    /// reserved again.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the prompt is larger than the reservation, or the reservation is larger than all reserved tokens.
+    pub fn settle_uncertain(&mut self, reserved: u64, prompt: u64) {
+        assert!(prompt <= reserved, "the prompt exceeds the reservation");
+        self.settle(reserved, 0);
+        self.uncertain += prompt;
+    }
+
+    /// Makes the tokens of an uncertain prompt usable again, because no upstream has run it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is larger than all uncertain prompts: tokens could be spent twice.
+    pub fn release_uncertain(&mut self, prompt: u64) {
+        let rest = self.uncertain.checked_sub(prompt);
+        self.uncertain = rest.expect("released tokens exceed uncertain tokens");
+    }
+
+    /// Returns the tokens of uncertain prompts.
+    pub fn uncertain(&self) -> u64 {
+        self.uncertain
+    }
+
     /// Returns the spent tokens that the own entry would report if written now.
     fn reportable_spent(&self) -> u64 {
         self.spent + self.spending_received.sum()
--- a/crates/escrow/tests/fleet/regressions.rs
+++ b/crates/escrow/tests/fleet/regressions.rs
@@ -4,7 +4,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use escrow::{BudgetRecord, CumulativeTotal, LedgerEntry, LocalBudget, RecordSnapshot};
+use escrow::{
+    BudgetRecord, CumulativeTotal, LedgerEntry, LocalBudget, RecordSnapshot, ReserveError,
+};
 
 use crate::store::{Instance, Store, CUSTOMER};
 
@@ -565,3 +567,32 @@
         .expect("a grant");
     assert!(entry.granted < 600_000, "{}", entry.granted);
 }
+
+/// Guards against a customer that is refused with 402 although its tokens are unspent: prompts that no upstream may have
+/// run were reported as spent, so that no instance could tell them from spent ones.
+#[test]
+fn an_uncertain_prompt_is_charged_but_not_spent() {
+    let (mut store, mut instance) = single_instance(1_000_000);
+    instance.budget.add_demand(0, 10_000);
+    instance.read(&store, 0);
+    let entry = instance
+        .budget
+        .plan_update(0, ONE_INSTANCE, true)
+        .expect("a grant");
+    let txn = instance.transaction(entry);
+    assert!(store.commit(&txn));
+    instance.read(&store, 10);
+    let granted = instance.budget.balance();
+    assert!(instance.budget.reserve(granted));
+    instance.budget.settle_uncertain(granted, 900);
+    assert_eq!(instance.budget.balance(), granted - 900);
+    assert!(!instance.budget.has_unreported_spending());
+    let refusal = instance.budget.reserve_error(999_500);
+    assert!(matches!(refusal, ReserveError::OutOfReach { .. }));
+    assert_eq!(
+        instance.budget.reserve_error(1_000_001),
+        ReserveError::Exhausted
+    );
+    instance.budget.release_uncertain(900);
+    assert_eq!(instance.budget.balance(), granted);
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -40,7 +40,8 @@
 pub use link::Link;
 pub use missing::MissingEntries;
 pub use pool::{
-    shared_segment_sizes, shared_segments, EntryChange, InquiredEngine, Inquiry, KnownEngine, Pool,
+    shared_segment_sizes, shared_segments, EntryChange, GoneUpstream, InquiredEngine, Inquiry,
+    KnownEngine, Pool,
 };
 pub use request_memory::{RequestMemory, HEAD_BYTES};
 pub use retry_budget::{RetryBudget, RetryLimits};
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -85,6 +85,17 @@
     senders: Senders,
     /// Services whose upstreams are brittle, with the time of the last response that said so.
     brittle: HashMap<String, u64>,
+    /// The upstreams that were removed since they were last taken.
+    gone: Vec<GoneUpstream>,
+}
+
+/// An upstream that is no longer listed and has no requests in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GoneUpstream {
+    /// Hash of its incarnation.
+    pub incarnation_hash: u64,
+    /// When it was last known to be alive, in milliseconds; `u64::MAX` if it was leaving.
+    pub heard_at: u64,
 }
 
 impl Pool {
@@ -157,6 +168,7 @@
             self.get_mut(key).restarted = true;
             return EntryChange::Restarted { ended };
         }
+        up.record_heard(now);
         let newly_leaving = spec.leaving && !up.leaving;
         let previous = up.incarnation_hash();
         up.update_spec(spec);
@@ -188,6 +200,7 @@
             UpstreamKey(self.upstreams.len() as u32 - 1)
         });
         let mut up = Upstream::new(spec);
+        up.record_heard(now);
         let incarnation = up.spec.incarnation();
         up.leaving |= self.announcements.is_leaving(&incarnation);
         up.paused_until = self.announcements.paused_until(&incarnation);
@@ -301,6 +314,11 @@
         let up = self.get(key);
         if up.delisted && up.engine.inflight() == 0 {
             let (id, hash) = (up.spec.id.clone(), up.incarnation_hash());
+            let heard_at = up.heard_at();
+            self.gone.push(GoneUpstream {
+                incarnation_hash: hash,
+                heard_at,
+            });
             // A later incarnation may have taken over the name.
             if self.by_id.get(&id) == Some(&key) {
                 self.by_id.remove(&id);
@@ -314,6 +332,30 @@
         }
     }
 
+    /// Returns the upstreams that were removed since the last call.
+    pub fn take_gone(&mut self) -> Vec<GoneUpstream> {
+        std::mem::take(&mut self.gone)
+    }
+
+    /// Records that an upstream with requests in flight was alive at a time, in milliseconds.
+    pub fn record_heard(&mut self, key: UpstreamKey, at: u64) {
+        self.get_mut(key).record_heard(at);
+    }
+
+    /// Records that an incarnation of an upstream has responded to something other than an attempt of this instance.
+    pub fn record_alive(&mut self, now: u64, incarnation_hash: u64) {
+        if let Some(key) = self.by_hash.get(&incarnation_hash).copied() {
+            self.get_mut(key).record_heard(now);
+        }
+    }
+
+    /// Returns when an incarnation of an upstream was last known to be alive, in milliseconds; `u64::MAX` if it is
+    /// leaving, none if it is not in the pool.
+    pub fn heard_at(&self, incarnation_hash: u64) -> Option<u64> {
+        let key = self.by_hash.get(&incarnation_hash)?;
+        Some(self.get(*key).heard_at())
+    }
+
     /// Chooses an upstream and counts one more request there.
     ///
     /// # Errors
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns the hash by which instances refer to this incarnation among each other.
+    pub fn incarnation_hash(&self) -> u64 {
+        xxh3_64(self.incarnation().as_bytes())
+    }
+
     /// Returns whether this is a later incarnation than the one in another entry of the same name.
     pub(crate) fn is_restart_of(&self, earlier: &Spec) -> bool {
         matches!((self.started_at_ms, earlier.started_at_ms), (Some(now), Some(then)) if now > then)
@@ -121,6 +126,8 @@
     pub delisted: bool,
     /// Its health.
     pub health: Health,
+    /// When this instance last heard from it or of it, in milliseconds: it was alive then.
+    heard_at: u64,
     pub(crate) prefix_cache: PrefixCache,
     /// Whether it restarted while it was listed. Its prefix cache then contains only what was sent to it
     /// since the restart, even for prefixes of which it is the primary upstream.
@@ -136,7 +143,7 @@
     pub fn new(spec: Spec) -> Upstream {
         Upstream {
             name_hash: xxh3_64(spec.id.as_bytes()),
-            incarnation_hash: xxh3_64(spec.incarnation().as_bytes()),
+            incarnation_hash: spec.incarnation_hash(),
             leaving: spec.leaving,
             spec,
             engine: State::default(),
@@ -153,6 +160,7 @@
             throttled: ThrottledRequests::default(),
             delisted: false,
             health: Health::default(),
+            heard_at: 0,
             prefix_cache: PrefixCache::default(),
             restarted: false,
         }
@@ -286,6 +294,21 @@
         self.incarnation_hash
     }
 
+    /// Records that it was alive at a time, in milliseconds.
+    pub(crate) fn record_heard(&mut self, at: u64) {
+        self.heard_at = self.heard_at.max(at);
+    }
+
+    /// Returns when it was last known to be alive, in milliseconds; the end of time if it is leaving, since it may
+    /// still run what it got.
+    pub(crate) fn heard_at(&self) -> u64 {
+        if self.leaving {
+            u64::MAX
+        } else {
+            self.heard_at
+        }
+    }
+
     /// Updates its list entry, which is of the same incarnation.
     pub(crate) fn update_spec(&mut self, spec: Spec) {
         self.leaving |= spec.leaving;
@@ -295,7 +318,7 @@
             started_at_ms,
             ..spec
         };
-        self.incarnation_hash = xxh3_64(self.spec.incarnation().as_bytes());
+        self.incarnation_hash = self.spec.incarnation_hash();
     }
 
     /// Returns the number of requests that it runs concurrently.
@@ -339,6 +362,10 @@
             Outcome::Success | Outcome::ErrorResponse | Outcome::Refused
         );
         self.throttled.end(now, attempt, answered);
+        // A connection may break after a part of a response has arrived.
+        if answered || outcome == Outcome::InvalidResponse {
+            self.record_heard(now);
+        }
         match outcome {
             Outcome::Success => self.health.record_success(now),
             Outcome::ErrorResponse => self.health.record_error(now),
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,11 +1,13 @@
 //! One attempt to get a response from an upstream: sending the request over a connection to it and
 //! reading the head of the response.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::SystemTime;
 
 use clock::wall_ms;
 use dial::SendError;
+use escrow::SentPrompt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::response;
@@ -49,6 +51,8 @@
     retryable: bool,
     /// When the request was sent, in milliseconds; when the upstream was chosen, until then.
     sent_at: u64,
+    /// When the upstream last sent something, in milliseconds; 0 if it sent nothing.
+    heard_at: AtomicU64,
     /// Its entry in the account of its engine; none if it was not entered.
     entry: Option<AccountEntry>,
     first_event_at: Option<u64>,
@@ -70,6 +74,7 @@
             way: None,
             retryable: ctx.is_retryable(),
             sent_at: ctx.router.clock.now(),
+            heard_at: AtomicU64::new(0),
             first_event_at: None,
             survived: false,
             broke_on_lost_path: false,
@@ -116,6 +121,8 @@
 
     /// Records that the upstream has sent something.
     pub(crate) fn record_received(&self) {
+        let now = self.router.clock.now();
+        self.heard_at.store(now, Ordering::Relaxed);
         if let Some(way) = &self.way {
             way.record_received();
         }
@@ -233,6 +240,7 @@
         } else {
             self.outcome
         };
+        pool.record_heard(key, self.heard_at.load(Ordering::Relaxed));
         pool.end(self.router.clock.now(), key, attempt, outcome);
         drop(pool);
         if self.way.is_some() {
@@ -294,19 +302,18 @@
     ctx.timing.sent_ms = ctx.router.clock.now() - ctx.arrived_at;
     ctx.set_attempts(ctx.attempts + 1);
     ctx.via.clone_from(&connected.via);
-    let prompt = u64::from(ctx.info.prompt_tokens);
     if let Some(reservation) = &mut ctx.reservation {
-        reservation.record_prompt_sent(prompt);
+        let sent = SentPrompt {
+            upstream: connected.guard.choice.spec.incarnation_hash(),
+            sent_at: ctx.router.clock.now(),
+        };
+        let prompt = u64::from(ctx.info.prompt_tokens);
+        reservation.begin_attempt(prompt, sent, connected.via.is_some());
     }
     let sent = send(ctx, connected, last_event_id).await;
-    let no_response = matches!(
-        sent,
-        Err(AttemptError::NotRun(_)
-            | AttemptError::Misdirected(_)
-            | AttemptError::Unanswered(_)
-            | AttemptError::NotForwarded(_))
-    );
-    ctx.may_have_response |= !no_response;
+    if let Some(reservation) = &mut ctx.reservation {
+        reservation.end_attempt(&sent);
+    }
     if let Err(error) = &sent {
         let detail = format_args!(
             "attempt={} via={} request={} why={error:?}",
@@ -316,9 +323,6 @@
         );
         let log = &ctx.router.log;
         log.request_event(Event::AttemptFailed, &ctx.info.id, detail);
-        if let Some(reservation) = ctx.reservation.as_mut().filter(|_| !ctx.may_have_response) {
-            reservation.clear_prompt();
-        }
     }
     if matches!(sent, Err(AttemptError::NotForwarded(_))) {
         ctx.set_attempts(ctx.attempts - 1);
@@ -407,6 +411,7 @@
             return Err(AttemptError::Unknown(format!("upstream={upstream} {why}")));
         }
     };
+    guard.record_received();
     let (head, body) = res.into_parts();
     let info = ctx.router.dialect.parse_response(&ctx.info, &head);
     if let Some(load) = info.load {
--- a/crates/proxy/src/budgets/mod.rs
+++ b/crates/proxy/src/budgets/mod.rs
@@ -8,6 +8,7 @@
 //!    too few asks the store and, in parallel, other instances (`refill`, `transfer`).
 //! 3. The request holds the tokens until it ends (`reservation`). Those that it did not spend can
 //!    be reserved again.
+//!    A prompt that may have run stays charged until it is known whether it did (`uncertain`).
 //! 4. The instance forwards to the home what was spent, and transfers to it what is left
 //!    (`settlement`).
 //! 5. The home reports the spent tokens in its ledger entry, and returns those that it no longer
@@ -25,6 +26,7 @@
 mod reservation;
 mod settlement;
 mod transfer;
+mod uncertain;
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicI64};
@@ -35,8 +37,10 @@
 use conf::RoutingConfig;
 use escrow::{
     exceeds_home_capacity, Claim, CumulativeTotal, LocalBudget, ReserveError, ShortageOutcome,
+    UncertainPrompts,
 };
 use kv::Store;
+use place::Pool;
 use rate::Rate;
 use reservation::WaitGuard;
 use tokio::sync::{watch, Notify};
@@ -86,6 +90,8 @@
     /// Time until service is back after a failure of all instances, in milliseconds, if the
     /// settings specify it.
     pub(crate) recovery_ms: Option<u64>,
+    /// The upstreams that run the prompts.
+    pub(crate) pool: Arc<Mutex<Pool>>,
 }
 
 /// Handle to the budgets of all customers at this instance; clones share it.
@@ -108,6 +114,8 @@
     /// are notified without one.
     finished_searches: watch::Sender<u64>,
     deps: OnceLock<BudgetDeps>,
+    /// Prompts that may have run, whose tokens may be released later.
+    uncertain: Mutex<UncertainPrompts>,
     /// Customers whose homes are to be sent a settlement, with the number of times left.
     pending_settlements: Mutex<BTreeMap<String, u8>>,
     settlement_requested: Notify,
@@ -148,6 +156,7 @@
             checked_revision: AtomicI64::new(0),
             refill_requested: Notify::new(),
             finished_searches: watch::channel(0).0,
+            uncertain: Mutex::default(),
             pending_settlements: Mutex::default(),
             settlement_requested: Notify::new(),
             deps: OnceLock::new(),
@@ -259,13 +268,7 @@
     }
 
     fn new_reservation(&self, customer: &str) -> Reservation {
-        Reservation {
-            budgets: self.clone(),
-            customer: customer.to_string(),
-            reserved: 0,
-            prompt: 0,
-            delivered: 0,
-        }
+        Reservation::new(self.clone(), customer)
     }
 
     /// Reserves tokens that this instance holds, for a request with the given claim. If it holds too
@@ -477,6 +480,7 @@
             let snapshot = s.budget.snapshot();
             let value = serde_json::json!({
                 "balance": s.budget.balance(),
+                "uncertain": s.budget.uncertain(),
                 "rate": s.budget.rate(now),
                 "usual_rate": s.budget.usual_rate(now),
                 "held_back": s.budget.held_back(now),
--- a/crates/proxy/src/budgets/refill.rs
+++ b/crates/proxy/src/budgets/refill.rs
@@ -75,6 +75,7 @@
                     Scope::Waiting
                 } else {
                     due = Instant::now() + budgets.refill_interval();
+                    budgets.resolve_uncertain();
                     Scope::All
                 };
                 budgets.refill(scope).await;
--- a/crates/proxy/src/budgets/reservation.rs
+++ b/crates/proxy/src/budgets/reservation.rs
@@ -1,6 +1,10 @@
 //! Tokens that a request has reserved, or waits for.
 
+use escrow::{SentPrompt, UncertainPrompt};
+use smallvec::SmallVec;
+
 use super::Budgets;
+use crate::attempt_error::AttemptError;
 use crate::event::Event;
 
 /// Tokens reserved for a request. Dropping it settles the request.
@@ -8,30 +12,62 @@
     pub(super) budgets: Budgets,
     pub(super) customer: String,
     pub(super) reserved: u64,
-    /// Tokens of the prompt, once it was sent to an upstream that may respond. They count once,
-    /// even if sent again.
-    pub(super) prompt: u64,
+    /// Tokens of the prompt, once it was sent. They count once, even if sent again.
+    prompt: u64,
+    /// The attempts that may have run the prompt.
+    sent: SmallVec<[SentPrompt; 2]>,
+    /// Whether another instance forwarded one of these attempts.
+    forwarded: bool,
+    /// Whether a part of a response arrived: the prompt is spent.
+    answered: bool,
     /// Tokens of the response that went to the caller.
-    pub(super) delivered: u64,
+    delivered: u64,
 }
 
 impl Reservation {
+    pub(super) fn new(budgets: Budgets, customer: &str) -> Reservation {
+        Reservation {
+            budgets,
+            customer: customer.to_string(),
+            reserved: 0,
+            prompt: 0,
+            sent: SmallVec::new(),
+            forwarded: false,
+            answered: false,
+            delivered: 0,
+        }
+    }
+
     pub(super) fn with_reserved(mut self, tokens: u64) -> Reservation {
         self.reserved = tokens;
         self
     }
 
-    /// Counts the prompt as spent; it is about to be sent to an upstream.
-    pub(crate) fn record_prompt_sent(&mut self, prompt: u64) {
+    /// Records that the prompt is about to be sent to an upstream, directly or by another instance.
+    pub(crate) fn begin_attempt(&mut self, prompt: u64, sent: SentPrompt, forwarded: bool) {
         self.prompt = prompt;
+        self.sent.push(sent);
+        self.forwarded |= forwarded;
     }
 
-    /// Stops counting the prompt: the upstreams that got it did not run it, or closed the
-    /// connection before any part of a response arrived. A customer pays for what it gets: if
-    /// prompts without a response counted, they would use up several percent of a budget within
-    /// seconds while upstreams fail.
-    pub(crate) fn clear_prompt(&mut self) {
-        self.prompt = 0;
+    /// Records the result of the attempt that began last.
+    ///
+    /// The prompt does not count if the upstream did not run it, or closed the connection before any part of a
+    /// response arrived. A customer pays for what it gets: if prompts without a response counted, they would use up
+    /// several percent of a budget within seconds while upstreams fail.
+    pub(crate) fn end_attempt<T>(&mut self, result: &Result<T, AttemptError>) {
+        match result {
+            Ok(_) => self.answered = true,
+            Err(
+                AttemptError::NotRun(_)
+                | AttemptError::Misdirected(_)
+                | AttemptError::Unanswered(_)
+                | AttemptError::NotForwarded(_),
+            ) => {
+                self.sent.pop();
+            }
+            Err(_) => {}
+        }
     }
 
     /// Counts tokens of the response that go to the caller.
@@ -49,24 +85,44 @@
 
     /// Returns the spent tokens.
     pub(crate) fn spent(&self) -> u64 {
-        self.prompt + self.delivered
+        let prompt = if self.answered { self.prompt } else { 0 };
+        prompt + self.delivered
+    }
+
+    /// Returns the tokens that may be spent.
+    fn uncertain(&self) -> u64 {
+        if self.answered || self.sent.is_empty() {
+            0
+        } else {
+            self.prompt
+        }
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let (spent, reserved) = (self.spent(), self.reserved);
-        if spent > reserved {
+        let (spent, uncertain, reserved) = (self.spent(), self.uncertain(), self.reserved);
+        if spent + uncertain > reserved {
             let customer = &self.customer;
             let detail = format_args!("customer={customer} spent={spent} reserved={reserved}");
             self.budgets.0.log.event(Event::TokensExceeded, detail);
         }
-        let spent = spent.min(reserved);
-        let mut customers = self.budgets.0.customers.lock().expect("lock not poisoned");
-        if let Some(state) = customers.get_mut(&self.customer) {
-            state.budget.settle(self.reserved, spent);
+        let uncertain = uncertain.min(reserved);
+        self.budgets.with_known_budget(&self.customer, |b| {
+            if uncertain > 0 {
+                b.settle_uncertain(reserved, uncertain);
+            } else {
+                b.settle(reserved, spent.min(reserved));
+            }
+        });
+        if uncertain > 0 {
+            let prompt = UncertainPrompt {
+                customer: self.customer.clone(),
+                tokens: uncertain,
+                sent: std::mem::take(&mut self.sent),
+            };
+            self.budgets.add_uncertain(prompt, self.forwarded);
         }
-        drop(customers);
         self.budgets.request_settlement(&self.customer);
     }
 }
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -135,6 +135,11 @@
     /// The instance's ledger entry for a customer has changed: tokens were taken from the budget,
     /// returned to it or reported as spent.
     GrantChanged,
+    /// A prompt was sent and not answered: its tokens stay charged, because it may have run.
+    PromptUncertain,
+    /// The tokens of a prompt that was not answered are usable again: the upstream that got it is gone, and was
+    /// lost before it could run the prompt.
+    PromptReleased,
     /// Tokens were transferred from or to another instance, or a request for tokens failed.
     TokenTransfer,
     /// A customer's budget record, or the instance's own ledger, could not be parsed.
@@ -429,6 +434,18 @@
         Level::INFO,
         "tokens of the incarnation before",
     ),
+    row(
+        Event::PromptUncertain,
+        2605,
+        Level::INFO,
+        "prompt may have run",
+    ),
+    row(
+        Event::PromptReleased,
+        2606,
+        Level::INFO,
+        "prompt has not run",
+    ),
 ];
 
 impl Event {
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -298,6 +298,7 @@
             peer_clients,
             sender: network.sender,
             recovery_ms: fleet_settings.recovery_secs.map(|s| (s * 1000.0) as u64),
+            pool: Arc::clone(&router.pool),
         });
         traffic.spawn_logging(&router.fleet, &dialer, &log);
         spawn_sweep(dialer);
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -179,7 +179,6 @@
             asked: SmallVec::new(),
             progress: Arc::clone(&caller.progress),
             reservation: None,
-            may_have_response: false,
             expected_output_tokens,
             delivered_tokens: 0,
             timing: AttemptTiming::default(),
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -193,8 +193,6 @@
     pub(crate) asked: Asked,
     pub(crate) progress: Arc<Progress>,
     pub(crate) reservation: Option<Reservation>,
-    /// Whether an upstream sent a part of a response, or may have sent one that was lost.
-    pub(crate) may_have_response: bool,
     /// Expected number of tokens in the response to a prompt.
     pub(crate) expected_output_tokens: u32,
     /// Number of response tokens that were sent to the caller.
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -6,7 +6,7 @@
 use clock::Clock;
 use dial::Dialer;
 use engine::OutputEstimates;
-use place::{Intake, Link, Pool, RequestMemory, RetryBudget, Shares};
+use place::{Intake, Link, Pool, RequestMemory, RetryBudget, Shares, Spec};
 use tokio::sync::watch;
 
 use crate::accounts::EngineAccounts;
@@ -86,6 +86,13 @@
         self.with_link(|l, now| l.is_congested(now))
     }
 
+    /// Records that an upstream has responded to a probe, or to a request of another instance.
+    pub(crate) fn record_alive(&self, spec: &Spec) {
+        let now = self.clock.now();
+        let mut pool = self.pool.lock().expect("lock not poisoned");
+        pool.record_alive(now, spec.incarnation_hash());
+    }
+
     /// Reads or updates the state of this instance's network link, and logs when its congestion has
     /// changed.
     pub(crate) fn with_link<T>(&self, f: impl FnOnce(&mut Link, u64) -> T) -> T {
--- a/crates/proxy/src/transit/monitor.rs
+++ b/crates/proxy/src/transit/monitor.rs
@@ -99,6 +99,7 @@
     };
     match timeout_at(until, conn.send(req)).await {
         Ok(Ok(res)) => {
+            router.record_alive(spec);
             let body = Limited::new(res.into_body(), MAX_HEALTH_BODY_BYTES);
             if let Ok(Ok(_)) = timeout(PROBE_TIMEOUT, body.collect()).await {
                 router.dialer.put_idle(conn, None);
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -224,6 +224,7 @@
         Err(_) => return Err(Error::Broken),
     };
     forwarding.direct.record_response();
+    router.record_alive(&forwarding.spec);
     let (mut head, body) = res.into_parts();
     forwarding.status = head.status.as_u16();
     let response_info = dialect.parse_response(&forwarding.info, &head);
