Begin resumable streams only at versions that the store has

Callers would have seen: two versions serve, or the upstreams of the old one have just left, all instances are lost and come back, and a stream is taken up with 200 at another version than the one that began it (ORDER).

Cause: a stream gave its caller the first event of a version before anything that survives the loss of all instances knew of that version. One instance wrote it to the store, 0.2 s after it was listed, and none while that one was suspended, cut off, or gone and still in the list. The instance that started took the silence of the store for proof.

Now a stream that its caller may continue begins only at a version that the store is known to have, so what began it is there. The first instance writes a new version at once; the others read it a moment later, and write it themselves if it is missing. Meanwhile upstreams of the versions before serve; where there are none, requests wait up to 0.5 s. Without the store, an instance asks others what the store has.

--- a/crates/origin/src/history.rs
+++ b/crates/origin/src/history.rs
@@ -6,15 +6,30 @@
 /// milliseconds: records of streams are kept no longer.
 pub const RETENTION_MS: u64 = 600_000;
 
+/// How long a version counts as recorded in the store after the store was known to have it, or its upstreams were
+/// listed, in milliseconds. The store has it for longer than that, also if another instance says that it has it.
+const RECORDED_MS: u64 = RETENTION_MS / 3;
+
+/// A version that the store has.
+#[derive(Clone, Debug)]
+struct Recorded {
+    origin: Origin,
+    /// Until when the store has it for sure, in milliseconds.
+    until: u64,
+}
+
 /// The software versions that upstreams of each service have had.
 ///
-/// While a service has had a single version, it began all streams there, and no records are needed.
+/// While a service has had a single version, it began all streams there, and no records are needed. Streams begin only
+/// at versions that the store has, so that an instance that starts after the loss of all others knows them.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
     /// Each service and version with the time when it was last seen.
     seen: Vec<(Origin, u64)>,
     /// Whether nothing from before the start of this instance is missing.
     complete: bool,
+    /// The versions that the store has.
+    recorded: Vec<Recorded>,
 }
 
 impl VersionHistory {
@@ -25,6 +40,32 @@
             .fold(false, |any_new, origin| self.add(now, origin) | any_new)
     }
 
+    /// Adds the versions of the listed upstreams; returns whether any of them is new. The store keeps those that it
+    /// has.
+    pub fn observe_listed(&mut self, now: u64, origins: &[Origin]) -> bool {
+        let current = self.recorded.iter_mut().filter(|r| now < r.until);
+        for recorded in current.filter(|r| origins.contains(&r.origin)) {
+            recorded.until = now + RECORDED_MS;
+        }
+        self.observe(now, origins)
+    }
+
+    /// Records that the store has these versions.
+    pub fn record_stored(&mut self, now: u64, stored: &[Origin]) {
+        self.recorded.retain(|r| now < r.until);
+        self.recorded.retain(|r| !stored.contains(&r.origin));
+        let until = now + RECORDED_MS;
+        let recorded = stored.iter().cloned();
+        let recorded = recorded.map(|origin| Recorded { origin, until });
+        self.recorded.extend(recorded);
+    }
+
+    /// Returns the versions that the store has.
+    pub fn recorded(&self, now: u64) -> impl Iterator<Item = &Origin> {
+        let recorded = self.recorded.iter().filter(move |r| now < r.until);
+        recorded.map(|r| &r.origin)
+    }
+
     /// Adds the versions that another instance tells; returns whether any of them is new. Instances must
     /// not keep a version from expiring by telling it to each other.
     pub fn merge(&mut self, now: u64, versions: &[SeenVersion]) -> bool {
--- a/crates/origin/tests/history.rs
+++ b/crates/origin/tests/history.rs
@@ -65,3 +65,25 @@
     assert!(!first.merge(600_000, &[old]));
     assert_eq!(first.sole_version(600_000, "pool"), Some("v2"));
 }
+
+/// Guards against a stream that begins at a version which the store no longer has: it has had no upstream for long, and
+/// the instance that removes such versions has removed it.
+#[test]
+fn a_version_counts_as_recorded_for_as_long_as_the_store_has_it_for_sure() {
+    let recorded =
+        |history: &VersionHistory, now| -> Vec<Origin> { history.recorded(now).cloned().collect() };
+    let (v1, v2) = (origin("pool", "v1"), origin("pool", "v2"));
+    let mut history = VersionHistory::default();
+    history.observe_listed(0, &[v1.clone(), v2.clone()]);
+    assert!(recorded(&history, 0).is_empty(), "listed, but not stored");
+    history.record_stored(0, &[v1.clone(), v2.clone()]);
+    assert_eq!(recorded(&history, 0), [v1.clone(), v2.clone()]);
+    history.observe_listed(150_000, std::slice::from_ref(&v1));
+    assert_eq!(recorded(&history, 199_999), [v1.clone(), v2.clone()]);
+    assert_eq!(recorded(&history, 200_000), [v1.clone()]);
+    // It is listed again, and may have been removed from the store meanwhile.
+    history.observe_listed(300_000, &[v1.clone(), v2.clone()]);
+    assert_eq!(recorded(&history, 300_000), [v1.clone()]);
+    history.record_stored(300_000, std::slice::from_ref(&v2));
+    assert_eq!(recorded(&history, 300_000), [v1, v2]);
+}
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -13,6 +13,8 @@
     /// The only software version that may serve the request, because it began the stream that the request
     /// continues; none if all may.
     pub version: Option<&'a str>,
+    /// The software versions at which the request may begin a stream; none if it may at all.
+    pub recorded_versions: Option<&'a [String]>,
     /// Availability zone of this instance.
     pub zone: &'a str,
     /// Segments of the prompt, in order; no other request shares the last one.
@@ -43,10 +45,14 @@
 }
 
 impl Criteria<'_> {
-    /// Returns whether an upstream belongs to the service, and has the only version that may serve the
-    /// request.
+    /// Returns whether an upstream belongs to the service, and has a version that may serve the request.
     pub(crate) fn is_served_by(&self, up: &Upstream) -> bool {
-        up.spec.service == self.service && self.version.is_none_or(|v| up.spec.version == v)
+        let version = &up.spec.version;
+        up.spec.service == self.service
+            && self.version.is_none_or(|only| version == only)
+            && self
+                .recorded_versions
+                .is_none_or(|all| all.contains(version))
     }
 
     /// Returns the number of prompt tokens that no other request shares.
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -24,6 +24,7 @@
     Criteria {
         service: "pool",
         version: None,
+        recorded_versions: None,
         zone,
         segments: &[],
         prompt_tokens: 0,
--- a/crates/place/tests/versions.rs
+++ b/crates/place/tests/versions.rs
@@ -32,6 +32,26 @@
     }
 }
 
+/// Guards against streams that begin at a version which no instance knows after the loss of all.
+#[test]
+fn a_resumable_stream_begins_only_at_recorded_versions() {
+    let mut pool = pool(&["v1", "v2", "v1", "v2"]);
+    let recorded = ["v1".to_string()];
+    let new_stream = Criteria {
+        recorded_versions: Some(&recorded),
+        ..stream(None)
+    };
+    for _ in 0..SLOTS {
+        let choice = pool.choose(0, &new_stream).expect("room");
+        assert_eq!(choice.spec.version, "v1");
+    }
+    let none = Criteria {
+        recorded_versions: Some(&[]),
+        ..stream(None)
+    };
+    assert_eq!(pool.choose(0, &none).unwrap_err(), ChooseError::Unknown);
+}
+
 /// Guards against streams that go on at another version because theirs is full or gone.
 #[test]
 fn a_continued_stream_is_sent_to_its_version_only() {
--- a/crates/proxy/src/connect.rs
+++ b/crates/proxy/src/connect.rs
@@ -14,6 +14,7 @@
 use crate::attempt::AttemptGuard;
 use crate::attempt_error::AttemptError;
 use crate::event::Event;
+use crate::origins::RecordedVersions;
 use crate::request_context::{RequestContext, StreamVersion};
 use crate::transit::{self as forwarding, MAX_ASKED};
 
@@ -225,8 +226,18 @@
     Err(Outcome::Unresponsive)
 }
 
+/// Returns the versions at which a request may begin a stream that its caller may continue; none if it begins no such
+/// stream.
+fn recorded_versions(ctx: &RequestContext) -> Option<RecordedVersions> {
+    ctx.begins_resumable_stream()
+        .then(|| ctx.router.origins.recorded_versions(&ctx.service))
+}
+
 /// Returns what the request requires of an upstream.
-fn criteria(ctx: &RequestContext) -> Result<Criteria<'_>, ChooseError> {
+fn criteria<'a>(
+    ctx: &'a RequestContext,
+    recorded_versions: Option<&'a [String]>,
+) -> Result<Criteria<'a>, ChooseError> {
     let version = match &ctx.stream_version {
         StreamVersion::Any => None,
         StreamVersion::Only(version) => Some(version.as_str()),
@@ -235,6 +246,7 @@
     Ok(Criteria {
         service: &ctx.service,
         version,
+        recorded_versions,
         zone: &ctx.router.zone,
         segments: &ctx.info.prompt_segments,
         prompt_tokens: ctx.info.prompt_tokens,
@@ -254,7 +266,8 @@
 /// Asks about the engines that a request may be sent to, without waiting for the answers; returns none if
 /// these have no accounts.
 pub(crate) fn ask(ctx: &RequestContext) -> Option<Asking> {
-    let criteria = criteria(ctx).ok()?;
+    let recorded = recorded_versions(ctx);
+    let criteria = criteria(ctx, recorded.as_deref()).ok()?;
     accounts::ask(ctx, || {
         let pool = ctx.router.pool.lock().expect("lock not poisoned");
         pool.inquiry(ctx.router.clock.now(), &criteria)
@@ -277,7 +290,8 @@
 
 fn choose(ctx: &RequestContext, known: Option<&[KnownEngine]>) -> Result<Choice, ChooseError> {
     let now = ctx.router.clock.now();
-    let criteria = criteria(ctx)?;
+    let recorded = recorded_versions(ctx);
+    let criteria = criteria(ctx, recorded.as_deref())?;
     let mut pool = ctx.router.pool.lock().expect("lock not poisoned");
     let choice = pool.choose_known(now, &criteria, known)?;
     let metrics = &ctx.router.metrics;
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -273,7 +273,7 @@
         tokio::spawn(suspect_store.run());
         let version_store = VersionStore {
             origins,
-            fleet: fleet.clone(),
+            network: network.clone(),
             pool: Arc::clone(&router.pool),
             store: versions_store,
             store_health: Arc::clone(&store_health),
--- a/crates/proxy/src/origins.rs
+++ b/crates/proxy/src/origins.rs
@@ -17,7 +17,7 @@
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout};
 
 use crate::datagram::Datagram;
@@ -47,8 +47,15 @@
     history: Mutex<VersionHistory>,
     /// Changes when a service has a version that it did not have before.
     version_changes: watch::Sender<()>,
+    /// Changes when the store is known to have versions.
+    recordings: watch::Sender<()>,
+    /// Wakes the task that writes versions to the store when an upstream has one that the store is not known to have.
+    unrecorded: Notify,
 }
 
+/// The versions of a service that the store has.
+pub(crate) type RecordedVersions = SmallVec<[String; 2]>;
+
 /// The origin of a stream that a caller continues, as far as it could be found out.
 #[derive(Clone, Debug)]
 pub(crate) enum Found {
@@ -116,6 +123,8 @@
             table: Mutex::default(),
             history: Mutex::default(),
             version_changes: watch::channel(()).0,
+            recordings: watch::channel(()).0,
+            unrecorded: Notify::new(),
         }))
     }
 
@@ -137,6 +146,59 @@
         self.update_history(|history, now| history.observe(now, versions));
     }
 
+    /// Has the version of a listed upstream recorded in the store if it is not yet.
+    pub(crate) fn request_recording(&self, version: &Origin) {
+        if !self.is_recorded(version) {
+            self.0.unrecorded.notify_one();
+        }
+    }
+
+    /// Adds the versions of all listed upstreams.
+    pub(crate) fn observe_listed(&self, versions: &[Origin]) {
+        self.update_history(|history, now| history.observe_listed(now, versions));
+    }
+
+    /// Waits until an upstream has a version that the store is not known to have.
+    pub(crate) async fn wait_until_unrecorded(&self) {
+        self.0.unrecorded.notified().await;
+    }
+
+    /// Records that the store has these versions.
+    pub(crate) fn record_stored(&self, versions: &[Origin]) {
+        let now = self.0.clock.now();
+        self.history().record_stored(now, versions);
+        self.0.recordings.send_replace(());
+    }
+
+    /// Returns a receiver that is notified when the store is known to have versions.
+    pub(crate) fn recordings(&self) -> watch::Receiver<()> {
+        self.0.recordings.subscribe()
+    }
+
+    /// Returns whether the store has a version.
+    pub(crate) fn is_recorded(&self, version: &Origin) -> bool {
+        let history = self.history();
+        let mut recorded = history.recorded(self.0.clock.now());
+        recorded.any(|r| r == version)
+    }
+
+    /// Returns the versions that the store has.
+    pub(crate) fn recorded(&self) -> Vec<Origin> {
+        let history = self.history();
+        let recorded = history.recorded(self.0.clock.now());
+        recorded.cloned().collect()
+    }
+
+    /// Returns the versions of a service that the store has: only at these, a stream may begin that its caller may
+    /// continue. Otherwise no instance would know of the version after the loss of all, and the stream would go on at
+    /// another one.
+    pub(crate) fn recorded_versions(&self, service: &str) -> RecordedVersions {
+        let history = self.history();
+        let recorded = history.recorded(self.0.clock.now());
+        let of_service = recorded.filter(|r| r.service == service);
+        of_service.map(|r| r.version.clone()).collect()
+    }
+
     /// Adds the versions that the store has, which are all that services had before this instance started
     /// if `complete`.
     pub(crate) fn add_stored(&self, versions: &[Origin], complete: bool) {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -16,6 +16,7 @@
 use jsonrpsee_server::types::Params;
 use jsonrpsee_server::{Extensions, RpcModule, ServerHandle};
 use notice::Notice;
+use origin::Origin;
 use rand::seq::IndexedRandom;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -193,6 +194,9 @@
         let request: String = params.one()?;
         Ok(service.origins.answer(&request))
     });
+    register(&mut module, "recorded_versions", |_, service| {
+        Ok(service.origins.recorded())
+    });
     register(&mut module, "limits", |_, service| {
         Ok(service.notice_handler.upstream_list.limit_notices())
     });
@@ -461,6 +465,18 @@
         self.call_with_timeout(addr, "origin", &request).await
     }
 
+    /// Fetches the versions of upstreams that the store has, as far as an instance knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response.
+    pub(crate) async fn fetch_recorded_versions(
+        &self,
+        addr: SocketAddr,
+    ) -> Result<Vec<Origin>, String> {
+        self.call_with_timeout(addr, "recorded_versions", &()).await
+    }
+
     /// Requests a trial of a request from an owner of its record.
     ///
     /// # Errors
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -266,6 +266,11 @@
         self.route.retry_mode != RetryMode::Never
     }
 
+    /// Returns whether the request begins a stream that its caller may continue with another request.
+    pub(crate) fn begins_resumable_stream(&self) -> bool {
+        self.route.streamed && self.is_retryable() && self.stream_version == StreamVersion::Any
+    }
+
     /// Returns whether the request may be sent once more; if so, takes a retry from the service's
     /// retry budget.
     pub(crate) fn try_acquire_retry(&self) -> bool {
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -6,7 +6,7 @@
 use clock::Clock;
 use dial::Dialer;
 use engine::OutputEstimates;
-use place::{Intake, Link, Pool, RequestMemory, RetryBudget, Shares, Spec};
+use place::{Intake, Link, Pool, RequestMemory, RetryBudget, Shares, Spec, Upstream};
 use tokio::sync::watch;
 
 use crate::accounts::EngineAccounts;
@@ -86,6 +86,18 @@
         self.with_link(|l, now| l.is_congested(now))
     }
 
+    /// Returns whether the store has the version of an upstream of a service, or none is listed.
+    pub(crate) fn has_recorded_version(&self, service: &str) -> bool {
+        let recorded = self.origins.recorded_versions(service);
+        let pool = self.pool.lock().expect("lock not poisoned");
+        let mut listed = pool.listed().filter(|u| u.spec.service == service);
+        let Some(first) = listed.next() else {
+            return true;
+        };
+        let is_recorded = |u: &Upstream| recorded.contains(&u.spec.version);
+        is_recorded(first) || listed.any(is_recorded)
+    }
+
     /// Records that an upstream has responded to a probe, or to a request of another instance.
     pub(crate) fn record_alive(&self, spec: &Spec) {
         let now = self.clock.now();
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -32,6 +32,10 @@
 /// and instances run at different rates.
 const RETURN_MARGIN_MS: u64 = 1_000;
 
+/// Maximum time that a request waits until the store has a version at which its stream may begin, in milliseconds: a
+/// few calls to the store.
+const MAX_RECORDING_WAIT_MS: u64 = 500;
+
 /// The stream from one upstream.
 struct UpstreamStream {
     guard: AttemptGuard,
@@ -132,6 +136,9 @@
 ///
 /// Returns why there is no response.
 pub(crate) async fn respond(mut ctx: RequestContext) -> Result<Response<ResponseBody>, Refusal> {
+    if ctx.begins_resumable_stream() {
+        wait_until_recorded(&ctx).await;
+    }
     let mut history = AttemptHistory::new();
     let (stream, head, first) = loop {
         let error = match begin(&mut ctx).await {
@@ -166,6 +173,20 @@
     Ok(res)
 }
 
+/// Waits until the store has the version of a listed upstream: streams begin only there. If it is unavailable, nothing
+/// shows when it will have it.
+async fn wait_until_recorded(ctx: &RequestContext) {
+    let (router, service) = (&ctx.router, &ctx.service);
+    let mut recordings = router.origins.recordings();
+    let until = ctx.deadline.min(ctx.arrived_at + MAX_RECORDING_WAIT_MS);
+    let until = router.clock.at(until);
+    while !router.has_recorded_version(service) && !router.store_health.is_unavailable() {
+        if timeout_at(until, recordings.changed()).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Binds a stream to the software version that has begun it, from its first event on, and sends the record
 /// of that to other instances.
 fn bind(ctx: &mut RequestContext, stream: &UpstreamStream) {
--- a/crates/proxy/src/upstream_list.rs
+++ b/crates/proxy/src/upstream_list.rs
@@ -457,10 +457,11 @@
             spec.service, spec.version, spec.zone, spec.addr
         );
         // Before the upstream gets a request: the streams that it begins need records.
-        self.0.origins.observe([&Origin {
+        let origin = Origin {
             service: spec.service.clone(),
             version: spec.version.clone(),
-        }]);
+        };
+        self.0.origins.observe([&origin]);
         let leaving = spec.leaving;
         if leaving {
             self.publish_leaving(&incarnation);
@@ -472,6 +473,7 @@
             .lock()
             .expect("lock not poisoned")
             .upsert(now, spec);
+        self.0.origins.request_recording(&origin);
         let event = match change {
             EntryChange::Unchanged => return,
             EntryChange::Restarted { ended } => {
