Reset the connections of attempts that are given up

Cause: `Conn` closed its socket. What a partition holds up of a closed connection is delivered when it ends; a reset loses it. The tokens that are released for prompts which have not run hang on it as well.

Now a connection that carries a request is reset when it is dropped or all connections to its upstream are closed. Idle ones are closed as before.

--- a/crates/dial/src/conn.rs
+++ b/crates/dial/src/conn.rs
@@ -12,7 +12,7 @@
 use tokio::task::AbortHandle;
 
 use crate::pool::Pools;
-use crate::socket::HeadLimit;
+use crate::socket::{HeadLimit, InUse};
 
 /// Why a request has no response.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,11 +34,13 @@
     error.is_incomplete_message() || cause.is_some_and(reset)
 }
 
-/// A connection to an upstream. Dropping it closes it immediately, even if a request is in progress.
+/// A connection to an upstream. Dropping it closes it immediately. If a request is in progress, it is reset, so that
+/// nothing of the request reaches the upstream afterwards.
 pub struct Conn {
     pub(crate) upstream: String,
     pub(crate) send: SendRequest<Full<Bytes>>,
     pub(crate) head_limit: HeadLimit,
+    pub(crate) in_use: InUse,
     pub(crate) task: AbortHandle,
     pub(crate) pools: Arc<Mutex<Pools>>,
 }
@@ -53,6 +55,7 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.in_use.set(true);
         self.head_limit.apply();
         let sent = self.send.try_send_request(req).await;
         self.head_limit.lift();
--- a/crates/dial/src/pool.rs
+++ b/crates/dial/src/pool.rs
@@ -14,7 +14,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::conn::Conn;
-use crate::socket::{HeadLimit, UpstreamSocket};
+use crate::socket::{HeadLimit, InUse, UpstreamSocket};
 
 /// Maximum number of bytes of a response that are read ahead of a caller which reads slowly. The head of a
 /// response must fit.
@@ -183,8 +183,8 @@
                 _ => unreachable(e),
             })?;
         set_socket_options(&stream).map_err(unreachable)?;
-        let head_limit = HeadLimit::new();
-        let socket = UpstreamSocket::new(stream, head_limit.clone());
+        let (head_limit, in_use) = (HeadLimit::new(), InUse::default());
+        let socket = UpstreamSocket::new(stream, head_limit.clone(), in_use.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
@@ -201,6 +201,7 @@
             upstream: target.upstream.to_string(),
             send,
             head_limit,
+            in_use,
             task: task.abort_handle(),
             pools: Arc::clone(&self.0),
         })
@@ -251,6 +252,7 @@
             Some(timeout) => timeout.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT),
             None => DEFAULT_IDLE_TIMEOUT,
         };
+        conn.in_use.set(false);
         let upstream = conn.upstream.clone();
         let idle = IdleConn {
             conn,
--- a/crates/dial/src/socket.rs
+++ b/crates/dial/src/socket.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 
@@ -44,15 +44,45 @@
     }
 }
 
+/// Whether a connection carries a request; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InUse(Arc<AtomicBool>);
+
+impl InUse {
+    /// Sets whether the connection carries a request.
+    pub(crate) fn set(&self, in_use: bool) {
+        self.0.store(in_use, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// The socket of a connection to an upstream. Reading fails if the head of a response does not end.
 pub(crate) struct UpstreamSocket {
     stream: TcpStream,
     limit: HeadLimit,
+    in_use: InUse,
 }
 
 impl UpstreamSocket {
-    pub(crate) fn new(stream: TcpStream, limit: HeadLimit) -> UpstreamSocket {
-        UpstreamSocket { stream, limit }
+    pub(crate) fn new(stream: TcpStream, limit: HeadLimit, in_use: InUse) -> UpstreamSocket {
+        UpstreamSocket {
+            stream,
+            limit,
+            in_use,
+        }
+    }
+}
+
+impl Drop for UpstreamSocket {
+    fn drop(&mut self) {
+        if self.in_use.get() {
+            // Resets the connection: the bytes of a request that was given up must not reach the upstream when a
+            // partition ends. If the option can't be set, the connection is closed.
+            let _ = self.stream.set_zero_linger();
+        }
     }
 }
 
