Order the entries of an upstream by the store's revision

Cause: of two entries of one name, that with the higher start time counted as the later one. The restarted upstream's entries were ignored with all that they said.

Now the revision of the store decides, which each entry read from the store or from another instance carries (that of its write, or a later one at which it existed). Another start time in a later entry is a restart. Start times decide between entries of one revision only, so that place: restarts.rs holds as it was. Of two changes of a key, the older one doesn't replace the newer in the list of entries.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -157,10 +157,10 @@
             return EntryChange::New;
         };
         let up = self.get_mut(key);
-        if up.spec.is_restart_of(&spec) {
+        if spec.is_older_than(&up.spec) {
             return EntryChange::Unchanged;
         }
-        if spec.is_restart_of(&up.spec) {
+        if spec.is_other_incarnation(&up.spec) {
             let ended = up.spec.incarnation();
             up.delisted = true;
             self.remove_idle(key);
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -1,5 +1,6 @@
 //! One upstream: its list entry, its load reports, and what this instance's own requests show.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 
 use engine::{HeldTokens, PrefixCache, State};
@@ -41,6 +42,8 @@
     pub leaving: bool,
     /// For how much longer it is cold, in milliseconds; none if the entry does not say.
     pub cold_ms: Option<u64>,
+    /// Revision of the store at which the entry was written, or a later one at which it existed; 0 if unknown.
+    pub revision: i64,
 }
 
 impl Spec {
@@ -58,9 +61,21 @@
         xxh3_64(self.incarnation().as_bytes())
     }
 
-    /// Returns whether this is a later incarnation than the one in another entry of the same name.
-    pub(crate) fn is_restart_of(&self, earlier: &Spec) -> bool {
-        matches!((self.started_at_ms, earlier.started_at_ms), (Some(now), Some(then)) if now > then)
+    /// Returns whether this entry is older than another one of the same name. The start times decide only if the
+    /// revisions don't: the time of day of an upstream may step back before it starts again.
+    pub(crate) fn is_older_than(&self, other: &Spec) -> bool {
+        match self.revision.cmp(&other.revision) {
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            Ordering::Equal => {
+                matches!((self.started_at_ms, other.started_at_ms), (Some(own), Some(other)) if own < other)
+            }
+        }
+    }
+
+    /// Returns whether this is another incarnation than the one in another entry of the same name.
+    pub(crate) fn is_other_incarnation(&self, other: &Spec) -> bool {
+        matches!((self.started_at_ms, other.started_at_ms), (Some(own), Some(other)) if own != other)
     }
 }
 
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -16,6 +16,7 @@
         slots: 64,
         leaving: false,
         cold_ms: None,
+        revision: 0,
     }
 }
 
--- a/crates/place/tests/restarts.rs
+++ b/crates/place/tests/restarts.rs
@@ -116,6 +116,31 @@
     assert!(pool.mark_leaving("e@200"));
 }
 
+/// Guards against an upstream that gets requests until it exits because its entries are ignored: it has started again
+/// after its time of day stepped back, and the entry with the later start time counts as the newest one.
+#[test]
+fn the_revision_decides_which_incarnation_is_the_later_one() {
+    let entry = |started_at_ms, revision, leaving| Spec {
+        revision,
+        leaving,
+        ..spec(started_at_ms)
+    };
+    let mut pool = Pool::default();
+    pool.upsert(0, entry(200, 10, false));
+    let ended = "e@200".to_string();
+    let restarted = pool.upsert(0, entry(100, 11, false));
+    assert_eq!(restarted, EntryChange::Restarted { ended });
+    assert_eq!(
+        pool.upsert(0, entry(200, 10, false)),
+        EntryChange::Unchanged,
+        "an older entry"
+    );
+    assert_eq!(pool.upsert(0, entry(100, 12, true)), EntryChange::Leaving);
+    assert!(pool
+        .listed()
+        .all(|u| u.leaving && u.spec.started_at_ms == Some(100)));
+}
+
 /// Guards against an earlier incarnation that is listed again. It happens if a list that is seconds old arrives
 /// after the watch event with the later incarnation, and the last entry to arrive counts as the newest one.
 #[test]
--- a/crates/proxy/src/upstream_list.rs
+++ b/crates/proxy/src/upstream_list.rs
@@ -307,6 +307,12 @@
             .is_some_and(|removed_at| removed_at > revision)
     }
 
+    /// Returns whether an entry of a revision is known to have been removed or written again since.
+    fn is_outdated(&self, key: &str, revision: i64) -> bool {
+        let known = self.state().entries.get(key).map(|e| e.revision);
+        known.is_some_and(|known| known > revision) || self.is_removed(key, revision)
+    }
+
     /// Starts the tasks that follow the list.
     pub(crate) fn spawn(&self, store: Arc<dyn Store>, follower_deps: FollowerDeps) {
         tokio::spawn(self.clone().recheck_deferred());
@@ -354,7 +360,7 @@
         for (key, entry) in &items {
             let value = &entry.value;
             if known.get(key).map(|e| &e.value) != Some(value) {
-                self.apply_entry(key, value, &mut noted);
+                self.apply_entry(key, value, entry.revision, &mut noted);
             }
         }
         self.log_noted(&noted);
@@ -372,9 +378,10 @@
         let mut noted = Noted::default();
         for change in changes {
             match change.current {
-                Some(current) if self.is_removed(&current.key, current.revision) => {}
+                Some(current) if self.is_outdated(&current.key, current.revision) => {}
                 Some(current) => {
-                    self.apply_entry(&current.key, &current.value, &mut noted);
+                    let revision = current.revision;
+                    self.apply_entry(&current.key, &current.value, revision, &mut noted);
                     let (key, entry) = to_listed_entry(current);
                     let mut state = self.state();
                     state.entries.insert(key, entry);
@@ -442,8 +449,8 @@
 
     /// Applies an entry, and notes it if its upstream is new or if it can't be parsed. Other programs
     /// write these keys, too: an upstream whose entry can't be parsed counts as not listed.
-    fn apply_entry(&self, key: &str, value: &[u8], noted: &mut Noted) {
-        let spec = match self.0.dialect.parse_upstream(key, value) {
+    fn apply_entry(&self, key: &str, value: &[u8], revision: i64, noted: &mut Noted) {
+        let mut spec = match self.0.dialect.parse_upstream(key, value) {
             Ok(spec) => spec,
             Err(why) => {
                 noted.invalid.push(format!("key={key} why={why}"));
@@ -451,6 +458,7 @@
                 return;
             }
         };
+        spec.revision = revision;
         let incarnation = spec.incarnation();
         let detail = format!(
             "upstream={incarnation} service={} version={} zone={} addr={}",
