Don't take a connection that timed out for a sign of life of its upstream

A customer would have seen: an engine loses power with prompts that it never ran, and their tokens don't come back when it is gone, so that 503 goes on for what they would cover. Its connections end by TCP_USER_TIMEOUT, and each broken connection counted as heard of the upstream; so did those that an instance closes itself when an engine has started again.

`dial` tells such connections apart now (`SendError::Lost`); the health of upstreams is judged as before. Broken connections and bodies that may have carried something still count as heard.

The time-out itself has no test: loopback acknowledges what is sent to a stopped process.

--- a/crates/dial/src/conn.rs
+++ b/crates/dial/src/conn.rs
@@ -24,6 +24,9 @@
     Closed(String),
     /// The upstream may have received and run the request, and may have sent a part of the response.
     Broken(String),
+    /// As `Broken`, but nothing shows that the upstream was still alive: it was silent until the connection timed out,
+    /// or the connection was closed here.
+    Lost(String),
 }
 
 /// Returns whether an error means that the upstream closed the connection, as opposed to a lost connection
@@ -34,6 +37,21 @@
     error.is_incomplete_message() || cause.is_some_and(reset)
 }
 
+/// Returns whether an error means that the connection timed out, or was closed by this process: neither shows that the
+/// upstream was still alive.
+pub fn is_lost(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|e| e.downcast_ref());
+    let timed_out = |e: &std::io::Error| {
+        matches!(
+            e.kind(),
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+        )
+    };
+    // The task of the connection was ended.
+    let closed_here = error.is_canceled() || error.is_user();
+    closed_here || cause.is_some_and(timed_out)
+}
+
 /// A connection to an upstream. Dropping it closes it immediately. If a request is in progress, it is reset, so that
 /// nothing of the request reaches the upstream afterwards.
 pub struct Conn {
@@ -61,10 +79,11 @@
         self.head_limit.lift();
         sent.map_err(|mut e| {
             let why = e.error().to_string();
-            let closed = is_closed(e.error());
+            let (closed, lost) = (is_closed(e.error()), is_lost(e.error()));
             match e.take_message() {
                 Some(_) => SendError::NotSent(why),
                 None if closed => SendError::Closed(why),
+                None if lost => SendError::Lost(why),
                 None => SendError::Broken(why),
             }
         })
--- a/crates/dial/src/lib.rs
+++ b/crates/dial/src/lib.rs
@@ -8,5 +8,5 @@
 mod pool;
 mod socket;
 
-pub use conn::{Conn, SendError};
+pub use conn::{is_lost, Conn, SendError};
 pub use pool::{set_send_buffer_size, set_socket_options, ConnectError, Dialer, Target};
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -377,8 +377,7 @@
             Outcome::Success | Outcome::ErrorResponse | Outcome::Refused
         );
         self.throttled.end(now, attempt, answered);
-        // A connection may break after a part of a response has arrived.
-        if answered || outcome == Outcome::InvalidResponse {
+        if answered {
             self.record_heard(now);
         }
         match outcome {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -121,13 +121,18 @@
 
     /// Records that the upstream has sent something.
     pub(crate) fn record_received(&self) {
-        let now = self.router.clock.now();
-        self.heard_at.store(now, Ordering::Relaxed);
+        self.record_alive();
         if let Some(way) = &self.way {
             way.record_received();
         }
     }
 
+    /// Records that the upstream is alive.
+    pub(crate) fn record_alive(&self) {
+        let now = self.router.clock.now();
+        self.heard_at.store(now, Ordering::Relaxed);
+    }
+
     /// Records that an event of a stream was received.
     pub(crate) fn record_event(&mut self) {
         let now = self.router.clock.now();
@@ -191,10 +196,15 @@
     async fn send(&self, conn: &mut dial::Conn, req: Request<Full<bytes::Bytes>>) -> SendOutcome {
         let way = self.way.as_ref().expect("a way is set before sending");
         let outcome = way.send(conn, req).await;
-        if let (Way::Direct(_), SendOutcome::Failed(SendError::Closed(_) | SendError::Broken(_))) =
-            (way, &outcome)
-        {
-            self.router.transit.record_broken(&self.choice);
+        if let (Way::Direct(_), SendOutcome::Failed(error)) = (way, &outcome) {
+            match error {
+                SendError::NotSent(_) => {}
+                SendError::Closed(_) | SendError::Broken(_) => {
+                    self.record_alive();
+                    self.router.transit.record_broken(&self.choice);
+                }
+                SendError::Lost(_) => self.router.transit.record_broken(&self.choice),
+            }
         }
         outcome
     }
@@ -402,7 +412,7 @@
                 "upstream={upstream} {why}"
             )));
         }
-        SendOutcome::Failed(SendError::Broken(why)) => {
+        SendOutcome::Failed(SendError::Broken(why) | SendError::Lost(why)) => {
             guard.end_broken();
             return Err(AttemptError::Unknown(format!("upstream={upstream} {why}")));
         }
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -125,6 +125,7 @@
             return Ok(Finished::Final(forward_large(ctx, open, bytes)));
         }
         Ok(Read::Aborted(why)) => {
+            guard.record_alive();
             guard.end(Outcome::InvalidResponse);
             return Err(format!("upstream={upstream} response aborted: {why}"));
         }
@@ -235,6 +236,7 @@
                 router.dialer.put_idle(open.conn, open.info.keep_alive);
             }
             Ok(Err(why)) => {
+                open.guard.record_alive();
                 open.guard.end(Outcome::InvalidResponse);
                 log.request_event(Event::ResponseAborted, &id, why);
             }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -83,8 +83,16 @@
             }
             match self.body.frame().await {
                 None if self.parser.is_at_event_boundary() => return Next::End,
-                None => return invalid("the stream ended within an event"),
-                Some(Err(e)) => return invalid(&e.to_string()),
+                None => {
+                    self.guard.record_alive();
+                    return invalid("the stream ended within an event");
+                }
+                Some(Err(e)) => {
+                    if !dial::is_lost(&e) {
+                        self.guard.record_alive();
+                    }
+                    return invalid(&e.to_string());
+                }
                 Some(Ok(frame)) => {
                     self.guard.record_received();
                     let fits = frame.data_ref().is_none_or(|d| self.parser.push(d));
--- a/crates/proxy/src/transit/client.rs
+++ b/crates/proxy/src/transit/client.rs
@@ -210,7 +210,7 @@
         match error {
             SendError::NotSent(_) => SendOutcome::Denied("connection closed"),
             // The upstream may have responded although this instance has received nothing.
-            SendError::Closed(why) | SendError::Broken(why) => {
+            SendError::Closed(why) | SendError::Broken(why) | SendError::Lost(why) => {
                 SendOutcome::Lost(format!("connection to the forwarding instance: {why}"))
             }
         }
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -218,7 +218,7 @@
             transit.record_incarnation_broken(&spec.service, &spec.incarnation());
             return Err(match error {
                 SendError::Closed(_) => Error::Closed,
-                SendError::NotSent(_) | SendError::Broken(_) => Error::Broken,
+                SendError::NotSent(_) | SendError::Broken(_) | SendError::Lost(_) => Error::Broken,
             });
         }
         Err(_) => return Err(Error::Broken),
