--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -13,7 +13,8 @@
     /// The only software version that may serve the request, because it began the stream that the request
     /// continues; none if all may.
     pub version: Option<&'a str>,
-    /// The software versions at which the request may begin a stream; none if it may at all.
+    /// The software versions at which the request may begin its stream; none if it may at all versions, or begins no
+    /// stream that its caller may continue.
     pub recorded_versions: Option<&'a [String]>,
     /// Availability zone of this instance.
     pub zone: &'a str,
