Don't take the head of a stream for proof that its prompt ran

A customer would have seen 402 although its tokens may be unspent: an engine sends the head of a stream, and the stream ends before its first event. A request starts to run with its first token; the head counted as a part of a response, so the prompt was reported as spent.

Now a prompt is spent from the first event on, or the end of a stream without any, or a response that is no stream. Until then it is uncertain: charged as before, and not released, since the upstream was heard of after it got the prompt.

--- a/crates/proxy/src/budgets/reservation.rs
+++ b/crates/proxy/src/budgets/reservation.rs
@@ -18,7 +18,7 @@
     sent: SmallVec<[SentPrompt; 2]>,
     /// Whether another instance forwarded one of these attempts.
     forwarded: bool,
-    /// Whether a part of a response arrived: the prompt is spent.
+    /// Whether a response, or the first event of a stream, arrived: the prompt is spent.
     answered: bool,
     /// Tokens of the response that went to the caller.
     delivered: u64,
@@ -57,7 +57,6 @@
     /// several percent of a budget within seconds while upstreams fail.
     pub(crate) fn end_attempt<T>(&mut self, result: &Result<T, AttemptError>) {
         match result {
-            Ok(_) => self.answered = true,
             Err(
                 AttemptError::NotRun(_)
                 | AttemptError::Misdirected(_)
@@ -66,10 +65,15 @@
             ) => {
                 self.sent.pop();
             }
-            Err(_) => {}
+            Ok(_) | Err(_) => {}
         }
     }
 
+    /// Records that a response, or the first event of a stream, has arrived.
+    pub(crate) fn record_answered(&mut self) {
+        self.answered = true;
+    }
+
     /// Counts tokens of the response that go to the caller.
     pub(crate) fn record_delivered(&mut self, tokens: u64) {
         self.delivered += tokens;
--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -100,6 +100,7 @@
         body,
         info,
     } = open;
+    ctx.record_answered();
     let upstream = guard.choice.spec.id.clone();
     let until = ctx.router.clock.at(ctx.deadline);
     let mut path = guard.path_watch();
--- a/crates/proxy/src/request_context.rs
+++ b/crates/proxy/src/request_context.rs
@@ -286,6 +286,13 @@
         retries.try_acquire(now, &self.service, self.priority, instances)
     }
 
+    /// Records that a response, or the first event of a stream, has arrived: the prompt is spent.
+    pub(crate) fn record_answered(&mut self) {
+        if let Some(reservation) = &mut self.reservation {
+            reservation.record_answered();
+        }
+    }
+
     /// Counts response tokens that are sent to the caller.
     pub(crate) fn record_delivered_tokens(&mut self, tokens: u64) {
         if let Some(reservation) = &mut self.reservation {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -280,6 +280,10 @@
         let why = format!("upstream={upstream} path lost before the first event");
         return Err(AttemptError::Unknown(why));
     };
+    // An upstream may send the head of a stream before it runs the request.
+    if matches!(next, Ok(Next::Event(_) | Next::End)) {
+        ctx.record_answered();
+    }
     match next {
         Ok(Next::Event(_)) if !has_stream_version(ctx, &stream.guard.choice) => {
             let why = format!("upstream={upstream} its software version has changed");
