--- a/crates/proxy/src/budgets/reservation.rs
+++ b/crates/proxy/src/budgets/reservation.rs
@@ -56,16 +56,15 @@
     /// response arrived. A customer pays for what it gets: if prompts without a response counted, they would use up
     /// several percent of a budget within seconds while upstreams fail.
     pub(crate) fn end_attempt<T>(&mut self, result: &Result<T, AttemptError>) {
-        match result {
-            Err(
-                AttemptError::NotRun(_)
+        let is_free = matches!(
+            result,
+            Err(AttemptError::NotRun(_)
                 | AttemptError::Misdirected(_)
                 | AttemptError::Unanswered(_)
-                | AttemptError::NotForwarded(_),
-            ) => {
-                self.sent.pop();
-            }
-            Ok(_) | Err(_) => {}
+                | AttemptError::NotForwarded(_))
+        );
+        if is_free {
+            self.sent.pop();
         }
     }
 
