Limit what the clients of every listener of web can make a process keep

What callers saw: the process ended for lack of memory. web::bind serves callers and operators of the own interface, readiness and metrics of the other one. It had no limit on connections, on the sum of bodies, on a connection's receive buffer, and left the HTTP library's read buffer at its default of about 400 kB a connection. Each body grew to its own limit, whatever the others did. The bodies of refused requests were read first.

salvo shows neither the socket before it listens, nor a connection's reads, nor who is to be closed for a new one. web now uses hyper itself, as the callers' listener of the other interface does, and each listener has Limits: connections (the longest idle one is closed for a new one), size of headers, of a body and of the receive buffer, and a Memory that requests share. A request takes its share of it at its first byte and gives it back with its response; a body keeps its own until it is dropped. A quarter is for requests with small bodies. What does not fit is refused with 429 (own interface, has not run) or closed unread. A client that reads nothing of a response for 10 s is disconnected, and long reports to operators count as well.

The shares come from fleet.memory_mb and fleet.max_fds, which the own interface now honours; if unset, from the machine's memory and the process's descriptors, so that ordinary clients don't meet them.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -7,10 +7,10 @@
 use err::{Error, Kind};
 use serde::Deserialize;
 use serde_json::{json, Value};
-use web::{Req, Res};
+use web::{BodyError, Req, Res};
 
 use crate::budget_io::{record_key, segment_key};
-use crate::callers::error_response;
+use crate::callers::{body_error, error_response};
 use crate::config_change::{self, ChangeRequest};
 use crate::event::Event;
 use crate::registry;
@@ -39,6 +39,10 @@
         };
         response.unwrap_or_else(|e| error_response(shared, &e))
     }
+
+    fn unreadable_body(&self, error: BodyError) -> Res {
+        error_response(&self.shared, &body_error(&self.shared, error))
+    }
 }
 
 fn readiness(shared: &SharedState) -> Res {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,7 +4,7 @@
 
 use err::{Error, Kind};
 use serde_json::json;
-use web::{Req, Res};
+use web::{BodyError, Req, Res};
 
 use crate::pipeline::{auth, chat, service_call};
 use crate::shared_state::SharedState;
@@ -22,28 +22,37 @@
             ("POST", ["v1", "chat", "completions"]) => chat::handle(&shared, &req).await,
             ("GET", ["v1", "models"]) => models(&shared, &req),
             (_, ["v1", "services", ..]) => service_call::handle(&shared, req).await,
-            (method, _) => {
-                let message = format!("no such endpoint: {method} {}", req.path);
-                Err(Error::new(Kind::NotFound, message))
-            }
+            _ => Err(unknown_endpoint(&req)),
         };
         response.unwrap_or_else(|e| error_response(&shared, &e))
     }
 
-    fn unreadable_body(&self, too_large: bool) -> Res {
-        let error = if too_large {
-            let max_bytes = self.shared.settings.body_limit();
-            Error::new(
-                Kind::TooLarge,
-                format!("the request body exceeds {max_bytes} bytes"),
-            )
-        } else {
-            Error::new(
-                Kind::BadRequest,
-                "the request body was not received completely in time",
-            )
-        };
-        error_response(&self.shared, &error)
+    fn unreadable_body(&self, error: BodyError) -> Res {
+        error_response(&self.shared, &body_error(&self.shared, error))
+    }
+}
+
+fn unknown_endpoint(req: &Req) -> Error {
+    let message = format!("no such endpoint: {} {}", req.method, req.path);
+    Error::new(Kind::NotFound, message)
+}
+
+/// Returns the error for a body that could not be read.
+pub fn body_error(shared: &SharedState, error: BodyError) -> Error {
+    match error {
+        BodyError::TooLarge => {
+            let max_bytes = shared.settings.body_limit();
+            let message = format!("the request body exceeds {max_bytes} bytes");
+            Error::new(Kind::TooLarge, message)
+        }
+        BodyError::NoMemory => Error::new(
+            Kind::Overloaded,
+            "this instance has no memory left for the request body",
+        ),
+        BodyError::Incomplete => Error::new(
+            Kind::BadRequest,
+            "the request body was not received completely in time",
+        ),
     }
 }
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -10,6 +10,7 @@
 use route::{Pool, RetryBudget};
 use tokio::sync::watch;
 
+use crate::client_limits::ClientLimits;
 use crate::clock::{wall_ms, Clock};
 use crate::event::Event;
 use crate::journal::RequestJournal;
@@ -24,8 +25,6 @@
 
 /// Connect timeout of calls to upstreams.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum size of an operator's request body, in bytes.
-const ADMIN_BODY_LIMIT: usize = 64 << 20;
 /// Interval at which a planned stop checks whether the budgets are drained.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which a planned stop logs what it waits for.
@@ -52,6 +51,7 @@
     ///
     /// Returns which address can't be bound, and why.
     pub async fn spawn(settings: Settings) -> Result<Instance> {
+        let limits = ClientLimits::new(&settings);
         let bound = peer_server::bind(settings.peer_listen()).await;
         let (server, peer_addr) = bound.map_err(|e| anyhow!("peer listener: {e}"))?;
         let (budgets, commands) = budget_handle::channel();
@@ -61,13 +61,12 @@
         let service = Arc::new(callers::CallerService {
             shared: Arc::clone(&shared),
         });
-        let limit = shared.settings.body_limit() as usize;
-        let bound = web::bind(shared.settings.listen(), limit, service).await;
+        let bound = web::bind(shared.settings.listen(), limits.callers, service).await;
         let callers = bound.map_err(|e| anyhow!("callers' listener: {e}"))?;
         let service = Arc::new(admin::AdminService {
             shared: Arc::clone(&shared),
         });
-        let bound = web::bind(shared.settings.admin_listen(), ADMIN_BODY_LIMIT, service).await;
+        let bound = web::bind(shared.settings.admin_listen(), limits.operators, service).await;
         let admin = bound.map_err(|e| anyhow!("operators' listener: {e}"))?;
         registry::spawn(&shared);
         config_sync::spawn(&shared);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget_io;
 pub mod budget_task;
 pub mod callers;
+mod client_limits;
 pub mod config_change;
 pub mod config_sync;
 pub mod event;
--- a/crates/place/src/descriptors.rs
+++ b/crates/place/src/descriptors.rs
@@ -1,10 +1,12 @@
 //! How a process divides its file descriptors: one that has none left accepts no connection, and connects to no
 //! upstream, peer or store.
 
-/// Percentages of the descriptors for connections of callers and to upstreams. The rest is for peers, the store,
-/// listeners and files.
+/// Percentages of the descriptors for connections of callers, to upstreams, of other instances, and of operators at
+/// each of their listeners. The rest is for connections to other instances and to the store, listeners and files.
 const CALLERS_PCT: u64 = 60;
 const UPSTREAMS_PCT: u64 = 25;
+const INSTANCES_PCT: u64 = 7;
+const OPERATORS_PCT: u64 = 2;
 
 /// The maximum numbers of connections of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +15,10 @@
     pub callers: usize,
     /// To upstreams, and to instances that forward requests.
     pub upstreams: usize,
+    /// Of other instances that call this one.
+    pub instances: usize,
+    /// Of load balancers and operators, at each of their listeners.
+    pub operators: usize,
 }
 
 impl Descriptors {
@@ -22,6 +28,8 @@
         Descriptors {
             callers: share(CALLERS_PCT),
             upstreams: share(UPSTREAMS_PCT),
+            instances: share(INSTANCES_PCT),
+            operators: share(OPERATORS_PCT),
         }
     }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,6 +8,7 @@
 mod announcements;
 mod caller_connections;
 mod choice;
+mod client_memory;
 mod cold_start;
 mod connections;
 mod cost;
@@ -31,6 +32,7 @@
 
 pub use caller_connections::{Admission, CallerConnections, ConnectionId};
 pub use choice::{Choice, ChooseError, Criteria};
+pub use client_memory::ClientMemory;
 pub use cold_start::ColdStart;
 pub use connections::max_connections;
 pub use descriptors::Descriptors;
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -17,6 +17,7 @@
 
 use crate::accounts::{self, EngineAccounts};
 use crate::budgets::{BudgetDeps, Budgets};
+use crate::client_limits::ClientLimits;
 use crate::config::{ColdStartTolerance, Config, ConfigDeps};
 use crate::connections::Connections;
 use crate::datagram::{self, Sender};
@@ -51,8 +52,6 @@
 const SEND_BUFFER_SHIFT: usize = 10;
 /// Minimum size of that buffer, in bytes: what a link of 100 Mbit/s carries within 5 ms.
 const MIN_SEND_BUFFER_BYTES: usize = 64 << 10;
-/// Maximum size of a request body at the readiness and metrics listeners, in bytes.
-const MAX_OPS_BODY_BYTES: usize = 1 << 16;
 /// How long a stopping instance keeps idle connections open: load balancers check readiness once
 /// per second, and stop sending after two responses other than 200.
 const READINESS_NOTICE: Duration = Duration::from_millis(2_300);
@@ -104,6 +103,8 @@
         let fleet_settings = settings.fleet.clone().unwrap_or_default();
         let clock = Clock::start();
         let log = Arc::new(Log::new(clock));
+        let descriptors = fleet_settings.max_fds.map(Descriptors::divide);
+        let client_limits = ClientLimits::new(fleet_settings.memory_mb, descriptors);
         let bound = peers::bind(settings.peer_listen()).await;
         let (server, peer_addr) =
             bound.map_err(|e| anyhow!("failed to bind the peer listener: {e}"))?;
@@ -130,7 +131,6 @@
         };
         let budgets = Budgets::new(clock, Arc::clone(&log));
         let pool = Arc::new(Mutex::new(new_pool(&fleet_settings)));
-        let descriptors = fleet_settings.max_fds.map(Descriptors::divide);
         let dialer = Dialer::new(descriptors.map(|d| d.upstreams));
         let transit = Transit::new(clock, Arc::clone(&log), Arc::clone(&pool));
         let notices = Notices::default();
@@ -323,19 +323,18 @@
             .unwrap_or_else(any_loopback_port);
         let ready = web::bind(
             ready_addr,
-            MAX_OPS_BODY_BYTES,
+            client_limits.readiness,
             Arc::new(ReadinessEndpoint(router.clone())),
         )
         .await;
         let ready = ready.map_err(|e| anyhow!("failed to bind the readiness listener: {e}"))?;
         let ops = match fleet_settings.metrics_listen {
             Some(addr) => {
-                let ops = web::bind(
-                    addr,
-                    MAX_OPS_BODY_BYTES,
-                    Arc::new(OpsEndpoint(router.clone())),
-                )
-                .await;
+                let endpoint = OpsEndpoint {
+                    router: Arc::clone(&router),
+                    memory: client_limits.operators.memory.clone(),
+                };
+                let ops = web::bind(addr, client_limits.operators, Arc::new(endpoint)).await;
                 Some(ops.map_err(|e| anyhow!("failed to bind the metrics listener: {e}"))?)
             }
             None => None,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 mod budgets;
 mod buffered;
 mod caller_stream;
+mod client_limits;
 mod config;
 mod connect;
 mod connection;
--- a/crates/proxy/src/ops.rs
+++ b/crates/proxy/src/ops.rs
@@ -4,7 +4,7 @@
 
 use place::RateLimit;
 use serde_json::json;
-use web::{Req, Res};
+use web::{Memory, Req, Res};
 
 use crate::router::Router;
 
@@ -22,33 +22,37 @@
 }
 
 /// Serves metrics, a dump of the instance's state and a health check to operators.
-pub(crate) struct OpsEndpoint(pub(crate) Arc<Router>);
+pub(crate) struct OpsEndpoint {
+    pub(crate) router: Arc<Router>,
+    /// Memory for responses that operators have not read yet.
+    pub(crate) memory: Memory,
+}
 
 impl OpsEndpoint {
     fn metrics(&self) -> Res {
-        let pool = self.0.pool.lock().expect("lock not poisoned");
+        let pool = self.router.pool.lock().expect("lock not poisoned");
         let (rate_limited, reused) = (pool.limited_count(), pool.reused_address_count());
         drop(pool);
-        let metrics = &self.0.metrics;
+        let metrics = &self.router.metrics;
         metrics.rate_limited_upstreams.set(rate_limited as i64);
         metrics.reused_addresses.set(reused as i64);
-        let lost = self.0.transit.lost_services().len();
-        self.0.metrics.lost_services.set(lost as i64);
-        let (held, held_back) = self.0.budgets.tokens_held();
-        self.0.metrics.tokens_held.set(held as i64);
-        self.0.metrics.tokens_held_back.set(held_back as i64);
-        let accounts = self.0.accounts.summary();
-        let metrics = &self.0.metrics;
+        let lost = self.router.transit.lost_services().len();
+        self.router.metrics.lost_services.set(lost as i64);
+        let (held, held_back) = self.router.budgets.tokens_held();
+        self.router.metrics.tokens_held.set(held as i64);
+        self.router.metrics.tokens_held_back.set(held_back as i64);
+        let accounts = self.router.accounts.summary();
+        let metrics = &self.router.metrics;
         metrics.engine_tokens_held.set(accounts.held_tokens as i64);
         metrics
             .engine_tokens_cached
             .set(accounts.cached_tokens as i64);
         let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-        Res::new(200, content_type, self.0.metrics.encode())
+        Res::new(200, content_type, self.router.metrics.encode())
     }
 
     fn dump(&self) -> Res {
-        let router = &self.0;
+        let router = &self.router;
         let now = router.clock.now();
         let pool = router.pool.lock().expect("lock not poisoned");
         let upstreams: Vec<_> = pool
@@ -121,11 +125,12 @@
 
 impl web::Service for OpsEndpoint {
     async fn call(self: Arc<Self>, req: Req) -> Res {
-        match req.path.as_str() {
+        let res = match req.path.as_str() {
             "/metrics" => self.metrics(),
             "/dump" => self.dump(),
             "/healthz" => Res::new(200, "text/plain", "ok"),
             _ => Res::new(404, "text/plain", "not found"),
-        }
+        };
+        res.held_in(&self.memory)
     }
 }
--- a/crates/stub/src/engine.rs
+++ b/crates/stub/src/engine.rs
@@ -121,7 +121,12 @@
             id: registration::unique_id(&options.name),
             options,
         });
-        let handle = web::bind(engine.options.addr, MAX_BODY_BYTES, Arc::clone(&engine)).await?;
+        let handle = web::bind(
+            engine.options.addr,
+            web::Limits::trusted(MAX_BODY_BYTES),
+            Arc::clone(&engine),
+        )
+        .await?;
         let _ = engine.url.set(format!("http://{}", handle.addr()));
         engine.update_list_entry();
         if let Some(platform) = &engine.options.platform {
--- a/crates/stub/src/platform.rs
+++ b/crates/stub/src/platform.rs
@@ -69,7 +69,7 @@
             changed: broadcast::channel(CHANGE_BUFFER).0,
         });
         tokio::spawn(expire_leases(Arc::clone(&platform)));
-        web::bind(addr, MAX_BODY_BYTES, platform).await
+        web::bind(addr, web::Limits::trusted(MAX_BODY_BYTES), platform).await
     }
 
     fn now_ms(&self) -> u64 {
--- a/crates/stub/src/service.rs
+++ b/crates/stub/src/service.rs
@@ -73,7 +73,12 @@
             options,
         });
         let options = &service.options;
-        let handle = web::bind(options.addr, MAX_BODY_BYTES, Arc::clone(&service)).await?;
+        let handle = web::bind(
+            options.addr,
+            web::Limits::trusted(MAX_BODY_BYTES),
+            Arc::clone(&service),
+        )
+        .await?;
         let value = json!({
             "id": registration::unique_id(&options.name),
             "kind": "service",
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,32 +1,34 @@
 //! HTTP listeners, which pass requests with their complete bodies to a service and send its full or
-//! streamed responses.
-//!
-//! Only this crate depends on salvo, the HTTP server library.
+//! streamed responses. What the clients of a listener can make the process keep is limited.
+
+mod connection;
+mod limits;
+mod listener;
+mod memory;
+mod response;
+mod stream;
 
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
-use hyper_util::rt::TokioTimer;
-use salvo::conn::{Acceptor, Listener, TcpListener};
-use salvo::http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use salvo::{async_trait, Depot, FlowCtrl, Handler, Request, Response, Router, Server};
+use hyper::{HeaderMap, Method};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use serde_json::Value;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
 
-/// Timeout for receiving the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Timeout for receiving the headers of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+pub use limits::Limits;
+pub use listener::{bind_socket, Listener, ServerHandle};
+pub use memory::Memory;
+
 /// Maximum number of chunks of a streamed response that are buffered for a slow caller.
 const STREAM_BUFFER: usize = 32;
 
+/// Maximum size of a response for which no memory is kept, in bytes.
+const MAX_UNHELD_BYTES: usize = 16 << 10;
+
 /// A request with its complete body.
 #[derive(Clone, Debug)]
 pub struct Req {
@@ -119,6 +121,23 @@
         (tx, res)
     }
 
+    /// Keeps memory for a long body until its client has read it. A response that does not fit becomes a refusal, so
+    /// this is for requests that change nothing.
+    pub fn held_in(self, memory: &Memory) -> Res {
+        match self.body {
+            Body::Full(bytes) if bytes.len() > MAX_UNHELD_BYTES => {
+                match memory.hold(bytes.into()) {
+                    Some(bytes) => Res {
+                        body: Body::Full(bytes),
+                        ..self
+                    },
+                    None => Res::new(503, "text/plain", "no memory left for the response"),
+                }
+            }
+            Body::Full(_) | Body::Stream(_) => self,
+        }
+    }
+
     /// Adds a header.
     pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Res {
         self.headers.push((name, value.into()));
@@ -131,103 +150,30 @@
     Bytes::from(format!("data: {value}\n\n"))
 }
 
+/// Why the body of a request was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is larger than allowed.
+    TooLarge,
+    /// There is no memory left for it.
+    NoMemory,
+    /// It was not received completely in time.
+    Incomplete,
+}
+
 /// Handles the requests of a listener.
 pub trait Service: Send + Sync + 'static {
     /// Handles a request.
     fn call(self: Arc<Self>, req: Req) -> impl Future<Output = Res> + Send;
 
     /// Returns the response to a request whose body could not be read.
-    fn unreadable_body(&self, too_large: bool) -> Res {
-        let status = if too_large { 413 } else { 400 };
-        Res::new(status, "text/plain", "the body can't be read")
-    }
-}
-
-struct ServiceHandler<S> {
-    service: Arc<S>,
-    body_limit: usize,
-}
-
-#[async_trait]
-impl<S: Service> Handler for ServiceHandler<S> {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        let response = match read_request(req, self.body_limit).await {
-            Ok(req) => Arc::clone(&self.service).call(req).await,
-            Err(too_large) => self.service.unreadable_body(too_large),
+    fn unreadable_body(&self, error: BodyError) -> Res {
+        let status = match error {
+            BodyError::TooLarge => 413,
+            BodyError::NoMemory => 503,
+            BodyError::Incomplete => 400,
         };
-        write_response(response, res);
-    }
-}
-
-/// Reads a request. If that fails, returns whether the request is too large.
-async fn read_request(req: &mut Request, limit: usize) -> Result<Req, bool> {
-    let remote = req.remote_addr().clone().into_std();
-    let content_length: usize = req.header("content-length").unwrap_or(0);
-    if content_length > limit {
-        return Err(true);
-    }
-    let read = req.payload_with_max_size(limit);
-    let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(body)) => body.clone(),
-        Ok(Err(e)) => return Err(is_too_large(&e)),
-        Err(_) => return Err(false),
-    };
-    Ok(Req {
-        method: req.method().as_str().to_string(),
-        path: req.uri().path().to_string(),
-        query: req.uri().query().unwrap_or_default().to_string(),
-        headers: req.headers().clone(),
-        body,
-        remote_addr: remote.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))),
-    })
-}
-
-/// Returns whether the error is about the size limit. The library wraps that error without a variant of
-/// its own, so it can only be recognized by its name.
-fn is_too_large(error: &impl std::fmt::Debug) -> bool {
-    format!("{error:?}").contains("LengthLimitError")
-}
-
-fn write_response(response: Res, res: &mut Response) {
-    res.status_code(StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY));
-    for (name, value) in response.headers {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            res.headers_mut()
-                .insert(HeaderName::from_static(name), value);
-        }
-    }
-    match response.body {
-        Body::Full(bytes) => {
-            res.body(bytes);
-        }
-        Body::Stream(rx) => {
-            res.stream(ReceiverStream::new(rx).map(Ok::<Bytes, std::io::Error>));
-        }
-    }
-}
-
-/// Handle to a running listener.
-#[derive(Clone)]
-pub struct ServerHandle {
-    addr: SocketAddr,
-    server: salvo::server::ServerHandle,
-}
-
-impl ServerHandle {
-    /// Returns the address that the listener is bound to.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
-    /// Stops accepting connections, and closes the open ones after a grace period at the latest.
-    pub fn stop(&self, grace: Duration) {
-        self.server.stop_graceful(Some(grace));
+        Res::new(status, "text/plain", "the body can't be read")
     }
 }
 
@@ -238,28 +184,10 @@
 /// Returns why the address can't be bound.
 pub async fn bind<S: Service>(
     addr: SocketAddr,
-    body_limit: usize,
+    limits: Limits,
     service: Arc<S>,
 ) -> Result<ServerHandle, String> {
-    let listener = TcpListener::new(addr).try_bind().await;
-    let acceptor = listener.map_err(|e| format!("{addr}: {e}"))?;
-    let holding = acceptor.holdings().first().map(|h| h.local_addr.clone());
-    let addr = holding.and_then(|a| a.into_std()).unwrap_or(addr);
-    let handler = ServiceHandler {
-        service,
-        body_limit,
-    };
-    let router = Router::with_path("{**path}").goal(handler);
-    let mut server = Server::new(acceptor);
-    let http1 = server.http1_mut();
-    http1.timer(TokioTimer::new());
-    http1.header_read_timeout(HEADER_TIMEOUT);
-    let handle = server.handle();
-    tokio::spawn(server.serve(router));
-    Ok(ServerHandle {
-        addr,
-        server: handle,
-    })
+    Ok(Listener::bind(addr, limits)?.serve(service))
 }
 
 /// Returns the HTTP method with a name; GET if the name is invalid.
--- a/crates/web/tests/edge.rs
+++ b/crates/web/tests/edge.rs
@@ -5,9 +5,10 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use web::{Req, Res, Service};
+use web::{Limits, Req, Res, Service};
 
 const LIMIT: usize = 1024;
+const CONNECTIONS: usize = 10;
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
 
 struct Echo;
@@ -24,7 +25,11 @@
 
 async fn open() -> (web::ServerHandle, TcpStream) {
     let addr = "127.0.0.1:0".parse().expect("an address");
-    let handle = web::bind(addr, LIMIT, Arc::new(Echo))
+    let limits = Limits {
+        body_bytes: LIMIT,
+        ..Limits::small(CONNECTIONS)
+    };
+    let handle = web::bind(addr, limits, Arc::new(Echo))
         .await
         .expect("a free port");
     let stream = TcpStream::connect(handle.addr()).await.expect("it listens");
