Ask for the key before a body is read, on the own interface

The service of a listener is asked by the head alone whether the request is admitted: unknown keys get 401 and unknown paths 404 at once, and their connections are closed after it. Reports that need no key are served without one only if no body comes with the request.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -40,11 +40,27 @@
         response.unwrap_or_else(|e| error_response(shared, &e))
     }
 
+    fn admit(&self, req: &Req) -> Result<(), Res> {
+        if is_public(req) {
+            return Ok(());
+        }
+        authorize(&self.shared, req).map_err(|e| error_response(&self.shared, &e))
+    }
+
     fn unreadable_body(&self, error: BodyError) -> Res {
         error_response(&self.shared, &body_error(&self.shared, error))
     }
 }
 
+/// Returns whether a request needs no key; one with a body does.
+fn is_public(req: &Req) -> bool {
+    let is_report = matches!(
+        (req.method.as_str(), req.segments().as_slice()),
+        ("GET", ["healthz" | "readyz" | "metrics"])
+    );
+    is_report && !req.announces_body()
+}
+
 fn readiness(shared: &SharedState) -> Res {
     if shared.is_ready() {
         return Res::new(200, "text/plain", "ready\n");
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -27,6 +27,16 @@
         response.unwrap_or_else(|e| error_response(&shared, &e))
     }
 
+    fn admit(&self, req: &Req) -> Result<(), Res> {
+        let admitted = match (req.method.as_str(), req.segments().as_slice()) {
+            ("POST", ["v1", "chat", "completions"])
+            | ("GET", ["v1", "models"])
+            | (_, ["v1", "services", ..]) => auth::check_key(&self.shared, req),
+            _ => Err(unknown_endpoint(req)),
+        };
+        admitted.map_err(|e| error_response(&self.shared, &e))
+    }
+
     fn unreadable_body(&self, error: BodyError) -> Res {
         error_response(&self.shared, &body_error(&self.shared, error))
     }
--- a/crates/entry/src/pipeline/auth.rs
+++ b/crates/entry/src/pipeline/auth.rs
@@ -8,7 +8,7 @@
 use web::Req;
 
 use super::context::RequestContext;
-use crate::shared_state::SharedState;
+use crate::shared_state::{ActiveConfig, SharedState};
 
 /// Maximum length of a request id, in bytes.
 const MAX_ID_LEN: usize = 128;
@@ -19,23 +19,8 @@
 ///
 /// Returns `NotConfigured`, `Draining`, `UnknownKey`, or `BadRequest` for an invalid header.
 pub fn authenticate(shared: &Arc<SharedState>, req: &Req) -> Result<RequestContext, Error> {
-    let Some(active) = shared.active_config() else {
-        return Err(Error::new(
-            Kind::NotConfigured,
-            "this instance has no configuration yet",
-        ));
-    };
-    if !shared.is_ready() {
-        return Err(Error::new(Kind::Draining, "this instance is shutting down"));
-    }
-    let header = req.header("authorization").unwrap_or_default();
-    let key = header.strip_prefix("Bearer ").unwrap_or_default();
-    let customer = active
-        .customer_by_key_hash
-        .get(&conf::customer::hash_key(key));
-    let unknown = || Error::new(Kind::UnknownKey, "the API key belongs to no customer");
-    let customer = customer.ok_or_else(unknown)?;
-    let policy = active.config.policy(customer).ok_or_else(unknown)?;
+    let (active, customer) = identify(shared, req)?;
+    let policy = active.config.policy(&customer).ok_or_else(unknown_key)?;
     let timeout_ms = match req.header("x-timeout-ms") {
         None => shared.settings.request_ms(),
         Some(value) => value.parse().map_err(|_| {
@@ -49,7 +34,7 @@
     Ok(RequestContext {
         shared: Arc::clone(shared),
         id: request_id(req)?,
-        customer: customer.clone(),
+        customer,
         policy,
         active: Arc::clone(&active),
         arrived_us: shared.clock.now_us(),
@@ -64,6 +49,39 @@
     })
 }
 
+/// Checks that a request has the key of a customer, before its body is read.
+///
+/// # Errors
+///
+/// Returns `NotConfigured`, `Draining` or `UnknownKey`.
+pub fn check_key(shared: &SharedState, req: &Req) -> Result<(), Error> {
+    identify(shared, req).map(|_| ())
+}
+
+/// Returns the configuration in force and the customer of a request.
+fn identify(shared: &SharedState, req: &Req) -> Result<(Arc<ActiveConfig>, String), Error> {
+    let Some(active) = shared.active_config() else {
+        return Err(Error::new(
+            Kind::NotConfigured,
+            "this instance has no configuration yet",
+        ));
+    };
+    if !shared.is_ready() {
+        return Err(Error::new(Kind::Draining, "this instance is shutting down"));
+    }
+    let header = req.header("authorization").unwrap_or_default();
+    let key = header.strip_prefix("Bearer ").unwrap_or_default();
+    let customer = active
+        .customer_by_key_hash
+        .get(&conf::customer::hash_key(key));
+    let customer = customer.cloned().ok_or_else(unknown_key)?;
+    Ok((active, customer))
+}
+
+fn unknown_key() -> Error {
+    Error::new(Kind::UnknownKey, "the API key belongs to no customer")
+}
+
 /// Returns the request id chosen by the caller, or a new one.
 fn request_id(req: &Req) -> Result<String, Error> {
     let Some(value) = req.headers.get("idempotency-key") else {
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -21,7 +21,7 @@
 use crate::memory::Reservation;
 use crate::response::{convert, ResponseBody};
 use crate::stream::{GuardedStream, HeadMemory};
-use crate::{BodyError, Req, Service};
+use crate::{BodyError, Req, Res, Service};
 
 /// Step in which memory for a body of unknown length is allocated, in bytes.
 const STEP_BYTES: usize = 64 << 10;
@@ -104,6 +104,10 @@
         body: Bytes::new(),
         remote_addr,
     };
+    let refused = |res: Res, end| Ok(convert(res, end, body.is_end_stream()));
+    if let Err(res) = service.admit(&req) {
+        return refused(res, end);
+    }
     let read = timeout(BODY_TIMEOUT, read_body(body, &limits)).await;
     match read.unwrap_or(Err(BodyError::Incomplete)) {
         Ok(body) => {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -57,6 +57,12 @@
         self.path.split('/').filter(|s| !s.is_empty()).collect()
     }
 
+    /// Returns whether the headers announce a body.
+    pub fn announces_body(&self) -> bool {
+        let length = self.header("content-length").unwrap_or("0");
+        length != "0" || self.headers.contains_key("transfer-encoding")
+    }
+
     /// Parses the body as JSON.
     ///
     /// # Errors
@@ -166,6 +172,15 @@
     /// Handles a request.
     fn call(self: Arc<Self>, req: Req) -> impl Future<Output = Res> + Send;
 
+    /// Decides whether to read the body of a request, which is still empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response if the request is refused.
+    fn admit(&self, _req: &Req) -> Result<(), Res> {
+        Ok(())
+    }
+
     /// Returns the response to a request whose body could not be read.
     fn unreadable_body(&self, error: BodyError) -> Res {
         let status = match error {
--- a/crates/web/tests/edge.rs
+++ b/crates/web/tests/edge.rs
@@ -95,3 +95,32 @@
     let response = send(&mut stream, &req).await;
     assert!(response.starts_with("HTTP/1.1 413"), "{response}");
 }
+
+/// A service for nobody.
+struct Closed;
+
+impl Service for Closed {
+    async fn call(self: Arc<Self>, _req: Req) -> Res {
+        Res::new(200, "text/plain", "")
+    }
+
+    fn admit(&self, _req: &Req) -> Result<(), Res> {
+        Err(Res::new(401, "text/plain", "unknown key"))
+    }
+}
+
+/// A body must not be read for a client that is refused by its headers: the response does not wait for the body.
+#[tokio::test]
+async fn body_of_a_refused_client_is_not_read() {
+    let addr = "127.0.0.1:0".parse().expect("an address");
+    let handle = web::bind(addr, Limits::small(CONNECTIONS), Arc::new(Closed)).await;
+    let handle = handle.expect("a free port");
+    let mut stream = TcpStream::connect(handle.addr()).await.expect("it listens");
+    let response = send(
+        &mut stream,
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\n",
+    )
+    .await;
+    assert!(response.starts_with("HTTP/1.1 401"), "{response}");
+    assert!(response.contains("connection: close"), "{response}");
+}
