Serve the calls of other instances through a limited listener

The listener for calls was the server of the JSON-RPC library, with bodies of 8 or 10 MB each, 4,096 or 100 connections, read buffers of about 400 kB and receive buffers that grow. It is not asked who calls before a whole body has been read.

A call of the platform's interface has at most 1 MiB; the longest ones carry notices. Lists that are longer than 16 kB count until they are read, and are refused if they don't fit; calls that change something have short responses, which are always sent.

--- a/crates/entry/src/client_limits.rs
+++ b/crates/entry/src/client_limits.rs
@@ -5,6 +5,8 @@
 use rustix::process::{getrlimit, Resource};
 use web::{Limits, Memory};
 
+use crate::peer_clients::MAX_MESSAGE_BYTES;
+
 /// Memory limit of a process that can't read how much its machine has, in megabytes.
 const DEFAULT_MEMORY_MB: u64 = 1_024;
 /// Number of descriptors of a process without a limit of its own.
@@ -20,6 +22,7 @@
 pub(crate) struct ClientLimits {
     pub(crate) callers: Limits,
     pub(crate) operators: Limits,
+    pub(crate) instances: Limits,
 }
 
 impl ClientLimits {
@@ -45,6 +48,11 @@
                 memory.callers,
             ),
             operators: limits(descriptors.operators, OPERATOR_BODY_BYTES, memory.operators),
+            instances: limits(
+                descriptors.instances,
+                MAX_MESSAGE_BYTES as usize,
+                memory.instances,
+            ),
         }
     }
 }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -15,7 +15,7 @@
 use crate::event::Event;
 use crate::journal::RequestJournal;
 use crate::metrics::Metrics;
-use crate::peer_clients::PeerClients;
+use crate::peer_clients::{PeerClients, MAX_MESSAGE_BYTES};
 use crate::shared_state::SharedState;
 use crate::wait_queues::WaitQueues;
 use crate::{
@@ -40,7 +40,7 @@
     shared: Arc<SharedState>,
     callers: web::ServerHandle,
     admin: web::ServerHandle,
-    peer: jsonrpsee_server::ServerHandle,
+    peer: web::ServerHandle,
     peer_addr: SocketAddr,
 }
 
@@ -52,12 +52,14 @@
     /// Returns which address can't be bound, and why.
     pub async fn spawn(settings: Settings) -> Result<Instance> {
         let limits = ClientLimits::new(&settings);
-        let bound = peer_server::bind(settings.peer_listen()).await;
-        let (server, peer_addr) = bound.map_err(|e| anyhow!("peer listener: {e}"))?;
+        let bound =
+            rpc::Listener::bind(settings.peer_listen(), limits.instances, MAX_MESSAGE_BYTES);
+        let peer_listener = bound.map_err(|e| anyhow!("peer listener: {e}"))?;
+        let peer_addr = peer_listener.addr();
         let (budgets, commands) = budget_handle::channel();
         let shared = Arc::new(new_state(settings, peer_addr, budgets)?);
         budget_task::spawn(commands, &shared);
-        let peer = peer_server::serve(server, Arc::clone(&shared));
+        let peer = peer_server::serve(peer_listener, Arc::clone(&shared));
         let service = Arc::new(callers::CallerService {
             shared: Arc::clone(&shared),
         });
@@ -142,8 +144,7 @@
         }
         self.callers.stop(CLOSE_GRACE);
         self.admin.stop(CLOSE_GRACE);
-        // Fails only if the server has already stopped.
-        let _ = self.peer.stop();
+        self.peer.stop(CLOSE_GRACE);
         clean
     }
 
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -1,12 +1,11 @@
 //! JSON-RPC server for the other instances.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use budget::{Durability, ReserveReply};
 use claim::AttemptStatus;
 use jsonrpsee_core::RpcResult;
-use jsonrpsee_server::{RpcModule, ServerConfig, ServerHandle};
+use jsonrpsee_server::RpcModule;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -15,36 +14,14 @@
     method, DetachMsg, ExtendMsg, GossipMsg, OpenStepMsg, PullConfigMsg, RecallMsg, ReserveMsg,
     SettleMsg, StoreCopyMsg, VoidMsg,
 };
-use crate::peer_clients::MAX_MESSAGE_BYTES;
 use crate::shared_state::SharedState;
 
-/// Maximum number of open connections.
-const MAX_CONNECTIONS: u32 = 4096;
-
-/// Binds the listener for other instances.
-///
-/// # Errors
-///
-/// Returns why the address can't be bound.
-pub async fn bind(addr: SocketAddr) -> Result<(rpc::Listener, SocketAddr), String> {
-    let config = ServerConfig::builder()
-        .http_only()
-        .max_connections(MAX_CONNECTIONS)
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .build();
-    let built = rpc::listener_builder().set_config(config).build(addr).await;
-    let server = built.map_err(|e| format!("{addr}: {e}"))?;
-    let addr = server.local_addr().map_err(|e| e.to_string())?;
-    Ok((server, addr))
-}
-
 /// Starts to serve the other instances.
 ///
 /// # Panics
 ///
 /// Panics if two methods have the same name.
-pub fn serve(server: rpc::Listener, shared: Arc<SharedState>) -> ServerHandle {
+pub fn serve(listener: rpc::Listener, shared: Arc<SharedState>) -> web::ServerHandle {
     let mut module = RpcModule::from_arc(shared);
     register(
         &mut module,
@@ -125,7 +102,7 @@
             attempts.get(&m).copied().unwrap_or(AttemptStatus::Unknown)
         },
     );
-    server.start(module)
+    listener.serve(module)
 }
 
 /// Registers a method that takes a typed message and returns a typed reply.
--- a/crates/proxy/src/client_limits.rs
+++ b/crates/proxy/src/client_limits.rs
@@ -6,17 +6,23 @@
 
 /// Memory limit of a process if the settings name none, in megabytes.
 const DEFAULT_MEMORY_MB: u64 = 1_024;
-/// Maximum number of connections if the settings name no descriptors.
+/// Maximum numbers of connections if the settings name no descriptors.
+const DEFAULT_INSTANCES: usize = 1_024;
 const DEFAULT_OPERATORS: usize = 64;
+/// Maximum sizes of the headers and the body of a call of another instance, in bytes.
+const CALL_HEADER_BYTES: usize = 8 << 10;
+const CALL_BODY_BYTES: usize = 1 << 20;
 /// Maximum size of the headers that load balancers and operators send, in bytes.
 const OPERATOR_HEADER_BYTES: usize = 8 << 10;
 /// Maximum size of their bodies, in bytes: none is read.
 const OPERATOR_BODY_BYTES: usize = 1 << 10;
-/// Size of their receive buffers, in bytes.
+/// Sizes of receive buffers, in bytes: calls are short.
+const CALL_BUFFER_BYTES: usize = 16 << 10;
 const OPERATOR_BUFFER_BYTES: usize = 8 << 10;
 
 /// What the clients of the listeners may use.
 pub(crate) struct ClientLimits {
+    pub(crate) instances: Limits,
     pub(crate) readiness: Limits,
     pub(crate) operators: Limits,
 }
@@ -33,6 +39,13 @@
             memory: Memory::new(memory.reports),
         };
         ClientLimits {
+            instances: Limits {
+                connections: descriptors.map_or(DEFAULT_INSTANCES, |d| d.instances),
+                header_bytes: CALL_HEADER_BYTES,
+                body_bytes: CALL_BODY_BYTES,
+                receive_buffer_bytes: CALL_BUFFER_BYTES,
+                memory: Memory::new(memory.instances),
+            },
             readiness: operators(),
             operators: operators(),
         }
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -52,6 +52,8 @@
 const SEND_BUFFER_SHIFT: usize = 10;
 /// Minimum size of that buffer, in bytes: what a link of 100 Mbit/s carries within 5 ms.
 const MIN_SEND_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum size of a response to another instance, in bytes: a whole configuration fits.
+const MAX_RESPONSE_BYTES: u32 = 10 << 20;
 /// How long a stopping instance keeps idle connections open: load balancers check readiness once
 /// per second, and stop sending after two responses other than 200.
 const READINESS_NOTICE: Duration = Duration::from_millis(2_300);
@@ -85,7 +87,7 @@
     stop_timeout: Duration,
     ready: web::ServerHandle,
     ops: Option<web::ServerHandle>,
-    peer: jsonrpsee_server::ServerHandle,
+    peer: web::ServerHandle,
 }
 
 impl Instance {
@@ -105,9 +107,13 @@
         let log = Arc::new(Log::new(clock));
         let descriptors = fleet_settings.max_fds.map(Descriptors::divide);
         let client_limits = ClientLimits::new(fleet_settings.memory_mb, descriptors);
-        let bound = peers::bind(settings.peer_listen()).await;
-        let (server, peer_addr) =
-            bound.map_err(|e| anyhow!("failed to bind the peer listener: {e}"))?;
+        let bound = rpc::Listener::bind(
+            settings.peer_listen(),
+            client_limits.instances,
+            MAX_RESPONSE_BYTES,
+        );
+        let peer_listener = bound.map_err(|e| anyhow!("failed to bind the peer listener: {e}"))?;
+        let peer_addr = peer_listener.addr();
         let bound = datagram::bind(peer_addr).await;
         let socket = bound.map_err(|e| anyhow!("failed to bind the peer datagram socket: {e}"))?;
         let bound = listen::bind(settings.listen()).await;
@@ -284,7 +290,7 @@
         accounts::spawn(&router);
         transit::spawn_monitor(Arc::clone(&router));
         router.wait_queues.spawn_checks();
-        let peer = peers::serve(server, peer_service.clone());
+        let peer = peers::serve(peer_listener, peer_service.clone());
         peer_clients.spawn_sync(
             fleet.clone(),
             peer_service,
@@ -427,8 +433,7 @@
         if let Some(ops) = &self.ops {
             ops.stop(CLOSE_TIMEOUT);
         }
-        // Fails only if it has stopped already.
-        let _ = self.peer.stop();
+        self.peer.stop(CLOSE_TIMEOUT);
         all_ended
     }
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -14,7 +14,7 @@
 use jsonrpsee_core::RpcResult;
 use jsonrpsee_http_client::HttpClient;
 use jsonrpsee_server::types::Params;
-use jsonrpsee_server::{Extensions, RpcModule, ServerHandle};
+use jsonrpsee_server::{Extensions, RpcModule};
 use notice::Notice;
 use origin::Origin;
 use rand::seq::IndexedRandom;
@@ -146,19 +146,8 @@
     }
 }
 
-/// Binds the listener for other instances.
-///
-/// # Errors
-///
-/// Returns why the address can't be bound.
-pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<(rpc::Listener, SocketAddr)> {
-    let server = rpc::listener_builder().build(addr).await?;
-    let addr = server.local_addr()?;
-    Ok((server, addr))
-}
-
 /// Starts the server that answers other instances.
-pub(crate) fn serve(server: rpc::Listener, service: PeerService) -> ServerHandle {
+pub(crate) fn serve(listener: rpc::Listener, service: PeerService) -> web::ServerHandle {
     let mut module = RpcModule::new(service);
     register(&mut module, "take", |params, service| {
         let request: TokenRequest = params.one()?;
@@ -204,7 +193,7 @@
         let request: TrialRequest = params.one()?;
         Ok(service.suspects.answer_trial_request(&request))
     });
-    server.start(module)
+    listener.serve(module)
 }
 
 /// Registers a method, which refuses calls for other instances.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -4,13 +4,14 @@
 //! incarnation, or of an instance of another fleet. Each call therefore names the incarnation that it
 //! is for in an HTTP header. A method refuses calls for other incarnations, or for other instances.
 
+mod listener;
+
 use jsonrpsee_core::RpcResult;
 use jsonrpsee_http_client::{HeaderMap, HeaderValue, HttpClientBuilder};
 use jsonrpsee_server::types::ErrorObject;
-use jsonrpsee_server::{Extensions, HttpRequest, Server, ServerBuilder};
-use tower::layer::util::{Identity, Stack};
-use tower::util::MapRequestLayer;
-use tower::ServiceBuilder;
+use jsonrpsee_server::Extensions;
+
+pub use listener::Listener;
 
 /// Header with the incarnation that a call is for.
 const ADDRESSEE_HEADER: &str = "oriolehitch-incarnation";
@@ -21,14 +22,6 @@
 #[derive(Clone, Debug)]
 struct Addressee(HeaderValue);
 
-type RequestMapper = fn(HttpRequest) -> HttpRequest;
-
-/// Middleware of a listener, which keeps the header of a call for its handler.
-pub type AddresseeLayer = Stack<MapRequestLayer<RequestMapper>, Identity>;
-
-/// A listener for calls of other instances.
-pub type Listener = Server<AddresseeLayer, Identity>;
-
 /// Returns a builder of clients for one incarnation; `None` stands for whichever is at the address.
 ///
 /// # Errors
@@ -43,19 +36,6 @@
     Ok(HttpClientBuilder::default().set_headers(headers))
 }
 
-/// Returns a builder of listeners whose handlers can check the addressees of calls.
-pub fn listener_builder() -> ServerBuilder<AddresseeLayer, Identity> {
-    let mapper: RequestMapper = keep_addressee;
-    ServerBuilder::new().set_http_middleware(ServiceBuilder::new().map_request(mapper))
-}
-
-fn keep_addressee(mut req: HttpRequest) -> HttpRequest {
-    if let Some(to) = req.headers().get(ADDRESSEE_HEADER).cloned() {
-        req.extensions_mut().insert(Addressee(to));
-    }
-    req
-}
-
 /// Returns the name of an instance without the id of its start.
 fn name(incarnation: &[u8]) -> &[u8] {
     incarnation.split(|b| *b == b'.').next().unwrap_or_default()
--- a/crates/rpc/tests/addressee.rs
+++ b/crates/rpc/tests/addressee.rs
@@ -11,11 +11,9 @@
 /// fleet.
 #[tokio::test]
 async fn only_the_named_incarnation_answers() {
-    let server = rpc::listener_builder()
-        .build("127.0.0.1:0")
-        .await
-        .expect("a free port");
-    let addr = server.local_addr().expect("a bound listener");
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let server = rpc::Listener::bind(any, web::Limits::small(10), 1 << 10).expect("a free port");
+    let addr = server.addr();
     let mut module = RpcModule::new(());
     let registered = module.register_method("m", |_, (), extensions| -> RpcResult<u64> {
         rpc::check_addressee(extensions, OWN_ID)?;
@@ -27,7 +25,7 @@
         Ok(8)
     });
     registered.expect("a new name");
-    let _running = server.start(module);
+    let _running = server.serve(module);
     let call = async |method, to| -> Result<u64, String> {
         let client = rpc::client_builder(to)?
             .build(format!("http://{addr}"))
