Limit the receive buffers of callers where there is a memory limit

What callers saw: with requests sent one behind the other, without reading the responses, 400 callers made an instance of 88 MB take 70 MB of memory and 32 MB of received bytes that it had not read; the platform counts both, and ends it.

The memory for requests was limited, as intended. The rest, 40 % of the limit, is for the program and for what has not been read; but the system lets the receive buffer of a connection grow to 32 MB while a client sends fast, and it stays as large when the instance reads no further because a request waits for its response. The listening socket now has a receive buffer of a 4,096th of the memory limit, 16 kB at least, which connections inherit; forwarding has the same. Without a memory limit nothing changes.

--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -116,13 +116,13 @@
         let peer_addr = peer_listener.addr();
         let bound = datagram::bind(peer_addr).await;
         let socket = bound.map_err(|e| anyhow!("failed to bind the peer datagram socket: {e}"))?;
-        let bound = listen::bind(settings.listen()).await;
+        let bound = listen::bind(settings.listen(), fleet_settings.memory_mb);
         let (listener, addr) =
             bound.map_err(|e| anyhow!("failed to bind the callers' listener: {e}"))?;
         let transit_addr = fleet_settings
             .transit_listen
             .unwrap_or(SocketAddr::new(peer_addr.ip(), 0));
-        let bound = listen::bind(transit_addr).await;
+        let bound = listen::bind(transit_addr, fleet_settings.memory_mb);
         let (transit_listener, transit_addr) =
             bound.map_err(|e| anyhow!("failed to bind the transit listener: {e}"))?;
 
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -33,13 +33,26 @@
     Instances,
 }
 
-/// Binds the listener.
+/// Receive buffer of a connection as a power of two of the memory limit: what a client sends beyond its request stays
+/// there, unread.
+const RECEIVE_BUFFER_SHIFT: usize = 12;
+/// Minimum size of that buffer, in bytes: what a link of 25 Mbit/s carries within 5 ms.
+const MIN_RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+
+/// Binds the listener of a process that may have a memory limit in megabytes; with one, the receive buffers of its
+/// connections don't grow.
 ///
 /// # Errors
 ///
 /// Returns why the address can't be bound.
-pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(addr).await?;
+pub(crate) fn bind(
+    addr: SocketAddr,
+    memory_mb: Option<u64>,
+) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let size =
+        |mb: u64| ((mb as usize) << 20 >> RECEIVE_BUFFER_SHIFT).max(MIN_RECEIVE_BUFFER_BYTES);
+    let receive_buffer_bytes = memory_mb.map(size);
+    let listener = web::bind_socket(addr, receive_buffer_bytes)?;
     let addr = listener.local_addr()?;
     Ok((listener, addr))
 }
