Don't take a connection for idle while its response is being written

The HTTP library takes a complete response at once, and the connection was marked as idle then. With as many connections as are allowed, a new one closed it, and a caller that reads slowly got a part of its response. The memory of the request was released early as well. Both now wait until the connection has flushed all that it had to write, as on the platform's interface.

edge.rs, connection_with_an_unread_response_is_not_idle: 16 MB to a caller that has not read yet, and a second connection where one is allowed.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -20,22 +20,18 @@
 use crate::listener::OpenConnection;
 use crate::memory::Reservation;
 use crate::response::{convert, ResponseBody};
-use crate::stream::{GuardedStream, HeadMemory};
+use crate::stream::{Exchange, GuardedStream};
 use crate::{BodyError, Req, Res, Service};
 
 /// Step in which memory for a body of unknown length is allocated, in bytes.
 const STEP_BYTES: usize = 64 << 10;
 
-/// Ends a request when its response is complete: the connection waits for the next one.
-pub(crate) struct RequestEnd {
-    connection: Arc<OpenConnection>,
-    memory: HeadMemory,
-}
+/// Records on drop that the HTTP library has all of a response.
+pub(crate) struct ResponseEnd(Exchange);
 
-impl Drop for RequestEnd {
+impl Drop for ResponseEnd {
     fn drop(&mut self) {
-        self.memory.release();
-        self.connection.end();
+        self.0.end();
     }
 }
 
@@ -57,14 +53,11 @@
         },
         Ok(_) = stop.wait_for(Option::is_some) => return,
     }
-    let connection = Arc::new(connection);
-    let memory = HeadMemory::default();
-    let io = GuardedStream::new(stream, limits.clone(), memory.clone());
+    let exchange = Exchange::new(connection);
+    let io = GuardedStream::new(stream, limits.clone(), exchange.clone());
     let handler = service_fn(|req| {
-        let end = RequestEnd {
-            connection: Arc::clone(&connection),
-            memory: memory.clone(),
-        };
+        exchange.begin();
+        let end = ResponseEnd(exchange.clone());
         respond(req, remote_addr, end, limits.clone(), Arc::clone(&service))
     });
     let mut conn = pin!(http1::Builder::new()
@@ -90,11 +83,10 @@
 async fn respond<S: Service>(
     req: Request<Incoming>,
     remote_addr: SocketAddr,
-    end: RequestEnd,
+    end: ResponseEnd,
     limits: Limits,
     service: Arc<S>,
 ) -> Result<hyper::Response<ResponseBody>, Infallible> {
-    end.connection.begin();
     let (head, body) = req.into_parts();
     let mut req = Req {
         method: head.method.as_str().to_string(),
--- a/crates/web/src/response.rs
+++ b/crates/web/src/response.rs
@@ -9,17 +9,17 @@
 use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::{Response, StatusCode};
 
-use crate::connection::RequestEnd;
+use crate::connection::ResponseEnd;
 use crate::{Body, Res};
 
-/// The body of a response; dropping it ends the request.
+/// The body of a response.
 pub(crate) struct ResponseBody {
     body: Body,
-    _end: RequestEnd,
+    _end: ResponseEnd,
 }
 
 /// Converts a response; the connection is closed after it if the request's body was not read.
-pub(crate) fn convert(res: Res, end: RequestEnd, is_body_read: bool) -> Response<ResponseBody> {
+pub(crate) fn convert(res: Res, end: ResponseEnd, is_body_read: bool) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody {
         body: res.body,
         _end: end,
--- a/crates/web/src/stream.rs
+++ b/crates/web/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{ready, Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -10,25 +10,64 @@
 use tokio_io_timeout::TimeoutStream;
 
 use crate::limits::{Limits, WRITE_TIMEOUT};
+use crate::listener::OpenConnection;
 use crate::memory::Reservation;
 
-/// Memory of the request that a connection receives; clones share it.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct HeadMemory(Arc<Mutex<Option<Reservation>>>);
+/// The request in progress on a connection; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Exchange(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    connection: OpenConnection,
+    /// Memory of the request, from its first byte until its response is written.
+    memory: Option<Reservation>,
+    /// Whether the HTTP library has all of the response.
+    is_ended: bool,
+}
+
+impl Exchange {
+    /// Starts without a request.
+    pub(crate) fn new(connection: OpenConnection) -> Exchange {
+        Exchange(Arc::new(Mutex::new(State {
+            connection,
+            memory: None,
+            is_ended: false,
+        })))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("lock not poisoned")
+    }
 
-impl HeadMemory {
     /// Reserves memory if there is no request yet; returns whether there is memory.
     fn reserve(&self, limits: &Limits) -> bool {
-        let mut reserved = self.0.lock().expect("lock not poisoned");
-        if reserved.is_none() {
-            *reserved = limits.memory.reserve(limits.head_bytes());
+        let mut state = self.lock();
+        if state.memory.is_none() {
+            state.memory = limits.memory.reserve(limits.head_bytes());
         }
-        reserved.is_some()
+        state.memory.is_some()
     }
 
-    /// Releases the memory once the response is complete.
-    pub(crate) fn release(&self) {
-        self.0.lock().expect("lock not poisoned").take();
+    /// Records that the head of a request is complete.
+    pub(crate) fn begin(&self) {
+        let mut state = self.lock();
+        state.is_ended = false;
+        state.connection.begin();
+    }
+
+    /// Records that the HTTP library has all of the response.
+    pub(crate) fn end(&self) {
+        self.lock().is_ended = true;
+    }
+
+    /// Records that everything which the connection had to write was written.
+    fn record_flushed(&self) {
+        let mut state = self.lock();
+        if std::mem::take(&mut state.is_ended) {
+            state.memory = None;
+            state.connection.end();
+        }
     }
 }
 
@@ -37,18 +76,18 @@
     // Pinned, as its timers are.
     stream: Pin<Box<TimeoutStream<TcpStream>>>,
     limits: Limits,
-    memory: HeadMemory,
+    exchange: Exchange,
 }
 
 impl GuardedStream {
     /// Guards a socket.
-    pub(crate) fn new(stream: TcpStream, limits: Limits, memory: HeadMemory) -> GuardedStream {
+    pub(crate) fn new(stream: TcpStream, limits: Limits, exchange: Exchange) -> GuardedStream {
         let mut stream = TimeoutStream::new(stream);
         stream.set_write_timeout(Some(WRITE_TIMEOUT));
         GuardedStream {
             stream: Box::pin(stream),
             limits,
-            memory,
+            exchange,
         }
     }
 }
@@ -61,7 +100,7 @@
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
         ready!(self.stream.as_mut().poll_read(cx, buf))?;
-        if buf.filled().len() == before || self.memory.reserve(&self.limits) {
+        if buf.filled().len() == before || self.exchange.reserve(&self.limits) {
             return Poll::Ready(Ok(()));
         }
         let why = "no memory left for another request";
@@ -91,7 +130,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        self.stream.as_mut().poll_flush(cx)
+        ready!(self.stream.as_mut().poll_flush(cx))?;
+        // hyper flushes only when it has nothing left to write.
+        self.exchange.record_flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/web/tests/edge.rs
+++ b/crates/web/tests/edge.rs
@@ -124,3 +124,32 @@
     assert!(response.starts_with("HTTP/1.1 401"), "{response}");
     assert!(response.contains("connection: close"), "{response}");
 }
+
+/// Size of a response that does not fit into the buffers of a connection, in bytes.
+const LONG: usize = 16 << 20;
+
+struct Long;
+
+impl Service for Long {
+    async fn call(self: Arc<Self>, _req: Req) -> Res {
+        Res::new(200, "text/plain", vec![b'x'; LONG])
+    }
+}
+
+/// A connection must not be closed for a new one while its response is still being written: a caller that reads
+/// slowly would get a part of it.
+#[tokio::test]
+async fn connection_with_an_unread_response_is_not_idle() {
+    let addr = "127.0.0.1:0".parse().expect("an address");
+    let handle = web::bind(addr, Limits::small(1), Arc::new(Long)).await;
+    let addr = handle.expect("a free port").addr();
+    let mut stream = TcpStream::connect(addr).await.expect("it listens");
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).await.expect("connected");
+    stream.readable().await.expect("a response");
+    let mut other = TcpStream::connect(addr).await.expect("it listens");
+    let refused = send(&mut other, request).await;
+    assert!(refused.is_empty(), "{} bytes", refused.len());
+    let response = send(&mut stream, b"").await;
+    assert!(response.len() > LONG, "{} bytes", response.len());
+}
