--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -86,7 +86,7 @@
     /// never counts as congested.
     pub link_mbps: Option<f64>,
     /// Memory limit of the process, in megabytes; if unset, memory does not limit the requests in
-    /// progress.
+    /// progress, and on the router's own interface it is the machine's.
     pub memory_mb: Option<u64>,
     /// Maximum number of file descriptors of the process; if unset, they do not limit its connections.
     pub max_fds: Option<u64>,
