Refuse bodies that never fit for good, and let slow headers keep nobody out

Found on reading the change again, both in the memory of web's listeners.

A body of nearly three quarters of the memory passed the check of its size, and then got "no memory left" even from an idle process, since its own head and the step in which memory is taken count as well: its client was told to come back, in vain. The maximum size leaves room for both now, and what is larger gets 413.

More connections were allowed than heads fit into the memory. Clients that send their headers slowly could use it up, and a new connection, which closes an idle one only beyond the maximum, was closed unread: for readiness that takes the instance out of its load balancer. There, at metrics and for callers of the own interface, as many connections are allowed as heads fit; 67 in place of 82 on the smallest machine. Calls of instances keep their number, since closing idle ones costs peers more.

edge.rs: body_that_never_fits_is_too_large and slow_headers_keep_nobody_out, which fail with the former rules.

--- a/crates/entry/src/client_limits.rs
+++ b/crates/entry/src/client_limits.rs
@@ -46,7 +46,8 @@
                 descriptors.callers.min(memory.connections),
                 settings.body_limit() as usize,
                 memory.callers,
-            ),
+            )
+            .with_room_for_heads(),
             operators: limits(descriptors.operators, OPERATOR_BODY_BYTES, memory.operators),
             instances: limits(
                 descriptors.instances,
--- a/crates/proxy/src/client_limits.rs
+++ b/crates/proxy/src/client_limits.rs
@@ -31,12 +31,15 @@
     /// Divides the memory and the descriptors of a process.
     pub(crate) fn new(memory_mb: Option<u64>, descriptors: Option<Descriptors>) -> ClientLimits {
         let memory = ClientMemory::divide(memory_mb.unwrap_or(DEFAULT_MEMORY_MB));
-        let operators = || Limits {
-            connections: descriptors.map_or(DEFAULT_OPERATORS, |d| d.operators),
-            header_bytes: OPERATOR_HEADER_BYTES,
-            body_bytes: OPERATOR_BODY_BYTES,
-            receive_buffer_bytes: OPERATOR_BUFFER_BYTES,
-            memory: Memory::new(memory.reports),
+        let operators = || {
+            Limits {
+                connections: descriptors.map_or(DEFAULT_OPERATORS, |d| d.operators),
+                header_bytes: OPERATOR_HEADER_BYTES,
+                body_bytes: OPERATOR_BODY_BYTES,
+                receive_buffer_bytes: OPERATOR_BUFFER_BYTES,
+                memory: Memory::new(memory.reports),
+            }
+            .with_room_for_heads()
         };
         ClientLimits {
             instances: Limits {
--- a/crates/web/src/limits.rs
+++ b/crates/web/src/limits.rs
@@ -13,6 +13,9 @@
 /// Part of a body that is covered by the memory of its head, in bytes.
 pub(crate) const WITH_HEAD_BYTES: usize = 16 << 10;
 
+/// Step in which memory for a body is allocated, in bytes.
+pub(crate) const STEP_BYTES: usize = 64 << 10;
+
 /// What the clients of a listener may use.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -54,10 +57,24 @@
         }
     }
 
-    /// Returns the maximum size of a body for which there is memory, in bytes.
+    /// Lowers the number of connections to those whose heads all fit into the memory: only connections beyond that
+    /// number are closed for new ones, so more heads that arrive slowly would keep other clients out.
+    pub fn with_room_for_heads(self) -> Limits {
+        let heads = self.memory.max_bytes() / self.head_bytes();
+        Limits {
+            connections: self.connections.min(heads).max(1),
+            ..self
+        }
+    }
+
+    /// Returns the maximum size of a body for which there is memory if there is no other request, in bytes.
     pub(crate) fn max_body_bytes(&self) -> usize {
-        let with_head = WITH_HEAD_BYTES.max(self.memory.max_body_bytes());
-        self.body_bytes.min(with_head)
+        let beside_head = self
+            .memory
+            .max_body_bytes()
+            .saturating_sub(self.head_bytes());
+        let whole_steps = beside_head / STEP_BYTES * STEP_BYTES;
+        self.body_bytes.min(whole_steps.max(WITH_HEAD_BYTES))
     }
 
     /// Returns the memory of a request without its body, in bytes: its connection with its buffers, and as much of a
--- a/crates/web/src/memory.rs
+++ b/crates/web/src/memory.rs
@@ -26,14 +26,14 @@
         }))
     }
 
-    /// Returns the maximum size of a body, in bytes.
-    pub fn max_body_bytes(&self) -> usize {
+    /// Returns what heads and bodies together may use before a body is refused, in bytes.
+    pub(crate) fn max_body_bytes(&self) -> usize {
         self.0.max_bytes / 100 * BODIES_PCT
     }
 
-    /// Returns the number of bytes in use.
-    pub fn used_bytes(&self) -> usize {
-        *self.0.used_bytes.lock().expect("lock not poisoned")
+    /// Returns its size, in bytes.
+    pub(crate) fn max_bytes(&self) -> usize {
+        self.0.max_bytes
     }
 
     /// Keeps memory for bytes until they are dropped, such as a response until its client has read it; none if there
--- a/crates/web/tests/edge.rs
+++ b/crates/web/tests/edge.rs
@@ -5,7 +5,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use web::{Limits, Req, Res, Service};
+use web::{Limits, Memory, Req, Res, Service};
 
 const LIMIT: usize = 1024;
 const CONNECTIONS: usize = 10;
@@ -153,3 +153,61 @@
     let response = send(&mut stream, b"").await;
     assert!(response.len() > LONG, "{} bytes", response.len());
 }
+
+/// Memory of a listener with few heads, in bytes, and the largest body for which it has room.
+const MEMORY: usize = 256 << 10;
+const MAX_BODY: usize = 128 << 10;
+
+fn scarce() -> Limits {
+    let memory = Memory::new(MEMORY);
+    let limits = Limits {
+        body_bytes: MEMORY,
+        memory,
+        ..Limits::small(CONNECTIONS)
+    };
+    limits.with_room_for_heads()
+}
+
+async fn send_once(handle: &web::ServerHandle, bytes: &[u8]) -> String {
+    let connected = TcpStream::connect(handle.addr()).await;
+    send(&mut connected.expect("it listens"), bytes).await
+}
+
+/// A body must not be refused as one that fits later if it never fits: clients would send it again and again.
+#[tokio::test]
+async fn body_that_never_fits_is_too_large() {
+    let addr = "127.0.0.1:0".parse().expect("an address");
+    let bound = web::bind(addr, scarce(), Arc::new(Echo)).await;
+    let handle = bound.expect("a free port");
+    for (bytes, status) in [(MAX_BODY, 200), (MAX_BODY + 1, 413)] {
+        let head = format!(
+            "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {bytes}\r\n\r\n"
+        );
+        // Only the head of the one that is too large, since its response could be lost with the connection.
+        let body = if status == 200 { bytes } else { 0 };
+        let request = [head.as_bytes(), &vec![b'x'; body]].concat();
+        let response = send_once(&handle, &request).await;
+        let expected = format!("HTTP/1.1 {status}");
+        assert!(response.starts_with(&expected), "{bytes} bytes: {response}");
+    }
+}
+
+/// Clients that send their headers slowly must not keep others out by the memory that is reserved for them.
+#[tokio::test]
+async fn slow_headers_keep_nobody_out() {
+    let addr = "127.0.0.1:0".parse().expect("an address");
+    let bound = web::bind(addr, scarce(), Arc::new(Echo)).await;
+    let handle = bound.expect("a free port");
+    let mut slow = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(handle.addr()).await.expect("it listens");
+        // Fails if the connection is closed at once.
+        let _ = stream.write_all(b"GET / HTTP/1.1\r\n").await;
+        slow.push(stream);
+    }
+    // By then the listener has read what was sent.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let response = send_once(&handle, request).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
