Don't run a request whose connection was closed for a new one

With several threads, a connection could be chosen as idle and its task aborted while the head of a request was being read. The request was begun, and its task ended somewhere within it. It is not begun now, as on the platform's interface.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -1,6 +1,6 @@
 //! A connection of a client.
 
-use std::convert::Infallible;
+use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -16,15 +16,12 @@
 use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use crate::limits::{Limits, BODY_TIMEOUT, HEADER_TIMEOUT, WITH_HEAD_BYTES};
+use crate::limits::{Limits, BODY_TIMEOUT, HEADER_TIMEOUT, STEP_BYTES, WITH_HEAD_BYTES};
 use crate::listener::OpenConnection;
 use crate::memory::Reservation;
 use crate::response::{convert, ResponseBody};
 use crate::stream::{Exchange, GuardedStream};
-use crate::{BodyError, Req, Res, Service};
-
-/// Step in which memory for a body of unknown length is allocated, in bytes.
-const STEP_BYTES: usize = 64 << 10;
+use crate::{BodyError, Req, Service};
 
 /// Records on drop that the HTTP library has all of a response.
 pub(crate) struct ResponseEnd(Exchange);
@@ -56,9 +53,15 @@
     let exchange = Exchange::new(connection);
     let io = GuardedStream::new(stream, limits.clone(), exchange.clone());
     let handler = service_fn(|req| {
-        exchange.begin();
-        let end = ResponseEnd(exchange.clone());
-        respond(req, remote_addr, end, limits.clone(), Arc::clone(&service))
+        let (exchange, limits, service) = (exchange.clone(), limits.clone(), Arc::clone(&service));
+        async move {
+            // The connection may have been closed for a new one meanwhile: its request must not run.
+            if !exchange.begin() {
+                return Err(Error::from(ErrorKind::ConnectionAborted));
+            }
+            let end = ResponseEnd(exchange);
+            Ok(respond(req, remote_addr, end, limits, service).await)
+        }
     });
     let mut conn = pin!(http1::Builder::new()
         .timer(TokioTimer::new())
@@ -86,7 +89,7 @@
     end: ResponseEnd,
     limits: Limits,
     service: Arc<S>,
-) -> Result<hyper::Response<ResponseBody>, Infallible> {
+) -> hyper::Response<ResponseBody> {
     let (head, body) = req.into_parts();
     let mut req = Req {
         method: head.method.as_str().to_string(),
@@ -96,18 +99,17 @@
         body: Bytes::new(),
         remote_addr,
     };
-    let refused = |res: Res, end| Ok(convert(res, end, body.is_end_stream()));
     if let Err(res) = service.admit(&req) {
-        return refused(res, end);
+        return convert(res, end, body.is_end_stream());
     }
     let read = timeout(BODY_TIMEOUT, read_body(body, &limits)).await;
     match read.unwrap_or(Err(BodyError::Incomplete)) {
         Ok(body) => {
             req.body = body;
             let res = service.call(req).await;
-            Ok(convert(res, end, true))
+            convert(res, end, true)
         }
-        Err(error) => Ok(convert(service.unreadable_body(error), end, false)),
+        Err(error) => convert(service.unreadable_body(error), end, false),
     }
 }
 
--- a/crates/web/src/listener.rs
+++ b/crates/web/src/listener.rs
@@ -202,10 +202,9 @@
 }
 
 impl OpenConnection {
-    /// Marks the connection as busy with a request.
-    pub(crate) fn begin(&self) {
-        // A connection that was closed meanwhile is dropped with its task.
-        self.connections.lock().connections.begin(self.id);
+    /// Marks the connection as busy with a request; returns whether it is still open.
+    pub(crate) fn begin(&self) -> bool {
+        self.connections.lock().connections.begin(self.id)
     }
 
     /// Marks the connection as idle.
--- a/crates/web/src/stream.rs
+++ b/crates/web/src/stream.rs
@@ -49,11 +49,11 @@
         state.memory.is_some()
     }
 
-    /// Records that the head of a request is complete.
-    pub(crate) fn begin(&self) {
+    /// Records that the head of a request is complete; returns whether the connection is still open.
+    pub(crate) fn begin(&self) -> bool {
         let mut state = self.lock();
         state.is_ended = false;
-        state.connection.begin();
+        state.connection.begin()
     }
 
     /// Records that the HTTP library has all of the response.
