Soak: check the retries of each service in each window; schedules with many retries

The check added up the retries of a whole run and allowed the slack of all its windows, over both services: at the soak's rate it could not fail. It now compares, for each service, the arrivals beyond the first of each request in each window, also those that upstreams reject, with the requests of that window, of the one before or of the one half a window before. The slack of the runs is 20 instead of 58, so that a failing service uses it up; the check is stricter by that. Two tests of the check on made-up evidence fail with the check of the whole run.

`--retries` draws schedules in which whole services fail 60 to 100 % of their requests for up to 25 s, while one, some or all instances are suspended, killed, removed for a while, stopped in turn or cut off from the store, upstreams, callers or each other. Schedules of the other kind are as before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -16,8 +16,9 @@
 pub const EVENTS: u32 = 10;
 /// Retries that the settings allow, as a percentage of requests.
 pub const RETRY_PERCENT: u64 = 20;
-/// Retries within each window in addition to the percentage.
-pub const RETRY_SLACK: u64 = 58;
+/// Retries of the requests of a service within each window in addition to the percentage: fewer than the retries
+/// that are wanted while the service fails.
+pub const RETRY_SLACK: u64 = 20;
 /// Window of the retry budget, in seconds.
 pub const RETRY_WINDOW_SECS: u64 = 10;
 /// Time from the removal of a key until undisturbed instances refuse it, in milliseconds.
@@ -48,6 +49,28 @@
 /// Minimum number of requests of a kind within such a span for it to count.
 const MIN_KIND_REQUESTS: usize = 4;
 
+/// A service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// Sends buffered responses.
+    Desk,
+    /// Consists of engines, which send streams.
+    Pool,
+}
+
+impl Service {
+    /// All services.
+    pub const ALL: [Service; 2] = [Service::Desk, Service::Pool];
+
+    /// Returns its name in the configuration.
+    pub fn name(self) -> &'static str {
+        match self {
+            Service::Desk => "desk",
+            Service::Pool => "pool",
+        }
+    }
+}
+
 /// A route, by the way in which its requests may be run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Route {
@@ -75,6 +98,14 @@
         }
     }
 
+    /// Returns the service that runs its requests.
+    pub fn service(self) -> Service {
+        match self {
+            Route::Safe | Route::Once => Service::Desk,
+            Route::Read | Route::Talk => Service::Pool,
+        }
+    }
+
     /// Returns whether its responses are streams.
     pub fn is_streamed(self) -> bool {
         matches!(self, Route::Read | Route::Talk)
@@ -209,6 +240,8 @@
     pub misdirects: HashMap<String, usize>,
     /// When the last attempt of each request arrived at an upstream.
     pub last_arrivals: HashMap<String, u64>,
+    /// When the attempts of each request arrived at upstreams, also at those that rejected it.
+    pub arrivals: HashMap<String, Vec<u64>>,
     /// The faults.
     pub injected: Vec<Injected>,
     /// When each removable key was removed.
@@ -477,18 +510,89 @@
         .collect()
 }
 
+/// The requests for a service and their retries.
+#[derive(Debug)]
+struct RetryTimes {
+    /// When the requests were sent, in milliseconds.
+    requests: Vec<u64>,
+    /// When attempts beyond the first of each request arrived at upstreams, in milliseconds.
+    retries: Vec<u64>,
+}
+
+impl RetryTimes {
+    fn new(evidence: &Evidence, service: Service) -> RetryTimes {
+        let is_for = |record: &Record| record.route.service() == service;
+        let records = evidence.records.iter();
+        let mut requests: Vec<u64> = records.filter(|r| is_for(r)).map(|r| r.sent_at).collect();
+        requests.sort_unstable();
+        let by_id: HashMap<&str, &Record> = evidence
+            .records
+            .iter()
+            .map(|r| (r.id.as_str(), r))
+            .collect();
+        let mut retries = Vec::new();
+        for (id, arrivals) in &evidence.arrivals {
+            // Those of unknown requests may be for each service.
+            if by_id.get(id.as_str()).is_none_or(|r| is_for(r)) {
+                let mut arrivals = arrivals.clone();
+                arrivals.sort_unstable();
+                retries.extend(arrivals.into_iter().skip(1));
+            }
+        }
+        retries.sort_unstable();
+        RetryTimes { requests, retries }
+    }
+
+    /// Returns, of the window with the largest share of its allowed retries: its beginning, the retries, and how many
+    /// are allowed. A window that contains most retries begins with one.
+    fn fullest_window(&self) -> Option<(u64, usize, f64)> {
+        let window_ms = RETRY_WINDOW_SECS * 1_000;
+        let within = |times: &[u64], start: u64| {
+            times.partition_point(|t| *t < start + window_ms)
+                - times.partition_point(|t| *t < start)
+        };
+        let window = |start: u64| {
+            let earlier = [0, window_ms / 2, window_ms].map(|ms| start.checked_sub(ms));
+            let requests = earlier
+                .into_iter()
+                .flatten()
+                .map(|s| within(&self.requests, s));
+            let requests = requests.max().unwrap_or_default();
+            let allowed = (requests as u64 * RETRY_PERCENT) as f64 / 100.0 + RETRY_SLACK as f64;
+            (start, within(&self.retries, start), allowed)
+        };
+        let windows = self.retries.iter().map(|start| window(*start));
+        let share = |w: &(u64, usize, f64)| w.1 as f64 / w.2;
+        windows.max_by(|a, b| share(a).total_cmp(&share(b)))
+    }
+}
+
+/// Describes the window in which a service got the largest share of its allowed retries.
+pub fn describe_retries(evidence: &Evidence, service: Service) -> String {
+    match RetryTimes::new(evidence, service).fullest_window() {
+        Some((start, retries, allowed)) => format!(
+            "{retries} retries for {} within {RETRY_WINDOW_SECS} s from {start} ms, {allowed:.1} allowed",
+            service.name()
+        ),
+        None => format!("no retries for {}", service.name()),
+    }
+}
+
 fn check_retries(evidence: &Evidence) -> Vec<Violation> {
-    let retries: usize = evidence.runs.values().map(|n| n.saturating_sub(1)).sum();
-    let requests = evidence.records.len() as u64;
-    let windows = evidence.seconds / RETRY_WINDOW_SECS + 1;
-    let allowed = requests * RETRY_PERCENT / 100 + RETRY_SLACK * windows;
-    let excess = retries as u64 > allowed;
-    let violation = Violation {
+    let exceeds = |service: &Service| {
+        let window = RetryTimes::new(evidence, *service).fullest_window();
+        window.is_some_and(|(_, retries, allowed)| retries as f64 > allowed)
+    };
+    let violation = |service| Violation {
         guarantee: "retries stay within the budget",
         request: None,
-        detail: format!("{retries} retries of {requests} requests, {allowed} allowed"),
+        detail: describe_retries(evidence, service),
     };
-    excess.then_some(violation).into_iter().collect()
+    Service::ALL
+        .into_iter()
+        .filter(exceeds)
+        .map(violation)
+        .collect()
 }
 
 fn check_return(evidence: &Evidence) -> Vec<Violation> {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod fleet;
 pub mod peer_paths;
 pub mod report;
+mod retry_schedule;
 pub mod run;
 pub mod schedule;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,7 +8,7 @@
 
 use anyhow::{bail, Result};
 use soak::run::{run, Options};
-use soak::schedule::{schedule, MIN_SECONDS};
+use soak::schedule::{Plan, MIN_SECONDS};
 use tokio::signal::unix::{signal, SignalKind};
 
 xflags::xflags! {
@@ -23,6 +23,8 @@
         optional --instances count: usize
         /// The program of the instances; if omitted, `oriolehitch` beside this program.
         optional --program path: PathBuf
+        /// Injects faults during which instances retry as much as they may.
+        optional --retries
         /// Prints the schedule without running it.
         optional --schedule
     }
@@ -57,6 +59,11 @@
 async fn soak(flags: Soak) -> Result<ExitCode> {
     let options = Options {
         seed: flags.seed,
+        plan: if flags.retries {
+            Plan::Retries
+        } else {
+            Plan::Any
+        },
         seconds: flags.seconds.unwrap_or(DEFAULT_SECONDS),
         instances: flags.instances.unwrap_or(DEFAULT_INSTANCES),
         program: match flags.program {
@@ -71,7 +78,10 @@
         bail!("--instances must be between 2 and {MAX_INSTANCES}");
     }
     if flags.schedule {
-        for step in schedule(options.seed, options.seconds, options.instances) {
+        let steps = options
+            .plan
+            .steps(options.seed, options.seconds, options.instances);
+        for step in steps {
             println!("{:>8} ms {:>6} ms {:?}", step.at, step.duration, step.fault);
         }
         return Ok(ExitCode::SUCCESS);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 
-use crate::checks::{Evidence, Violation};
+use crate::checks::{describe_retries, Evidence, Service, Violation};
 
 /// Maximum number of violations of each guarantee that are printed, and of log lines for each.
 const MAX_VIOLATIONS: usize = 3;
@@ -47,6 +47,9 @@
         text,
         "  spans in which each kind must be served: {spans}; the soak itself was late for {late_ms} ms"
     );
+    for service in Service::ALL {
+        let _ = writeln!(text, "  {}", describe_retries(evidence, service));
+    }
     if violations.is_empty() {
         text += "all guarantees hold\n";
         return text;
--- /dev/null
+++ b/crates/soak/src/retry_schedule.rs
@@ -0,0 +1,135 @@
+//! Schedules of faults in which instances retry as much as they may.
+
+use std::ops::Range;
+
+use platform::stub::{Cut, Mode};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::schedule::{Direction, Fault, PathKind, Step, StoreFault, UPSTREAMS};
+
+/// When the first fault may begin, and how long before the end of a run the last ones begin, in milliseconds.
+const FIRST_FAULT_MS: u64 = 4_000;
+const LAST_FAULT_BEFORE_END_MS: u64 = 8_000;
+/// Time for which the upstreams of a service fail, in milliseconds, and between two such times: several windows of the
+/// retry budget, so that it is used up.
+const OUTAGE_MS: Range<u64> = 4_000..25_000;
+const OUTAGE_GAP_MS: Range<u64> = 300..9_000;
+/// Percentages of the requests that fail: an upstream with the last one fails its health checks as well.
+const FAILING_PERCENTS: [usize; 4] = [60, 80, 90, 100];
+/// Time between two faults of instances, in milliseconds.
+const GAP_MS: Range<u64> = 300..5_000;
+/// Time for which instances are suspended, down or cut off, in milliseconds.
+const PAUSE_MS: Range<u64> = 300..8_000;
+const DOWN_MS: Range<u64> = 0..2_000;
+const REMOVED_MS: Range<u64> = 5_000..15_000;
+const CUT_MS: Range<u64> = 300..6_000;
+/// Share of the faults of instances that affect all of them.
+const ALL_SHARE: f64 = 0.6;
+
+/// Returns the schedule of a seed, in the order of the times.
+pub(crate) fn retry_schedule(seed: u64, seconds: u64, instances: usize) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let span = FIRST_FAULT_MS..seconds * 1_000 - LAST_FAULT_BEFORE_END_MS;
+    let mut steps = Vec::new();
+    for services in [0..UPSTREAMS / 2, UPSTREAMS / 2..UPSTREAMS] {
+        steps.extend(outages(&mut rng, &span, services));
+    }
+    let mut at = span.start;
+    while at < span.end {
+        steps.extend(instance_faults(&mut rng, at, instances));
+        at += rng.random_range(GAP_MS);
+    }
+    steps.sort_by_key(|s| s.at);
+    steps
+}
+
+/// Returns times at which these upstreams fail.
+fn outages(rng: &mut ChaCha8Rng, span: &Range<u64>, upstreams: Range<usize>) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = span.start + rng.random_range(OUTAGE_GAP_MS);
+    while at < span.end {
+        let duration = rng.random_range(OUTAGE_MS).min(span.end - at);
+        let modes = [Mode::NotExecuted, Mode::NoResponse, Mode::Truncated(3)];
+        let mode = *modes.choose(rng).expect("a mode to choose");
+        let percent = *FAILING_PERCENTS
+            .choose(rng)
+            .expect("a percentage to choose");
+        let fault = |upstream| match percent {
+            100 => Fault::Upstream { upstream, mode },
+            _ => Fault::Grey {
+                upstream,
+                mode,
+                percent,
+            },
+        };
+        steps.extend(upstreams.clone().map(|upstream| Step {
+            at,
+            duration,
+            fault: fault(upstream),
+        }));
+        at += duration + rng.random_range(OUTAGE_GAP_MS);
+    }
+    steps
+}
+
+/// Returns a fault of one instance, of several or of all, which begins at a time.
+fn instance_faults(rng: &mut ChaCha8Rng, at: u64, instances: usize) -> Vec<Step> {
+    let kind = rng.random_range(0..10);
+    let (duration, is_gradual) = match kind {
+        0..=3 => (rng.random_range(PAUSE_MS), false),
+        4 | 5 => (rng.random_range(DOWN_MS), false),
+        6 => (rng.random_range(REMOVED_MS), false),
+        7 => (0, true),
+        _ => (rng.random_range(CUT_MS), false),
+    };
+    let first = rng.random_range(0..instances);
+    let count = match rng.random_bool(ALL_SHARE) {
+        // Otherwise no instance is left for seconds.
+        true if kind != 6 => instances,
+        _ => rng.random_range(1..=instances.div_ceil(2)),
+    };
+    let gap_ms = if is_gradual {
+        rng.random_range(GAP_MS)
+    } else {
+        0
+    };
+    let path = [PathKind::Store, PathKind::Upstreams, PathKind::Callers].choose(rng);
+    let path = *path.expect("a path to choose");
+    let cut = [Cut::Hang, Cut::Reset, Cut::Refuse, Cut::Delay(150)].choose(rng);
+    let cut = *cut.expect("a cut to choose");
+    let fault = |instance| match kind {
+        0..=3 => Fault::Pause { instance },
+        4..=6 => Fault::Kill { instance },
+        7 => Fault::Stop { instance },
+        8 => Fault::Cut {
+            instance,
+            path,
+            cut,
+        },
+        _ => Fault::CutPeers {
+            instance,
+            other: None,
+            direction: Direction::Both,
+            cut,
+        },
+    };
+    let affected = (first..first + count).map(|i| i % instances);
+    let mut steps: Vec<Step> = (0..)
+        .zip(affected)
+        .map(|(n, instance)| Step {
+            at: at + n * gap_ms,
+            duration,
+            fault: fault(instance),
+        })
+        .collect();
+    if rng.random_bool(0.1) {
+        steps.push(Step {
+            at,
+            duration: rng.random_range(CUT_MS),
+            fault: Fault::Store(StoreFault::Unavailable),
+        });
+    }
+    steps
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,7 @@
 use crate::coverage::{closed_unread, ms_between, time_of_day};
 use crate::fleet::{Fleet, Process, Slot};
 use crate::report::{describe, Report};
-use crate::schedule::{schedule, Direction, Fault, PathKind, Step, StoreFault, BURST_REQUESTS};
+use crate::schedule::{Direction, Fault, PathKind, Plan, Step, StoreFault, BURST_REQUESTS};
 
 /// Interval at which the version of the configuration is read from each instance, and the time that an
 /// instance has to answer.
@@ -45,6 +45,8 @@
     pub instances: usize,
     /// The program of the instances.
     pub program: PathBuf,
+    /// Which faults are injected.
+    pub plan: Plan,
 }
 
 struct Run {
@@ -83,7 +85,9 @@
     let mut watch = JoinSet::new();
     watch.spawn(Arc::clone(&run).watch_versions());
     watch.spawn(Arc::clone(&run).watch_lateness());
-    let steps = schedule(options.seed, options.seconds, options.instances);
+    let steps = options
+        .plan
+        .steps(options.seed, options.seconds, options.instances);
     try_join_all(steps.into_iter().map(|step| run.inject_at(step))).await?;
     callers.join_all().await;
     watch.shutdown().await;
@@ -200,6 +204,17 @@
                 target.set_mode(Mode::Normal);
                 Scope::Upstream
             }
+            Fault::Grey {
+                upstream,
+                mode,
+                percent,
+            } => {
+                let target = Arc::clone(&self.fleet.running_upstreams()[upstream]);
+                target.set_partial_mode(mode, percent);
+                sleep(duration).await;
+                target.set_mode(Mode::Normal);
+                Scope::Upstream
+            }
             Fault::RestartUpstream { upstream } => {
                 if !self.fleet.crash_upstream(upstream) {
                     return Ok(());
@@ -410,6 +425,10 @@
         let mut evidence = std::mem::take(&mut *lock(&self.seen));
         let mut runs_at: HashMap<(String, String), usize> = HashMap::new();
         for upstream in self.fleet.all_upstreams() {
+            for (id, at) in upstream.received_requests() {
+                let at = at.saturating_duration_since(self.began_at).as_millis() as u64;
+                evidence.arrivals.entry(id).or_default().push(at);
+            }
             for request in upstream.misdirected_requests() {
                 if let Some(id) = request.header(wire::REQUEST_ID) {
                     *evidence.misdirects.entry(id.to_string()).or_default() += 1;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -7,6 +7,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::retry_schedule::retry_schedule;
+
 /// Minimum duration of a run, in seconds: shorter ones have no time for each phase.
 pub const MIN_SECONDS: u64 = 50;
 /// Number of upstreams of each service.
@@ -198,6 +200,15 @@
         /// How it handles requests.
         mode: Mode,
     },
+    /// An upstream mishandles some requests, while its health checks succeed.
+    Grey {
+        /// The upstream.
+        upstream: usize,
+        /// How it handles them.
+        mode: Mode,
+        /// The percentage of these requests.
+        percent: usize,
+    },
     /// An upstream crashes and starts again under the same id, at another address.
     RestartUpstream {
         /// The upstream.
@@ -239,7 +250,27 @@
     pub fault: Fault,
 }
 
-/// Returns the schedule of a run, in the order of the times.
+/// Which faults a run contains.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Plan {
+    /// All kinds.
+    #[default]
+    Any,
+    /// Upstreams of whole services that fail, and instances that are killed, suspended, stopped or cut off meanwhile.
+    Retries,
+}
+
+impl Plan {
+    /// Returns the schedule of a run, in the order of the times.
+    pub fn steps(self, seed: u64, seconds: u64, instances: usize) -> Vec<Step> {
+        match self {
+            Plan::Any => schedule(seed, seconds, instances),
+            Plan::Retries => retry_schedule(seed, seconds, instances),
+        }
+    }
+}
+
+/// Returns the schedule of a run with all kinds of faults, in the order of the times.
 pub fn schedule(seed: u64, seconds: u64, instances: usize) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let kill_all_at = seconds * 1_000 - KILL_ALL_BEFORE_END_MS;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -239,10 +239,63 @@
 #[test]
 fn too_many_retries_are_found() {
     let mut evidence = evidence(vec![record("a", Route::Safe)]);
-    evidence.runs.insert("b".to_string(), 1_000);
+    evidence
+        .arrivals
+        .insert("a".to_string(), vec![1_000; 1_000]);
     assert_eq!(guarantees(&evidence), ["retries stay within the budget"]);
 }
 
+/// Returns the evidence of `count` requests of a route that were sent one per second, each with one retry that arrived
+/// at the time that a function returns for the time of the request.
+fn retried(route: Route, count: u64, retry_at: impl Fn(u64) -> u64) -> Evidence {
+    let requests = (0..count).map(|n| Record {
+        sent_at: n * 1_000,
+        ended_at: n * 1_000 + 100,
+        ..record(&format!("{n}"), route)
+    });
+    let mut evidence = evidence(requests.collect());
+    for n in 0..count {
+        let arrivals = vec![n * 1_000, retry_at(n * 1_000)];
+        evidence.arrivals.insert(format!("{n}"), arrivals);
+    }
+    evidence
+}
+
+/// Guards against a check of the whole run, which allows all of its retries within one window.
+#[test]
+fn retries_are_checked_in_each_window() {
+    let spread = retried(Route::Safe, 50, |sent_at| sent_at + 50);
+    assert!(guarantees(&spread).is_empty(), "one retry per second");
+    // 22 of the ten requests in a window, or of those in the one before, are allowed.
+    for (count, expected) in [(22, 0), (23, 1)] {
+        let together = retried(Route::Safe, 50, |sent_at| match sent_at / 1_000 {
+            n if n < count => 25_000,
+            _ => sent_at + 10_000_000,
+        });
+        assert_eq!(guarantees(&together).len(), expected, "{count} retries");
+    }
+}
+
+/// Guards against a check that allows the retries of a service because of the requests for another one.
+#[test]
+fn retries_are_checked_for_each_service() {
+    let mut evidence = retried(Route::Safe, 21, |_| 25_000);
+    let others = (0..1_000).map(|n| Record {
+        sent_at: 20_000,
+        ..record(&format!("other-{n}"), Route::Read)
+    });
+    evidence.records.extend(others);
+    assert!(check(&evidence)
+        .iter()
+        .all(|v| !v.guarantee.contains("retries")));
+    evidence
+        .arrivals
+        .insert("0".to_string(), vec![0, 25_000, 25_001]);
+    assert!(check(&evidence)
+        .iter()
+        .any(|v| v.guarantee.contains("retries")));
+}
+
 /// Guards against a run that passes although a request that an instance had accepted got no end of its answer or
 /// refusal, and against blaming what a fault or the caller has ended.
 #[test]
--- a/crates/soak/tests/dropped/main.rs
+++ b/crates/soak/tests/dropped/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use soak::run::{run, Options};
+use soak::schedule::Plan;
 use tokio::time::{sleep, timeout, Instant};
 
 /// Time within which the processes have started.
@@ -18,6 +19,7 @@
         seconds: 60,
         instances: 4,
         program: Path::new(env!("CARGO_BIN_EXE_oriolehitch")).to_path_buf(),
+        plan: Plan::Any,
     }
 }
 
--- a/crates/soak/tests/minute/main.rs
+++ b/crates/soak/tests/minute/main.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use soak::run::{run, Options};
+use soak::schedule::Plan;
 
 const SEED: u64 = 1;
 const SECONDS: u64 = 60;
@@ -14,6 +15,7 @@
         seconds: SECONDS,
         instances: INSTANCES,
         program: Path::new(env!("CARGO_BIN_EXE_oriolehitch")).to_path_buf(),
+        plan: Plan::Any,
     }
 }
 
