Retry budget: requests that are read late add no retries

A service got more retries than all instances together may send after they had been suspended. What callers sent meanwhile is read when the instances go on, over a second or two, and each of these requests added 0.144 of a retry in a window in which it was not sent; with what the buckets held and what that window's own requests add, up to a tenth more than a fifth of the requests.

After a pause (500 ms or more, seen by a clock that counts suspensions), as many requests as came before in such a time, and at least those that are read within as long a time, add nothing and don't count for what a bucket holds. The requests that remain are at most those that were sent since, so what the buckets add in a window is again a share of that window's requests.

The simulated instances notice their pauses by the code that real ones use.

--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -6,6 +6,9 @@
 //! total holds without communication between the instances, however often they are started: retries that
 //! an incarnation has not saved up by itself may have been used by the one before it.
 //!
+//! Requests that an instance reads after a pause may have been sent before the window in which it reads them. They add
+//! no retries: those of that window are not theirs.
+//!
 //! When most requests of a service fail, retries of the less urgent ones would use up the budget before
 //! the more urgent ones need it. A part of the bucket is therefore kept for those, by how many of them there
 //! are: a service with one priority loses nothing.
@@ -157,6 +160,8 @@
     saved: f64,
     /// Retries that were taken and may not have arrived yet.
     in_progress: usize,
+    /// Number of requests that were presumably sent during a pause and have not been read.
+    unread: f64,
     capacity: f64,
     /// Until when the slack was added, in milliseconds.
     refilled_at: u64,
@@ -172,6 +177,7 @@
             retries: Events::default(),
             saved: 0.0,
             in_progress: 0,
+            unread: 0.0,
             capacity: 0.0,
             refilled_at,
             acquired: 0,
@@ -209,6 +215,8 @@
 pub struct RetryBudget {
     limits: RetryLimits,
     sharers: Sharers,
+    /// Until when requests that are read were presumably sent during a pause, in milliseconds.
+    late_until: u64,
     /// When the number of listed instances was set, in milliseconds.
     shared_since: u64,
     by_service: HashMap<String, Bucket>,
@@ -220,6 +228,7 @@
         RetryBudget {
             limits,
             sharers: Sharers::default(),
+            late_until: 0,
             shared_since: 0,
             by_service: HashMap::new(),
         }
@@ -246,13 +255,28 @@
         self.sharers.count(now)
     }
 
+    /// Records that this instance did not run for some time. The requests that were sent meanwhile, as many as before
+    /// in such a time, and at least those that are read within as long a time from now on, add no retries.
+    pub fn record_pause(&mut self, now: u64, pause_ms: u64) {
+        let window_ms = self.limits.window_ms;
+        let windows = pause_ms.min(window_ms) as f64 / window_ms as f64;
+        for bucket in self.by_service.values_mut() {
+            bucket.unread += bucket.requests.count() as f64 * windows;
+        }
+        self.late_until = self.late_until.max(now + pause_ms.min(window_ms));
+    }
+
     /// Records a request for a service.
     pub fn record_request(&mut self, now: u64, service: &str, priority: u8) {
-        let limits = self.limits;
+        let (limits, late_until) = (self.limits, self.late_until);
         let bucket = self.bucket(service);
         bucket
             .requests
             .remove_before(now.saturating_sub(limits.window_ms));
+        if now < late_until || bucket.unread >= 1.0 {
+            bucket.unread = (bucket.unread - 1.0).max(0.0);
+            return;
+        }
         bucket.requests.push(now, priority);
         bucket.saved += limits.ratio * SAFETY_FACTOR * (1.0 - SAVED_REQUESTS_SHARE);
     }
--- a/crates/place/tests/retry_histories.rs
+++ b/crates/place/tests/retry_histories.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use place::{RetryBudget, RetryLimits};
+use place::{Pauses, RetryBudget, RetryLimits};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -46,12 +46,12 @@
     cut_share: f64,
     /// Whether those are killed like the others.
     kills_cut_off: bool,
-    pauses: Option<Pauses>,
+    suspensions: Option<Suspensions>,
 }
 
 /// Times at which instances are suspended. What is sent to them meanwhile is read when they continue.
 #[derive(Clone, Copy, Debug)]
-struct Pauses {
+struct Suspensions {
     /// Time between the beginnings of two, in milliseconds.
     interval_ms: u64,
     length_ms: u64,
@@ -64,10 +64,10 @@
     read_factor: f64,
 }
 
-impl Pauses {
-    fn random(rng: &mut StdRng) -> Pauses {
+impl Suspensions {
+    fn random(rng: &mut StdRng) -> Suspensions {
         let length_ms = rng.random_range(200..8_000);
-        Pauses {
+        Suspensions {
             interval_ms: length_ms + rng.random_range(200..15_000),
             length_ms,
             share: rng.random_range(0.5..=1.0),
@@ -76,7 +76,7 @@
         }
     }
 
-    /// Returns when the pause of a time ends, if there is one.
+    /// Returns when the suspension of a time ends, if there is one.
     fn ends_at(&self, now: u64) -> Option<u64> {
         let began_at = now / self.interval_ms * self.interval_ms;
         let ends_at = began_at + self.length_ms;
@@ -100,7 +100,7 @@
             cut_at: rng.random_range(0..LENGTH_MS),
             cut_share: rng.random_range(0.0..0.5),
             kills_cut_off: true,
-            pauses: None,
+            suspensions: None,
         }
     }
 }
@@ -121,6 +121,7 @@
     in_flight: VecDeque<u64>,
     /// When the requests were sent that it has not read yet.
     unread: VecDeque<u64>,
+    pauses: Pauses,
 }
 
 /// A simulated fleet before a service whose requests fail.
@@ -150,6 +151,7 @@
             known_sharers: None,
             in_flight: VecDeque::new(),
             unread: VecDeque::new(),
+            pauses: Pauses::default(),
         };
         Fleet {
             plan,
@@ -199,6 +201,7 @@
             // What a process has sent is lost with it, unless it has arrived.
             instance.in_flight.clear();
             instance.unread.clear();
+            instance.pauses = Pauses::default();
             instance.starts_at = now + self.rng.random_range(1..=self.plan.downtime_ms);
             instance.unlisted_at = now + LEASE_MS;
         }
@@ -221,7 +224,7 @@
             self.requests.push(now);
             instance.unread.push_back(now);
         }
-        let suspended = (self.plan.pauses.as_ref()).filter(|p| {
+        let suspended = (self.plan.suspensions.as_ref()).filter(|p| {
             p.ends_at(now).is_some() && (i as f64) < p.share * self.plan.instances as f64
         });
         if suspended.is_some() {
@@ -230,6 +233,9 @@
         let Some(budget) = &mut instance.budget else {
             return;
         };
+        if let Some(pause_ms) = instance.pauses.record_running(now) {
+            budget.record_pause(now, pause_ms);
+        }
         while instance.in_flight.front().is_some_and(|at| *at <= now) {
             self.arrivals.extend(instance.in_flight.pop_front());
             budget.complete(SERVICE);
@@ -240,10 +246,10 @@
             instance.known_sharers = sharers;
             budget.set_sharers(now, sharers);
         }
-        let patience_ms = self.plan.pauses.map_or(LENGTH_MS, |p| p.patience_ms);
+        let patience_ms = self.plan.suspensions.map_or(LENGTH_MS, |p| p.patience_ms);
         let read = self
             .plan
-            .pauses
+            .suspensions
             .map_or(usize::MAX, |p| (p.read_factor * expected).ceil() as usize);
         for _ in 0..read.min(instance.unread.len()) {
             let sent_at = instance.unread.pop_front().unwrap_or_default();
@@ -330,13 +336,13 @@
 fn suspended_fleets_stay_within_the_limit_over_random_histories() {
     for instances in [1, 3, 9, 30, 100, 300] {
         let usage = max_usage_of(3_600 / instances as u64, |rng| {
-            let pauses = Pauses::random(rng);
+            let suspensions = Suspensions::random(rng);
             Plan {
                 rate: rng.random_range(1.0..60.0),
                 kill_interval_ms: rng.random_range(200..4 * LENGTH_MS),
-                fails_at: pauses.interval_ms + rng.random_range(0..=pauses.length_ms),
+                fails_at: suspensions.interval_ms + rng.random_range(0..=suspensions.length_ms),
                 max_delay_ms: rng.random_range(0..300),
-                pauses: Some(pauses),
+                suspensions: Some(suspensions),
                 ..Plan::random(rng, instances)
             }
         });
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -150,6 +150,9 @@
             return;
         };
         drop(pauses);
+        let mut retries = self.retry_budget.lock().expect("lock not poisoned");
+        retries.record_pause(self.clock.now(), pause_ms);
+        drop(retries);
         self.metrics.pause_ms.inc_by(pause_ms);
         let detail = format_args!("ms={pause_ms}");
         self.log.event(Event::StoodStill, detail);
