Retry budget: an instance has a part of the slack only while its lease lasts

All instances together sent more retries than they may while some were cut off from the store. These went on with their part of the slack, divided by all instances, for as long as they were cut off. Instances that started meanwhile found only the others in the list and divided the slack by their number: what an instance remembers of earlier lists ends with it.

The part of an instance now ends when its lease expires by its own clock, counted from when the last successful renewal was sent: the store doesn't list it any longer than that, and until then others leave it its part.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -48,7 +48,7 @@
     KnownEngine, Pool,
 };
 pub use request_memory::{RequestMemory, HEAD_BYTES};
-pub use retry_budget::{RetryBudget, RetryLimits, RetryUsage};
+pub use retry_budget::{RetryBudget, RetryLimits, RetryUsage, SlackPart};
 pub use reused_addresses::AddressState;
 pub use room::Entry;
 pub use senders::Senders;
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -24,8 +24,8 @@
 const SAVED_SLACK_SHARE: f64 = 0.5;
 /// Minimum number of instances by which the slack is divided: the list of instances may be outdated.
 const MIN_SHARERS: usize = 4;
-/// How long instances that are no longer listed keep their part of the slack, in milliseconds: those that are cut off
-/// from the list go on.
+/// How long instances that are no longer listed keep their part of the slack, in milliseconds: lists differ for some
+/// time, and retries that were taken arrive late.
 const PART_KEPT_MS: u64 = 60_000;
 
 /// Share of the bucket that is kept for the more urgent requests, if all other requests are less urgent. It
@@ -109,22 +109,35 @@
     pub sharers: Option<usize>,
 }
 
+/// The part of the slack of a listed instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlackPart {
+    /// Number of listed instances, which share the slack.
+    pub sharers: usize,
+    /// When the instance is no longer listed unless it renews its lease, in milliseconds: instances that start then
+    /// leave it no part.
+    pub until: u64,
+}
+
 /// The instances that share the slack.
 #[derive(Debug, Default)]
 struct Sharers {
-    /// Number of listed instances; none if this one has no part.
-    listed: Option<usize>,
+    /// The part of this instance; none if it has none.
+    part: Option<SlackPart>,
     /// Earlier numbers, largest first, and until when these instances keep their parts, in milliseconds.
     earlier: VecDeque<(usize, u64)>,
 }
 
 impl Sharers {
-    /// Sets the number of listed instances.
-    fn set(&mut self, now: u64, listed: Option<usize>) {
+    /// Sets the part of this instance.
+    fn set(&mut self, now: u64, part: Option<SlackPart>) {
         while self.earlier.front().is_some_and(|(_, until)| *until <= now) {
             self.earlier.pop_front();
         }
-        if let Some(before) = self.listed {
+        if let Some(SlackPart {
+            sharers: before, ..
+        }) = self.part
+        {
             while self
                 .earlier
                 .back()
@@ -134,7 +147,7 @@
             }
             self.earlier.push_back((before, now + PART_KEPT_MS));
         }
-        self.listed = listed;
+        self.part = part;
     }
 
     /// Returns how many instances keep their parts although they may not be listed any more.
@@ -146,8 +159,8 @@
 
     /// Returns by how many the slack is divided; none if this instance has no part.
     fn count(&self, now: u64) -> Option<usize> {
-        let listed = self.listed?;
-        Some(listed.max(self.kept(now)).max(MIN_SHARERS))
+        let part = self.part.filter(|part| now < part.until)?;
+        Some(part.sharers.max(self.kept(now)).max(MIN_SHARERS))
     }
 }
 
@@ -217,7 +230,7 @@
     sharers: Sharers,
     /// Until when requests that are read were presumably sent during a pause, in milliseconds.
     late_until: u64,
-    /// When the number of listed instances was set, in milliseconds.
+    /// When the part of the slack was set, in milliseconds.
     shared_since: u64,
     by_service: HashMap<String, Bucket>,
 }
@@ -240,13 +253,13 @@
         entry.or_insert_with(|| Bucket::new(since))
     }
 
-    /// Sets the number of listed instances, which share the slack; none if this instance may not have a part of it.
-    pub fn set_sharers(&mut self, now: u64, listed: Option<usize>) {
+    /// Sets the part of the slack of this instance; none if it may not have one.
+    pub fn set_part(&mut self, now: u64, part: Option<SlackPart>) {
         let sharers = self.sharers(now);
         for bucket in self.by_service.values_mut() {
             bucket.refill(now, &self.limits, sharers);
         }
-        self.sharers.set(now, listed);
+        self.sharers.set(now, part);
         self.shared_since = now;
     }
 
--- a/crates/place/tests/retry_budget.rs
+++ b/crates/place/tests/retry_budget.rs
@@ -1,6 +1,6 @@
 //! The retry budget.
 
-use place::{RetryBudget, RetryLimits};
+use place::{RetryBudget, RetryLimits, SlackPart};
 
 const LIMITS: RetryLimits = RetryLimits {
     ratio: 0.2,
@@ -8,10 +8,16 @@
     window_ms: 10_000,
 };
 
+/// Returns the part of one of `sharers` instances, whose lease does not expire.
+fn part(sharers: usize) -> Option<SlackPart> {
+    let until = u64::MAX;
+    Some(SlackPart { sharers, until })
+}
+
 /// Returns the budget of an instance that has started at a time and knows nine instances.
 fn budget_of_nine(started_at: u64) -> RetryBudget {
     let mut budget = RetryBudget::new(LIMITS);
-    budget.set_sharers(started_at, Some(9));
+    budget.set_part(started_at, part(9));
     budget
 }
 
@@ -96,7 +102,7 @@
     let mut instances: Vec<RetryBudget> = (0..9).map(|_| budget_of_nine(0)).collect();
     let mut retries = 0;
     for budget in &mut instances[..5] {
-        budget.set_sharers(cut_at, Some(5));
+        budget.set_part(cut_at, part(5));
     }
     let start = cut_at + later_ms;
     for t in (start..start + 10_000).step_by(100) {
@@ -124,7 +130,7 @@
 fn an_instance_that_is_not_listed_has_no_part_of_the_slack() {
     let mut budget = RetryBudget::new(LIMITS);
     assert!(!budget.try_acquire(60_000, "desk", 0));
-    budget.set_sharers(60_000, Some(9));
+    budget.set_part(60_000, part(9));
     assert!(!budget.try_acquire(60_000, "desk", 0));
     assert!(budget.try_acquire(70_000, "desk", 0));
 }
@@ -191,3 +197,17 @@
     }
     assert_eq!(others, 23);
 }
+
+/// Guards against retries from the slack at an instance that others don't count any more, since its lease has expired.
+#[test]
+fn an_instance_whose_lease_has_expired_has_no_part_of_the_slack() {
+    let mut budget = RetryBudget::new(LIMITS);
+    let lease = |until| Some(SlackPart { sharers: 9, until });
+    budget.set_part(0, lease(30_000));
+    assert_eq!(budget.sharers(29_999), Some(9));
+    assert!(budget.try_acquire(29_999, "desk", 0));
+    assert_eq!(budget.sharers(30_000), None);
+    assert!(!budget.try_acquire(30_000, "desk", 0));
+    budget.set_part(31_000, lease(61_000));
+    assert!(budget.try_acquire(41_000, "desk", 0));
+}
--- a/crates/place/tests/retry_histories.rs
+++ b/crates/place/tests/retry_histories.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use place::{Pauses, RetryBudget, RetryLimits};
+use place::{Pauses, RetryBudget, RetryLimits, SlackPart};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -16,8 +16,9 @@
 /// Length of a history and of its steps, in milliseconds.
 const LENGTH_MS: u64 = 40_000;
 const STEP_MS: u64 = 20;
-/// Time after which a crashed instance is no longer listed, in milliseconds.
+/// Time after which a crashed instance is no longer listed, and between the renewals of a lease, in milliseconds.
 const LEASE_MS: u64 = 4_000;
+const RENEWAL_MS: u64 = 1_000;
 
 /// The random properties of a history.
 #[derive(Clone, Copy, Debug)]
@@ -115,8 +116,10 @@
     unlisted_at: u64,
     /// Number of instances in the list that it has.
     sharers: usize,
-    /// That number if the list contains the instance.
-    known_sharers: Option<usize>,
+    /// Its part of the slack, if the list contains the instance.
+    part: Option<SlackPart>,
+    /// When it is no longer listed unless it renews its lease.
+    lease_until: u64,
     /// When the retries that it has sent arrive.
     in_flight: VecDeque<u64>,
     /// When the requests were sent that it has not read yet.
@@ -148,7 +151,8 @@
             listed_at: 0,
             unlisted_at: 0,
             sharers: 0,
-            known_sharers: None,
+            part: None,
+            lease_until: LEASE_MS,
             in_flight: VecDeque::new(),
             unread: VecDeque::new(),
             pauses: Pauses::default(),
@@ -173,8 +177,9 @@
             let first_connected = if now < self.plan.cut_at + LEASE_MS {
                 0
             } else {
-                (self.plan.cut_share * self.plan.instances as f64) as usize
+                self.cut_off()
             };
+            let cut_off = self.cut_off();
             let is_listed =
                 |i: &&Instance| i.listed_at <= now && (i.budget.is_some() || now < i.unlisted_at);
             let connected = &self.instances[first_connected..];
@@ -183,13 +188,22 @@
                 if i >= first_connected {
                     self.instances[i].sharers = listed;
                 }
+                let renews = i >= cut_off || now < self.plan.cut_at;
+                if renews && now % RENEWAL_MS == 0 {
+                    self.instances[i].lease_until = now + LEASE_MS;
+                }
                 self.step(now, i);
             }
         }
     }
 
+    /// Returns the number of instances that are cut off; they are the first ones.
+    fn cut_off(&self) -> usize {
+        (self.plan.cut_share * self.plan.instances as f64) as usize
+    }
+
     fn kill(&mut self, now: u64) {
-        let cut_off = (self.plan.cut_share * self.plan.instances as f64) as usize;
+        let cut_off = self.cut_off();
         for (i, instance) in self.instances.iter_mut().enumerate() {
             if !self.rng.random_bool(self.plan.killed_share) || instance.budget.is_none() {
                 continue;
@@ -215,7 +229,7 @@
                 return;
             }
             instance.budget = Some(RetryBudget::new(self.limits));
-            instance.known_sharers = None;
+            instance.part = None;
             instance.listed_at = now + self.rng.random_range(1..=self.plan.listing_ms);
         }
         let expected = self.plan.rate * STEP_MS as f64 / 1_000.0;
@@ -241,10 +255,13 @@
             budget.complete(SERVICE);
         }
         let is_listed = instance.listed_at <= now;
-        let sharers = is_listed.then_some(instance.sharers);
-        if sharers != instance.known_sharers {
-            instance.known_sharers = sharers;
-            budget.set_sharers(now, sharers);
+        let part = is_listed.then_some(SlackPart {
+            sharers: instance.sharers,
+            until: instance.lease_until,
+        });
+        if part != instance.part {
+            instance.part = part;
+            budget.set_part(now, part);
         }
         let patience_ms = self.plan.suspensions.map_or(LENGTH_MS, |p| p.patience_ms);
         let read = self
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use clock::Clock;
 use kv::{KeyValue, Precondition, Put, Store, StoreError, Txn, TxnResult};
-use place::Pool;
+use place::{Pool, SlackPart};
 use relay::Candidate;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -94,6 +94,8 @@
     list_complete: AtomicBool,
     /// The lease of the last registration; 0 before the first one.
     lease: Mutex<i64>,
+    /// When the lease expires unless it is renewed, in milliseconds, counted from when the last call was sent.
+    lease_until: watch::Sender<u64>,
 }
 
 /// Returns when an incarnation started, in seconds since the Unix epoch, as encoded in its name.
@@ -152,6 +154,7 @@
             mass_start: AtomicBool::new(false),
             list_complete: AtomicBool::new(false),
             lease: Mutex::new(0),
+            lease_until: watch::channel(0).0,
         }));
         fleet.update_peer_addresses();
         fleet
@@ -251,12 +254,20 @@
         self.roster().len()
     }
 
-    /// Returns the number of instances that have parts of the limits of the whole fleet, of which this instance may
-    /// use its own; none while it does not know the whole list, or is not in it: others don't leave it a part then.
-    pub(crate) fn sharer_count(&self) -> Option<usize> {
+    /// Returns a receiver that changes when the lease is granted or renewed.
+    pub(crate) fn lease_renewals(&self) -> watch::Receiver<u64> {
+        self.0.lease_until.subscribe()
+    }
+
+    /// Returns the part of this instance in the slack of the retry budgets; none while it does not know the whole list,
+    /// or is not in it: others don't leave it a part then.
+    pub(crate) fn slack_part(&self) -> Option<SlackPart> {
         let roster = self.roster();
         let has_part = self.0.list_complete.load(Ordering::Relaxed) && roster.is_own_listed();
-        has_part.then(|| roster.len())
+        has_part.then(|| SlackPart {
+            sharers: roster.len(),
+            until: *self.0.lease_until.borrow(),
+        })
     }
 
     /// Starts the tasks that keep this instance registered and follow the list.
@@ -292,6 +303,7 @@
     /// Writes the key of this instance with a new lease.
     async fn register(&self) -> Result<i64, StoreError> {
         let store = &self.0.store;
+        let sent_at = self.0.clock.now();
         let lease = store.grant_lease(self.0.lease_ttl_ms).await?;
         let value = serde_json::to_vec(&self.0.own).expect("a member can be serialized");
         // Most starts find no key under their name, so the first attempt expects none. A
@@ -328,9 +340,18 @@
             }
         }
         *self.0.lease.lock().expect("lock not poisoned") = lease;
+        self.record_lease(sent_at);
         Ok(lease)
     }
 
+    /// Records that the lease was granted or renewed by a call that was sent at a time.
+    fn record_lease(&self, sent_at: u64) {
+        let until = sent_at + self.0.lease_ttl_ms;
+        self.0
+            .lease_until
+            .send_modify(|current| *current = (*current).max(until));
+    }
+
     /// Renews the lease until it has expired. Each renewal is also a probe of the store.
     async fn keep_lease_alive(&self, lease: i64) {
         let FollowerDeps {
@@ -350,14 +371,17 @@
                     () = &mut probe_due => break,
                     Some(renewed) = renewals.join_next() => {
                         // If a call fails, the next one shows whether the lease has expired.
-                        if let Ok(Ok(false)) = renewed {
-                            return;
+                        match renewed {
+                            Ok((sent_at, Ok(true))) => self.record_lease(sent_at),
+                            Ok((_, Ok(false))) => return,
+                            Ok((_, Err(_))) | Err(_) => {}
                         }
                     }
                 }
             }
             let store = Arc::clone(&self.0.store);
-            renewals.spawn(async move { store.renew_lease(lease).await });
+            let sent_at = self.0.clock.now();
+            renewals.spawn(async move { (sent_at, store.renew_lease(lease).await) });
         }
     }
 
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -312,7 +312,7 @@
         store_calls.spawn_logging(Arc::clone(&log));
 
         overload_log::spawn(Arc::clone(&router));
-        spawn_sharer_updates(Arc::clone(&router));
+        spawn_slack_updates(Arc::clone(&router));
         let (phase, phase_rx) = watch::channel(Phase::Serving);
         listen::serve(
             listener,
@@ -492,14 +492,18 @@
     });
 }
 
-/// Starts the task that sets by how many instances the slack of retry budgets is divided.
-fn spawn_sharer_updates(router: Arc<Router>) {
+/// Starts the task that sets the part of this instance in the slack of the retry budgets.
+fn spawn_slack_updates(router: Arc<Router>) {
     let mut changes = router.fleet.roster_changes();
+    let mut renewals = router.fleet.lease_renewals();
     tokio::spawn(async move {
         loop {
-            router.update_retry_sharers();
+            router.update_slack_part();
             // Waiting can't fail: the router owns the fleet.
-            let _ = changes.changed().await;
+            tokio::select! {
+                _ = changes.changed() => {}
+                _ = renewals.changed() => {}
+            }
         }
     });
 }
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -158,11 +158,11 @@
         self.log.event(Event::StoodStill, detail);
     }
 
-    /// Divides the slack of the retry budgets by the present number of instances.
-    pub(crate) fn update_retry_sharers(&self) {
-        let (now, count) = (self.clock.now(), self.fleet.sharer_count());
+    /// Sets the part of the slack of the retry budgets that this instance has at present.
+    pub(crate) fn update_slack_part(&self) {
+        let (now, part) = (self.clock.now(), self.fleet.slack_part());
         let mut retries = self.retry_budget.lock().expect("lock not poisoned");
-        retries.set_sharers(now, count);
+        retries.set_part(now, part);
     }
 
     /// Returns by how many instances the slack of the retry budgets is divided; none if this one has no part.
