Soak: suspended upstreams in schedules with many retries

An upstream that is suspended reads afterwards what was sent to it, also attempts that were given up and reset meanwhile: these arrive after the retry that followed them, in a later window.

--- a/crates/soak/src/retry_schedule.rs
+++ b/crates/soak/src/retry_schedule.rs
@@ -18,9 +18,11 @@
 const OUTAGE_GAP_MS: Range<u64> = 300..9_000;
 /// Percentages of the requests that fail: an upstream with the last one fails its health checks as well.
 const FAILING_PERCENTS: [usize; 4] = [60, 80, 90, 100];
+/// Share of these times at which some of the upstreams are suspended as well.
+const SUSPENDED_SHARE: f64 = 0.4;
 /// Time between two faults of instances, in milliseconds.
 const GAP_MS: Range<u64> = 300..5_000;
-/// Time for which instances are suspended, down or cut off, in milliseconds.
+/// Time for which instances or upstreams are suspended, and instances are down or cut off, in milliseconds.
 const PAUSE_MS: Range<u64> = 300..8_000;
 const DOWN_MS: Range<u64> = 0..2_000;
 const REMOVED_MS: Range<u64> = 5_000..15_000;
@@ -69,6 +71,16 @@
             duration,
             fault: fault(upstream),
         }));
+        if rng.random_bool(SUSPENDED_SHARE) {
+            let suspended = rng.random_range(1..=upstreams.len());
+            let suspended_at = at + rng.random_range(0..duration);
+            let length = rng.random_range(PAUSE_MS);
+            steps.extend(upstreams.clone().take(suspended).map(|upstream| Step {
+                at: suspended_at,
+                duration: length,
+                fault: Fault::SuspendUpstream { upstream },
+            }));
+        }
         at += duration + rng.random_range(OUTAGE_GAP_MS);
     }
     steps
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -204,6 +204,13 @@
                 target.set_mode(Mode::Normal);
                 Scope::Upstream
             }
+            Fault::SuspendUpstream { upstream } => {
+                let target = Arc::clone(&self.fleet.running_upstreams()[upstream]);
+                target.set_suspended(true);
+                sleep(duration).await;
+                target.set_suspended(false);
+                Scope::Upstream
+            }
             Fault::Grey {
                 upstream,
                 mode,
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -200,6 +200,11 @@
         /// How it handles requests.
         mode: Mode,
     },
+    /// An upstream is suspended. It reads afterwards what was sent to it, also what was given up meanwhile.
+    SuspendUpstream {
+        /// The upstream.
+        upstream: usize,
+    },
     /// An upstream mishandles some requests, while its health checks succeed.
     Grey {
         /// The upstream.
