Forwarded responses: use HTTP/1.1 whatever the upstream's version

A caller got status 200, the upstream's seal and an empty or short body that looked whole, after the upstream had reset the connection. The upstream answers in HTTP/1.0 without a length, and the request goes through another instance: that one passed on the response with the version of its head, so the HTTP library ended the body by closing the connection between the instances, whether the upstream's body had ended or broken off. In HTTP/1.1 it is sent in chunks, and a body that breaks off lacks the last one. Responses to callers were built with the default version already.

cut_responses_never_look_complete_through_another_instance: before, 2 of 2 runs failed (HTTP/1.0, no length, reset after the head: 200, empty, complete); now passes. The test cuts responses of six framings (with a length, also after an informational response and in HTTP/1.0; chunks; no length, also in HTTP/1.0) by close, reset and half-close in some twenty places each, as plain responses and streams, directly and through another instance.

--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use hyper::http::request;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use place::{max_connections, Entry, Spec};
 use tokio::time::{timeout_at, Sleep};
 use transit::Mode;
@@ -240,6 +240,8 @@
         head.headers.remove(name);
     }
     head.headers.remove(header::ERROR);
+    // In the version of an older upstream, a body that breaks off would have no other end than a whole one.
+    head.version = Version::HTTP_11;
     let body = ForwardedBody {
         body,
         conn: Some(conn),
