Responses without a length: a connection that closes before the body ends no response

But an upstream that closes right after the head of a response without a length or chunks gave its caller a 200 with the seal, an empty body or a stream without any event, and an end: nothing told it from one that is complete.

A successful response of this kind has broken off if no byte of its body was received: the caller gets 502, or another attempt where that is allowed, also through another instance. HEAD requests, 204, 205, and streams that are continued after an event, which may have none left, are left as they are. A response that has begun and is closed later can't be told from a whole one by anybody.

--- a/crates/proxy/src/buffered.rs
+++ b/crates/proxy/src/buffered.rs
@@ -18,6 +18,7 @@
 use crate::event::Event;
 use crate::refusal::Refusal;
 use crate::request_context::{InFlightGuard, RequestContext};
+use crate::response_end::must_have_body;
 use crate::response_memory::ResponseMemory;
 use crate::router::Router;
 
@@ -113,6 +114,15 @@
         ));
     };
     let bytes = match read {
+        Ok(Read::Complete(bytes))
+            if bytes.is_empty() && must_have_body(&ctx.head.method, &head) =>
+        {
+            guard.record_alive();
+            guard.end(Outcome::InvalidResponse);
+            return Err(format!(
+                "upstream={upstream} connection closed before the body"
+            ));
+        }
         Ok(Read::Complete(bytes)) => bytes,
         Ok(Read::Large(bytes, rest)) => {
             guard.record_latency();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -51,6 +51,7 @@
 mod request_body;
 mod request_context;
 mod request_info;
+mod response_end;
 mod response_memory;
 mod roster;
 mod router;
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -21,6 +21,7 @@
 use crate::event::Event;
 use crate::refusal::Refusal;
 use crate::request_context::{RequestContext, StreamVersion};
+use crate::response_end::must_have_body;
 use crate::response_memory::ResponseMemory;
 use crate::router::Router;
 use crate::sse::{SseEvent, SseParser};
@@ -280,6 +281,14 @@
         let why = format!("upstream={upstream} path lost before the first event");
         return Err(AttemptError::Unknown(why));
     };
+    let next = match next {
+        // A stream that is continued may have no event left.
+        Ok(Next::End) if last_event_id.is_none() && must_have_body(&ctx.head.method, &head) => {
+            let why = "connection closed before the first event";
+            Ok(Next::Aborted(why.to_string(), Outcome::InvalidResponse))
+        }
+        next => next,
+    };
     // An upstream may send the head of a stream before it runs the request.
     if matches!(next, Ok(Next::Event(_) | Next::End)) {
         ctx.record_answered();
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -26,6 +26,7 @@
 use crate::request_body::{read_body, BodyError};
 use crate::request_context::InFlightGuard;
 use crate::request_info::RequestInfo;
+use crate::response_end::must_have_body;
 use crate::router::Router;
 
 /// How long a request without a timeout is forwarded, in milliseconds.
@@ -211,6 +212,7 @@
     dialect.set_timeout(&mut head.headers, remaining_ms);
     router.metrics.transit_forwarded.inc();
     router.with_link(|l, now| l.record_request_sent(now, body.len()));
+    let method = head.method.clone();
     let req = Request::from_parts(head, Full::new(body));
     let ends_at = router.clock.at(forwarding.deadline + DEADLINE_MARGIN_MS);
     let sent = timeout_at(ends_at, conn.send(req)).await;
@@ -232,6 +234,9 @@
     let (mut head, body) = res.into_parts();
     forwarding.status = head.status.as_u16();
     let response_info = dialect.parse_response(&forwarding.info, &head);
+    // A stream that is continued may have no event left.
+    let is_empty_complete =
+        forwarding.info.last_event_id.is_some() || !must_have_body(&method, &head);
     let (spec, sent_at) = (&forwarding.spec, forwarding.arrived_at);
     router
         .upstream_list
@@ -247,6 +252,7 @@
         conn: Some(conn),
         forwarding,
         response_info,
+        may_end: is_empty_complete,
         ends_at: Box::pin(tokio::time::sleep_until(ends_at)),
     };
     Ok(Response::from_parts(head, ResponseBody::Forwarded(body)))
@@ -300,6 +306,8 @@
     conn: Option<dial::Conn>,
     forwarding: Forwarding,
     response_info: ResponseInfo,
+    /// Whether what was received may be the whole body if the upstream says that it ends.
+    may_end: bool,
     ends_at: Pin<Box<Sleep>>,
 }
 
@@ -347,6 +355,7 @@
             Poll::Ready(Some(Ok(frame))) => {
                 this.forwarding.direct.record_received();
                 if let Some(data) = frame.data_ref() {
+                    this.may_end = true;
                     let router = &this.forwarding.router;
                     router.with_link(|l, now| l.record_response(now, data.len()));
                 }
@@ -356,6 +365,10 @@
                 this.conn = None;
                 Poll::Ready(Some(Err(ResponseAborted)))
             }
+            Poll::Ready(None) if !this.may_end => {
+                this.conn = None;
+                Poll::Ready(Some(Err(ResponseAborted)))
+            }
             Poll::Ready(None) => {
                 this.finish();
                 Poll::Ready(None)
