Outage of the store: an instance that starts gets the list of upstreams that others have

An instance that was started while the store was away became ready only once it was back, although another one had the configuration and the list: callers of its zone met one instance less. The answer to an instance that asks for news named the revision of the list of upstreams as 0 as soon as the answering one had noticed the outage, as its list may be outdated then. So the list was only given away in the moments before, which is why it took 8 s, 2 s or for ever by when the outage began. The answer names the known revision as well, and an instance that has no list at all fetches that.

evacuation::an_instance_started_during_an_outage_becomes_ready_beside_one_that_was_just_listed: before, failed once more (not ready within 20 s; log: the configuration from the peer after 1.6 s, no list); now passes with the five others of its module.

--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -107,6 +107,9 @@
     /// knowledge may be outdated.
     #[serde(rename = "upstreams")]
     upstreams_revision: i64,
+    /// The same although its knowledge may be outdated: an instance without any list can use nothing better.
+    #[serde(rename = "known", default, skip_serializing_if = "Option::is_none")]
+    known_upstreams_revision: Option<i64>,
     leaving: Vec<String>,
     evacuations: Vec<Notice>,
     limits: Vec<Notice>,
@@ -136,9 +139,11 @@
         }
         let active = self.notice_handler.config.active();
         let newer = active.filter(|a| a.routing.version > request.version);
+        let relay = &self.notice_handler.relay;
         SyncResponse {
             config: newer.map(|a| String::from_utf8_lossy(&a.raw).into_owned()),
-            upstreams_revision: self.notice_handler.relay.current_revision(Topic::Upstreams),
+            upstreams_revision: relay.current_revision(Topic::Upstreams),
+            known_upstreams_revision: Some(relay.revision(Topic::Upstreams)),
             leaving: self.notice_handler.upstream_list.leaving_incarnations(),
             evacuations: self.notice_handler.notices.evacuations(),
             limits: self.notice_handler.upstream_list.limit_notices(),
@@ -569,7 +574,12 @@
                 .mark_leaving(upstream, "peer");
         }
         let relay = &service.notice_handler.relay;
-        if response.upstreams_revision > relay.revision(Topic::Upstreams) {
+        let known = relay.revision(Topic::Upstreams);
+        let available = match response.known_upstreams_revision {
+            Some(revision) if known == 0 => revision,
+            _ => response.upstreams_revision,
+        };
+        if available > known {
             if let Some(response) = self.fetch_upstreams(addr, relay).await {
                 let update = relay.apply_delta(Topic::Upstreams, response);
                 service.notice_handler.upstream_list.apply(update);
