Retry budget: requests that were not read within a window after a pause are not expected any more

Callers leave, so fewer requests may be read after a pause than were expected; the rest would have cost later requests their retries, whenever they came. Test: requests_after_a_pause_add_retries_again.

--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -228,8 +228,10 @@
 pub struct RetryBudget {
     limits: RetryLimits,
     sharers: Sharers,
-    /// Until when requests that are read were presumably sent during a pause, in milliseconds.
+    /// Until when all requests that are read were presumably sent during a pause, in milliseconds.
     late_until: u64,
+    /// When a window has passed since the last pause, in milliseconds: what was not read until then will not be.
+    unread_until: u64,
     /// When the part of the slack was set, in milliseconds.
     shared_since: u64,
     by_service: HashMap<String, Bucket>,
@@ -242,6 +244,7 @@
             limits,
             sharers: Sharers::default(),
             late_until: 0,
+            unread_until: 0,
             shared_since: 0,
             by_service: HashMap::new(),
         }
@@ -277,12 +280,16 @@
             bucket.unread += bucket.requests.count() as f64 * windows;
         }
         self.late_until = self.late_until.max(now + pause_ms.min(window_ms));
+        self.unread_until = now + window_ms;
     }
 
     /// Records a request for a service.
     pub fn record_request(&mut self, now: u64, service: &str, priority: u8) {
-        let (limits, late_until) = (self.limits, self.late_until);
+        let (limits, late_until, unread_until) = (self.limits, self.late_until, self.unread_until);
         let bucket = self.bucket(service);
+        if now >= unread_until {
+            bucket.unread = 0.0;
+        }
         bucket
             .requests
             .remove_before(now.saturating_sub(limits.window_ms));
--- a/crates/place/tests/retry_budget.rs
+++ b/crates/place/tests/retry_budget.rs
@@ -211,3 +211,41 @@
     budget.set_part(31_000, lease(61_000));
     assert!(budget.try_acquire(41_000, "desk", 0));
 }
+
+/// Returns how many retries an instance has saved up from requests within a second that begins `later_ms` after a pause of
+/// two seconds, before which it had received 20 requests each second.
+fn saved_after_a_pause(later_ms: u64) -> usize {
+    let limits = RetryLimits {
+        slack: 0.0,
+        ..LIMITS
+    };
+    let mut budget = RetryBudget::new(limits);
+    for n in 0..400 {
+        budget.record_request(n * 50, "desk", 0);
+    }
+    while budget.try_acquire(20_000, "desk", 0) {
+        budget.complete("desk");
+    }
+    budget.record_pause(22_000, 2_000);
+    for n in 0..40 {
+        budget.record_request(22_000 + later_ms + n * 25, "desk", 0);
+    }
+    let mut retries = 0;
+    while budget.try_acquire(23_000 + later_ms, "desk", 0) {
+        budget.complete("desk");
+        retries += 1;
+    }
+    retries
+}
+
+/// Guards against retries for requests that were sent during a pause, and against requests that never add any again.
+#[test]
+fn requests_after_a_pause_add_retries_again() {
+    assert_eq!(saved_after_a_pause(0), 0, "read at once");
+    assert_eq!(
+        saved_after_a_pause(5_000),
+        0,
+        "as many as were expected meanwhile"
+    );
+    assert_eq!(saved_after_a_pause(10_000), 1, "after a window");
+}
