Retry budget, soak: simpler forms

Kinds of faults of instances have names instead of numbers; seeds of `--retries` give the same schedules. A pause counts only the requests of the window before it, also of a service that had none since.

--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -134,10 +134,7 @@
         while self.earlier.front().is_some_and(|(_, until)| *until <= now) {
             self.earlier.pop_front();
         }
-        if let Some(SlackPart {
-            sharers: before, ..
-        }) = self.part
-        {
+        if let Some(before) = self.part.map(|part| part.sharers) {
             while self
                 .earlier
                 .back()
@@ -276,7 +273,9 @@
     pub fn record_pause(&mut self, now: u64, pause_ms: u64) {
         let window_ms = self.limits.window_ms;
         let windows = pause_ms.min(window_ms) as f64 / window_ms as f64;
+        let window_start = now.saturating_sub(pause_ms + window_ms);
         for bucket in self.by_service.values_mut() {
+            bucket.requests.remove_before(window_start);
             bucket.unread += bucket.requests.count() as f64 * windows;
         }
         self.late_until = self.late_until.max(now + pause_ms.min(window_ms));
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -94,7 +94,7 @@
     list_complete: AtomicBool,
     /// The lease of the last registration; 0 before the first one.
     lease: Mutex<i64>,
-    /// When the lease expires unless it is renewed, in milliseconds, counted from when the last call was sent.
+    /// When the lease expires unless it is renewed, in milliseconds.
     lease_until: watch::Sender<u64>,
 }
 
@@ -344,7 +344,8 @@
         Ok(lease)
     }
 
-    /// Records that the lease was granted or renewed by a call that was sent at a time.
+    /// Records that the lease was granted or renewed by a call that was sent at a time. It lasts from then at least: the
+    /// store received the call later.
     fn record_lease(&self, sent_at: u64) {
         let until = sent_at + self.0.lease_ttl_ms;
         self.0
--- a/crates/proxy/src/transit/server.rs
+++ b/crates/proxy/src/transit/server.rs
@@ -235,8 +235,7 @@
     forwarding.status = head.status.as_u16();
     let response_info = dialect.parse_response(&forwarding.info, &head);
     // A stream that is continued may have no event left.
-    let is_empty_complete =
-        forwarding.info.last_event_id.is_some() || !must_have_body(&method, &head);
+    let may_end = forwarding.info.last_event_id.is_some() || !must_have_body(&method, &head);
     let (spec, sent_at) = (&forwarding.spec, forwarding.arrived_at);
     router
         .upstream_list
@@ -252,7 +251,7 @@
         conn: Some(conn),
         forwarding,
         response_info,
-        may_end: is_empty_complete,
+        may_end,
         ends_at: Box::pin(tokio::time::sleep_until(ends_at)),
     };
     Ok(Response::from_parts(head, ResponseBody::Forwarded(body)))
--- a/crates/soak/src/retry_schedule.rs
+++ b/crates/soak/src/retry_schedule.rs
@@ -3,11 +3,10 @@
 use std::ops::Range;
 
 use platform::stub::{Cut, Mode};
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::schedule::{Direction, Fault, PathKind, Step, StoreFault, UPSTREAMS};
+use crate::schedule::{pick, Direction, Fault, PathKind, Step, StoreFault, UPSTREAMS};
 
 /// When the first fault may begin, and how long before the end of a run the last ones begin, in milliseconds.
 const FIRST_FAULT_MS: u64 = 4_000;
@@ -27,8 +26,36 @@
 const DOWN_MS: Range<u64> = 0..2_000;
 const REMOVED_MS: Range<u64> = 5_000..15_000;
 const CUT_MS: Range<u64> = 300..6_000;
-/// Share of the faults of instances that affect all of them.
+/// Share of the faults of instances that affect all of them, and share beside which the store is unavailable.
 const ALL_SHARE: f64 = 0.6;
+const STORE_OUTAGE_SHARE: f64 = 0.1;
+
+/// What happens to instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Pause,
+    Kill,
+    /// They are killed and stay away for several seconds.
+    Remove,
+    /// They are stopped as planned, one after the other.
+    StopInTurn,
+    Cut,
+    CutPeers,
+}
+
+/// The kinds, by how often they are drawn.
+const KINDS: [Kind; 10] = [
+    Kind::Pause,
+    Kind::Pause,
+    Kind::Pause,
+    Kind::Pause,
+    Kind::Kill,
+    Kind::Kill,
+    Kind::Remove,
+    Kind::StopInTurn,
+    Kind::Cut,
+    Kind::CutPeers,
+];
 
 /// Returns the schedule of a seed, in the order of the times.
 pub(crate) fn retry_schedule(seed: u64, seconds: u64, instances: usize) -> Vec<Step> {
@@ -54,10 +81,7 @@
     while at < span.end {
         let duration = rng.random_range(OUTAGE_MS).min(span.end - at);
         let modes = [Mode::NotExecuted, Mode::NoResponse, Mode::Truncated(3)];
-        let mode = *modes.choose(rng).expect("a mode to choose");
-        let percent = *FAILING_PERCENTS
-            .choose(rng)
-            .expect("a percentage to choose");
+        let (mode, percent) = (pick(rng, &modes), pick(rng, &FAILING_PERCENTS));
         let fault = |upstream| match percent {
             100 => Fault::Upstream { upstream, mode },
             _ => Fault::Grey {
@@ -88,39 +112,40 @@
 
 /// Returns a fault of one instance, of several or of all, which begins at a time.
 fn instance_faults(rng: &mut ChaCha8Rng, at: u64, instances: usize) -> Vec<Step> {
-    let kind = rng.random_range(0..10);
-    let (duration, is_gradual) = match kind {
-        0..=3 => (rng.random_range(PAUSE_MS), false),
-        4 | 5 => (rng.random_range(DOWN_MS), false),
-        6 => (rng.random_range(REMOVED_MS), false),
-        7 => (0, true),
-        _ => (rng.random_range(CUT_MS), false),
+    let kind = pick(rng, &KINDS);
+    let duration = match kind {
+        Kind::Pause => rng.random_range(PAUSE_MS),
+        Kind::Kill => rng.random_range(DOWN_MS),
+        Kind::Remove => rng.random_range(REMOVED_MS),
+        Kind::StopInTurn => 0,
+        Kind::Cut | Kind::CutPeers => rng.random_range(CUT_MS),
     };
     let first = rng.random_range(0..instances);
-    let count = match rng.random_bool(ALL_SHARE) {
-        // Otherwise no instance is left for seconds.
-        true if kind != 6 => instances,
-        _ => rng.random_range(1..=instances.div_ceil(2)),
+    // If all were removed, no instance would be left for seconds.
+    let affects_all = rng.random_bool(ALL_SHARE) && kind != Kind::Remove;
+    let count = match affects_all {
+        true => instances,
+        false => rng.random_range(1..=instances.div_ceil(2)),
     };
-    let gap_ms = if is_gradual {
-        rng.random_range(GAP_MS)
-    } else {
-        0
+    let gap_ms = match kind {
+        Kind::StopInTurn => rng.random_range(GAP_MS),
+        _ => 0,
     };
-    let path = [PathKind::Store, PathKind::Upstreams, PathKind::Callers].choose(rng);
-    let path = *path.expect("a path to choose");
-    let cut = [Cut::Hang, Cut::Reset, Cut::Refuse, Cut::Delay(150)].choose(rng);
-    let cut = *cut.expect("a cut to choose");
+    let path = pick(
+        rng,
+        &[PathKind::Store, PathKind::Upstreams, PathKind::Callers],
+    );
+    let cut = pick(rng, &[Cut::Hang, Cut::Reset, Cut::Refuse, Cut::Delay(150)]);
     let fault = |instance| match kind {
-        0..=3 => Fault::Pause { instance },
-        4..=6 => Fault::Kill { instance },
-        7 => Fault::Stop { instance },
-        8 => Fault::Cut {
+        Kind::Pause => Fault::Pause { instance },
+        Kind::Kill | Kind::Remove => Fault::Kill { instance },
+        Kind::StopInTurn => Fault::Stop { instance },
+        Kind::Cut => Fault::Cut {
             instance,
             path,
             cut,
         },
-        _ => Fault::CutPeers {
+        Kind::CutPeers => Fault::CutPeers {
             instance,
             other: None,
             direction: Direction::Both,
@@ -128,15 +153,13 @@
         },
     };
     let affected = (first..first + count).map(|i| i % instances);
-    let mut steps: Vec<Step> = (0..)
-        .zip(affected)
-        .map(|(n, instance)| Step {
-            at: at + n * gap_ms,
-            duration,
-            fault: fault(instance),
-        })
-        .collect();
-    if rng.random_bool(0.1) {
+    let steps = (0..).zip(affected).map(|(n, instance)| Step {
+        at: at + n * gap_ms,
+        duration,
+        fault: fault(instance),
+    });
+    let mut steps: Vec<Step> = steps.collect();
+    if rng.random_bool(STORE_OUTAGE_SHARE) {
         steps.push(Step {
             at,
             duration: rng.random_range(CUT_MS),
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -453,6 +453,11 @@
     (distance > 0).then_some((instance + distance) % instances)
 }
 
-fn pick<T: Copy>(rng: &mut ChaCha8Rng, values: &[T]) -> T {
+/// Returns a random one of some values.
+///
+/// # Panics
+///
+/// Panics if there are none.
+pub(crate) fn pick<T: Copy>(rng: &mut ChaCha8Rng, values: &[T]) -> T {
     *values.choose(rng).expect("values to choose from")
 }
