Own interface's store: one odd item doesn't empty a list

Each item is parsed on its own; an odd one is left out.

odd_items_do_not_hide_the_others: before, no key at all; now the sound one.

--- a/crates/kv/src/client.rs
+++ b/crates/kv/src/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use serde::Deserialize;
 use serde_json::{json, Value};
 use tokio::sync::mpsc;
 
@@ -241,13 +242,14 @@
     }
 }
 
-/// Parses the keys in a response; returns none if they are invalid.
-pub(crate) fn parse_key_values(kvs: &Value) -> Vec<KeyValue> {
-    let list: Vec<EncodedKeyValue> = serde_json::from_value(kvs.clone()).unwrap_or_default();
+/// Parses the keys in a response. One that is invalid is left out, so that it does not hide the others.
+pub fn parse_key_values(kvs: &Value) -> Vec<KeyValue> {
+    let list = kvs.as_array().into_iter().flatten();
+    let list = list.filter_map(|kv| EncodedKeyValue::deserialize(kv).ok());
     let decode = |kv: EncodedKeyValue| KeyValue {
         key: String::from_utf8_lossy(&wire::decode_base64(&kv.key)).into_owned(),
         value: wire::decode_base64(&kv.value),
         revision: wire::parse_int(&kv.mod_revision),
     };
-    list.into_iter().map(decode).collect()
+    list.map(decode).collect()
 }
--- a/crates/kv/tests/encoding.rs
+++ b/crates/kv/tests/encoding.rs
@@ -1,5 +1,6 @@
 //! The encoding of requests to the key-value store and of its responses, which must not change.
 
+use kv::client::parse_key_values;
 use kv::wire::{self, EncodedKeyValue};
 use kv::{Precondition, Put, Txn};
 
@@ -40,3 +41,19 @@
     let sample: serde_json::Value = serde_json::from_str(sample).expect("a sample");
     assert_eq!(wire::txn(&txn), sample);
 }
+
+/// Guards against a list that counts as empty because of one odd item in it.
+#[test]
+fn odd_items_do_not_hide_the_others() {
+    let kvs = serde_json::json!([
+        {"key": "YQ==", "value": 1e300, "mod_revision": "1"},
+        {"key": ["YQ=="], "value": "b25l", "mod_revision": "2"},
+        7,
+        {"key": "Yg==", "value": "b25l", "mod_revision": "3"},
+    ]);
+    let keys: Vec<String> = parse_key_values(&kvs)
+        .into_iter()
+        .map(|kv| kv.key)
+        .collect();
+    assert_eq!(keys, ["b"]);
+}
