Retry budget: the part of the slack ends when the store says so, and while the machine is suspended

The end is kept by the clock that pauses are seen with, is worked out again after each pause, and is dropped when the store says that there is no such lease.

Neither of the two ways has been shown by a run: nothing here suspends a machine, and the stand-in of the store registers an instance again at once. Tests of place, and of retries, dump, cut_heads and evacuation: passed.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
-use clock::Clock;
+use clock::{boot_ms, Clock};
 use kv::{KeyValue, Precondition, Put, Store, StoreError, Txn, TxnResult};
 use place::{Pool, SlackPart};
 use relay::Candidate;
@@ -94,7 +94,8 @@
     list_complete: AtomicBool,
     /// The lease of the last registration; 0 before the first one.
     lease: Mutex<i64>,
-    /// When the lease expires unless it is renewed, in milliseconds.
+    /// When the lease expires unless it is renewed, by a clock that counts suspensions of the machine, in milliseconds; 0
+    /// without a lease.
     lease_until: watch::Sender<u64>,
 }
 
@@ -264,9 +265,10 @@
     pub(crate) fn slack_part(&self) -> Option<SlackPart> {
         let roster = self.roster();
         let has_part = self.0.list_complete.load(Ordering::Relaxed) && roster.is_own_listed();
+        let remaining_ms = self.0.lease_until.borrow().saturating_sub(boot_ms());
         has_part.then(|| SlackPart {
             sharers: roster.len(),
-            until: *self.0.lease_until.borrow(),
+            until: self.0.clock.now() + remaining_ms,
         })
     }
 
@@ -303,7 +305,7 @@
     /// Writes the key of this instance with a new lease.
     async fn register(&self) -> Result<i64, StoreError> {
         let store = &self.0.store;
-        let sent_at = self.0.clock.now();
+        let sent_at = boot_ms();
         let lease = store.grant_lease(self.0.lease_ttl_ms).await?;
         let value = serde_json::to_vec(&self.0.own).expect("a member can be serialized");
         // Most starts find no key under their name, so the first attempt expects none. A
@@ -374,14 +376,17 @@
                         // If a call fails, the next one shows whether the lease has expired.
                         match renewed {
                             Ok((sent_at, Ok(true))) => self.record_lease(sent_at),
-                            Ok((_, Ok(false))) => return,
+                            Ok((_, Ok(false))) => {
+                                self.0.lease_until.send_replace(0);
+                                return;
+                            }
                             Ok((_, Err(_))) | Err(_) => {}
                         }
                     }
                 }
             }
             let store = Arc::clone(&self.0.store);
-            let sent_at = self.0.clock.now();
+            let sent_at = boot_ms();
             renewals.spawn(async move { (sent_at, store.renew_lease(lease).await) });
         }
     }
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -153,6 +153,8 @@
         let mut retries = self.retry_budget.lock().expect("lock not poisoned");
         retries.record_pause(self.clock.now(), pause_ms);
         drop(retries);
+        // The lease went on to expire.
+        self.update_slack_part();
         self.metrics.pause_ms.inc_by(pause_ms);
         let detail = format_args!("ms={pause_ms}");
         self.log.event(Event::StoodStill, detail);
