Soak, tests: names and comments; windows that end with a retry are checked as well

A window may contain the same retries and fewer requests if it ends with the last of them: the check is a little stricter. The comment on the duration of outages said more than it does. The schedules are the same.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -544,7 +544,7 @@
     }
 
     /// Returns, of the window with the largest share of its allowed retries: its beginning, the retries, and how many
-    /// are allowed. A window that contains most retries begins with one.
+    /// are allowed. Windows that begin or end with a retry are compared.
     fn fullest_window(&self) -> Option<(u64, usize, f64)> {
         let window_ms = RETRY_WINDOW_SECS * 1_000;
         let within = |times: &[u64], start: u64| {
@@ -561,7 +561,11 @@
             let allowed = (requests as u64 * RETRY_PERCENT) as f64 / 100.0 + RETRY_SLACK as f64;
             (start, within(&self.retries, start), allowed)
         };
-        let windows = self.retries.iter().map(|start| window(*start));
+        let starts = self
+            .retries
+            .iter()
+            .flat_map(|at| [*at, (at + 1).saturating_sub(window_ms)]);
+        let windows = starts.map(window);
         let share = |w: &(u64, usize, f64)| w.1 as f64 / w.2;
         windows.max_by(|a, b| share(a).total_cmp(&share(b)))
     }
--- a/crates/soak/src/retry_schedule.rs
+++ b/crates/soak/src/retry_schedule.rs
@@ -6,13 +6,15 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::schedule::{pick, Direction, Fault, PathKind, Step, StoreFault, UPSTREAMS};
+use crate::schedule::{
+    pick, Direction, Fault, PathKind, Step, StoreFault, UPSTREAMS, UPSTREAMS_PER_SERVICE,
+};
 
 /// When the first fault may begin, and how long before the end of a run the last ones begin, in milliseconds.
 const FIRST_FAULT_MS: u64 = 4_000;
 const LAST_FAULT_BEFORE_END_MS: u64 = 8_000;
-/// Time for which the upstreams of a service fail, in milliseconds, and between two such times: several windows of the
-/// retry budget, so that it is used up.
+/// Time for which the upstreams of a service fail, in milliseconds, and between two such times. The longer ones contain
+/// whole windows of the retry budget.
 const OUTAGE_MS: Range<u64> = 4_000..25_000;
 const OUTAGE_GAP_MS: Range<u64> = 300..9_000;
 /// Percentages of the requests that fail: an upstream with the last one fails its health checks as well.
@@ -62,8 +64,9 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let span = FIRST_FAULT_MS..seconds * 1_000 - LAST_FAULT_BEFORE_END_MS;
     let mut steps = Vec::new();
-    for services in [0..UPSTREAMS / 2, UPSTREAMS / 2..UPSTREAMS] {
-        steps.extend(outages(&mut rng, &span, services));
+    let (desk, pool) = (0..UPSTREAMS_PER_SERVICE, UPSTREAMS_PER_SERVICE..UPSTREAMS);
+    for upstreams in [desk, pool] {
+        steps.extend(outages(&mut rng, &span, upstreams));
     }
     let mut at = span.start;
     while at < span.end {
