Suspects: log the end of a refusal with its reason; name the requests at the crashes of a segment

Event 2518 does, with why: Survived, WasSound, Explained or Forgotten. Records of segments name, for each crash, up to two short hashes of the requests that had the segment there ("q", left out where unknown), which shows whether one request or several were at the crashes. Verdicts are as before.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -151,13 +151,9 @@
 
     /// Records that the connection to the upstream broke although it is not known to be leaving.
     fn record_broken_connection(&self) {
+        let lost: &[Segment] = if self.survived { &[] } else { &self.segments };
         let (suspects, spec) = (&self.router.suspects, &self.choice.spec);
-        suspects.connection_broke(spec, Subject::Request(self.digest));
-        if !self.survived {
-            for segment in &self.segments {
-                suspects.connection_broke(spec, Subject::Segment(*segment));
-            }
-        }
+        suspects.connection_broke(spec, self.digest, lost);
     }
 
     /// Returns a watch of the path that the request uses.
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -125,6 +125,8 @@
     RequestSuspected,
     /// A segment was present at so many crashes that requests with it are refused.
     SegmentRefused,
+    /// A segment is no longer refused.
+    SegmentAllowed,
     /// A trial of a suspected request was granted, or an owner of its record could not be asked for
     /// one.
     SuspectTrial,
@@ -356,6 +358,12 @@
         Level::WARN,
         "prompt segment refused",
     ),
+    row(
+        Event::SegmentAllowed,
+        2518,
+        Level::WARN,
+        "prompt segment no longer refused",
+    ),
     row(Event::QueueFormed, 2520, Level::INFO, "requests wait"),
     row(
         Event::QueueEmptied,
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -119,7 +119,11 @@
             self.0.unsaved.notify_one();
         }
         drop(table);
-        for verdict in verdicts {
+        for (segment, why) in verdicts.withdrawn {
+            let detail = format_args!("segment={segment} why={why:?}");
+            self.0.log.event(Event::SegmentAllowed, detail);
+        }
+        for verdict in verdicts.refused {
             let survived_ago_ms = verdict.survived_ago_ms;
             let detail = format_args!(
                 "segment={} was_sound={} survived_here={} crashes: {}",
@@ -135,11 +139,17 @@
     }
 
     /// Records that the connection of a request broke at an upstream that is not known to be
-    /// leaving.
-    pub(crate) fn connection_broke(&self, spec: &Spec, subject: Subject) {
+    /// leaving. `lost` are its segments if they had not survived.
+    pub(crate) fn connection_broke(&self, spec: &Spec, request: Digest, lost: &[Segment]) {
         let incarnation = spec.incarnation();
-        let check_needed =
-            self.update(|table, now| table.connection_broke(now, &incarnation, subject));
+        let check_needed = self.update(|table, now| {
+            let subject = Subject::Request(request);
+            let mut check_needed = table.connection_broke(now, &incarnation, subject);
+            for segment in lost {
+                check_needed |= table.segment_lost(now, &incarnation, *segment, request);
+            }
+            check_needed
+        });
         if check_needed {
             tokio::spawn(self.clone().check_for_crash(incarnation, spec.addr));
         }
--- a/crates/suspect/src/broken_connections.rs
+++ b/crates/suspect/src/broken_connections.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 
+use crate::record::RequestTags;
 use crate::subject::Subject;
 
 /// Time after a connection broke within which it becomes known whether the upstream has crashed, in
@@ -17,12 +18,28 @@
 /// Maximum number of subjects per incarnation, to bound memory: more than an upstream runs for one
 /// instance.
 const MAX_SUBJECTS: usize = 512;
+/// Maximum number of requests that are remembered for a segment at a crash, to bound the size of records: two
+/// suffice to show that not a single one had it.
+const MAX_REQUESTS: usize = 2;
 
 /// A subject that was present at an upstream.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Present {
     pub(crate) subject: Subject,
     pub(crate) broke_at: u64,
+    /// The requests that had the segment.
+    pub(crate) requests: RequestTags,
+}
+
+/// Adds requests to those that had a segment at a crash; returns whether that has changed them. Which ones are
+/// kept must not depend on the order in which they are learned, so it is the first ones by hash.
+pub(crate) fn add_requests(requests: &mut RequestTags, added: &[u32]) -> bool {
+    let before = requests.clone();
+    requests.extend_from_slice(added);
+    requests.sort_unstable();
+    requests.dedup();
+    requests.truncate(MAX_REQUESTS);
+    *requests != before
 }
 
 /// What is known of the incarnation to which connections broke.
@@ -39,8 +56,15 @@
 pub(crate) struct BrokenConnections(HashMap<String, Broken>);
 
 impl BrokenConnections {
-    /// Adds a subject; returns whether it is the first one of its incarnation.
-    pub(crate) fn insert(&mut self, now: u64, incarnation: &str, subject: Subject) -> bool {
+    /// Adds a subject, of a segment with the request that had it; returns whether it is the first one of its
+    /// incarnation.
+    pub(crate) fn insert(
+        &mut self,
+        now: u64,
+        incarnation: &str,
+        subject: Subject,
+        request: Option<u32>,
+    ) -> bool {
         self.expire(now);
         if self.0.len() >= MAX_INCARNATIONS && !self.0.contains_key(incarnation) {
             return false;
@@ -49,10 +73,14 @@
         let present = &mut broken.present;
         let is_first = present.is_empty() || broken.listens_again;
         broken.listens_again = false;
-        if present.len() < MAX_SUBJECTS && present.iter().all(|p| p.subject != subject) {
+        let requests = request.as_slice();
+        if let Some(known) = present.iter_mut().find(|p| p.subject == subject) {
+            add_requests(&mut known.requests, requests);
+        } else if present.len() < MAX_SUBJECTS {
             present.push(Present {
                 subject,
                 broke_at: now,
+                requests: RequestTags::from_slice(requests),
             });
         }
         is_first
--- a/crates/suspect/src/digest.rs
+++ b/crates/suspect/src/digest.rs
@@ -32,6 +32,11 @@
         Digest(half(0), half(8))
     }
 
+    /// Returns a short hash, by which the requests at the crashes of one segment are told apart.
+    pub(crate) fn tag(&self) -> u32 {
+        self.1 as u32
+    }
+
     /// Returns the hash key by which the instances that own the request's record are selected.
     pub fn placement_key(&self) -> u64 {
         self.0
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::record::{CrashReport, SuspectRecord};
+use crate::broken_connections::add_requests;
+use crate::record::{CrashReport, RequestTags, SuspectRecord};
 use crate::subject::Subject;
 
 /// Maximum number of crashes kept for a subject, to bound memory: further ones add no information.
@@ -15,6 +16,8 @@
 pub(crate) struct Crash {
     pub(crate) seen_by: String,
     pub(crate) at: u64,
+    /// The requests that had the segment.
+    pub(crate) requests: RequestTags,
 }
 
 /// How far the suspicion of a subject has come.
@@ -80,10 +83,10 @@
 }
 
 impl Entry {
-    /// Adds the crash of an upstream; returns whether it is new.
+    /// Adds the crash of an upstream; returns whether that, or a request that was present, is new.
     pub(crate) fn add_crash(&mut self, incarnation: &str, crash: Crash) -> bool {
-        if self.crashes.contains_key(incarnation) {
-            return false;
+        if let Some(known) = self.crashes.get_mut(incarnation) {
+            return add_requests(&mut known.requests, &crash.requests);
         }
         self.crashes.insert(incarnation.to_string(), crash);
         while self.crashes.len() > MAX_CRASHES {
@@ -121,6 +124,7 @@
             let crash = Crash {
                 seen_by: report.seen_by.clone(),
                 at: now.saturating_sub(report.ago_ms),
+                requests: report.requests.clone(),
             };
             changed |= self.add_crash(&report.incarnation, crash);
         }
@@ -133,12 +137,14 @@
         changed |= record.was_sound && !self.was_sound;
         self.significant |= record.significant;
         self.was_sound |= record.was_sound;
-        let in_record =
-            |incarnation: &String| record.crashes.iter().any(|c| c.incarnation == *incarnation);
+        let in_record = |(incarnation, crash): (&String, &Crash)| {
+            let mut crashes = record.crashes.iter();
+            crashes.any(|c| c.incarnation == *incarnation && c.requests == crash.requests)
+        };
         let ahead = self.trials > record.trials
             || self.significant && !record.significant
             || self.was_sound && !record.was_sound
-            || !self.crashes.keys().all(in_record);
+            || !self.crashes.iter().all(in_record);
         MergeOutcome { changed, ahead }
     }
 
@@ -156,6 +162,7 @@
             incarnation: incarnation.clone(),
             seen_by: crash.seen_by.clone(),
             ago_ms: now.saturating_sub(crash.at),
+            requests: crash.requests.clone(),
         };
         SuspectRecord {
             subject,
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -31,4 +31,6 @@
 pub use record::{CrashReport, SuspectRecord};
 pub use segment::Segment;
 pub use subject::Subject;
-pub use table::{Admission, CrashHistory, CrashObservation, SuspectTable, Verdict};
+pub use table::{
+    Admission, CrashHistory, CrashObservation, SuspectTable, Verdict, VerdictChanges, Withdrawal,
+};
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -1,9 +1,13 @@
 //! The record of a suspect that instances exchange and store.
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::subject::Subject;
 
+/// Short hashes of the requests with a segment that were present at a crash, in order.
+pub(crate) type RequestTags = SmallVec<[u32; 2]>;
+
 /// A crash of an upstream at which a request or segment was present.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -16,6 +20,10 @@
     /// Time since the crash, in milliseconds.
     #[serde(rename = "a")]
     pub ago_ms: u64,
+    /// Short hashes of some of the requests that had the segment there; empty for a request's own record, and if
+    /// they are not known.
+    #[serde(rename = "q", default, skip_serializing_if = "RequestTags::is_empty")]
+    pub requests: RequestTags,
 }
 
 /// What an instance knows of a suspect.
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -4,6 +4,7 @@
 use std::fmt::{self, Display, Formatter};
 
 use crate::broken_connections::{BrokenConnections, Present};
+use crate::digest::Digest;
 use crate::entry::{Crash, Entry, Stage, StoredState};
 use crate::outcomes::Outcomes;
 use crate::recent_answers::RecentAnswers;
@@ -88,6 +89,28 @@
     pub was_sound: bool,
 }
 
+/// Why a segment is no longer refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// It has survived.
+    Survived,
+    /// It had survived before the crashes, which are too few for that.
+    WasSound,
+    /// Its crashes are explained by others: a request, or another segment.
+    Explained,
+    /// Nobody has sent it for a long time, or the table is full.
+    Forgotten,
+}
+
+/// The segments that are refused, or no longer refused, since the last time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VerdictChanges {
+    /// Why segments are refused.
+    pub refused: Vec<Verdict>,
+    /// Why segments are no longer refused.
+    pub withdrawn: Vec<(Segment, Withdrawal)>,
+}
+
 /// Whether a request may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -149,12 +172,28 @@
         }
     }
 
-    /// Records that the connection of a request to an upstream broke, or that of a request with a
+    /// Records that the connection of a request to an upstream broke, or that of an unknown request with a
     /// segment before it had survived; returns whether it should now be checked if the upstream has
     /// crashed.
     pub fn connection_broke(&mut self, now: u64, incarnation: &str, subject: Subject) -> bool {
         !self.recent_answers.contains(now, subject)
-            && self.broken_connections.insert(now, incarnation, subject)
+            && self
+                .broken_connections
+                .insert(now, incarnation, subject, None)
+    }
+
+    /// Records that the connection of a request with a segment broke before it had survived; returns whether
+    /// it should now be checked if the upstream has crashed.
+    pub fn segment_lost(
+        &mut self,
+        now: u64,
+        incarnation: &str,
+        segment: Segment,
+        request: Digest,
+    ) -> bool {
+        let subject = Subject::Segment(segment);
+        self.broken_connections
+            .insert(now, incarnation, subject, Some(request.tag()))
     }
 
     /// Returns whether it is not known yet if an upstream has crashed.
@@ -179,7 +218,10 @@
     /// The crash counts from when the connections broke: that it was one may become known seconds later.
     pub fn upstream_crashed(&mut self, now: u64, incarnation: &str) -> CrashObservation {
         let mut observation = CrashObservation::default();
-        for Present { subject, broke_at } in self.broken_connections.take(now, incarnation) {
+        for present in self.broken_connections.take(now, incarnation) {
+            let Present {
+                subject, broke_at, ..
+            } = present;
             let answered = match subject {
                 Subject::Request(_) => self.recent_answers.contains(now, subject),
                 Subject::Segment(segment) => {
@@ -190,7 +232,12 @@
                     self.survivals.is_recent(broke_at, segment)
                 }
             };
-            if !answered && self.add_crash(now, incarnation, subject, broke_at) {
+            let crash = Crash {
+                seen_by: self.instance.clone(),
+                at: broke_at,
+                requests: present.requests,
+            };
+            if !answered && self.add_crash(now, incarnation, subject, crash) {
                 observation.counted.push(subject);
             }
         }
@@ -256,10 +303,9 @@
     }
 
     /// Adds a crash to a subject; returns whether it is new.
-    fn add_crash(&mut self, now: u64, incarnation: &str, subject: Subject, at: u64) -> bool {
-        let seen_by = self.instance.clone();
+    fn add_crash(&mut self, now: u64, incarnation: &str, subject: Subject, crash: Crash) -> bool {
         let entry = self.entry(now, subject);
-        let is_new = entry.add_crash(incarnation, Crash { seen_by, at });
+        let is_new = entry.add_crash(incarnation, crash);
         let to_all = match subject {
             Subject::Request(_) => entry.crashes.len() >= BROADCAST_FROM,
             Subject::Segment(_) => false,
@@ -347,10 +393,13 @@
         }
     }
 
-    /// Returns the verdicts on the segments that are refused since the last call of this method.
-    pub fn take_verdicts(&mut self, now: u64) -> Vec<Verdict> {
+    /// Returns the verdicts that have changed since the last call of this method.
+    pub fn take_verdicts(&mut self, now: u64) -> VerdictChanges {
         let refused = self.refused_segments();
         let before = std::mem::replace(&mut self.reported, refused.clone());
+        let ended = before.iter().filter(|s| !refused.contains(s));
+        let withdrawn = ended.map(|segment| (*segment, self.withdrawal(*segment)));
+        let withdrawn = withdrawn.collect();
         let new = refused.into_iter().filter(|s| !before.contains(s));
         let verdict = |segment| {
             let entry = self.entries.get(&Subject::Segment(segment))?;
@@ -361,7 +410,23 @@
                 was_sound: entry.was_sound,
             })
         };
-        new.filter_map(verdict).collect()
+        VerdictChanges {
+            refused: new.filter_map(verdict).collect(),
+            withdrawn,
+        }
+    }
+
+    /// Returns why a segment is no longer refused.
+    fn withdrawal(&self, segment: Segment) -> Withdrawal {
+        match self.entries.get(&Subject::Segment(segment)) {
+            None => Withdrawal::Forgotten,
+            Some(entry) if entry.crashes.is_empty() => Withdrawal::Survived,
+            Some(entry) => match stage(entry) {
+                Stage::Suspect { .. } => Withdrawal::Explained,
+                Stage::Unremarkable | Stage::Candidate if entry.was_sound => Withdrawal::WasSound,
+                Stage::Unremarkable | Stage::Candidate => Withdrawal::Survived,
+            },
+        }
     }
 
     /// Returns the refused segments.
