Suspects: an instance knows the records before it accepts requests; both owners store them

Cause: only the two instances that the list named as readers read the store, once they were listed; the others accepted requests and heard from them later. A started instance asked two peers, which may have just started and have nothing to tell. And the first owner alone wrote a record: killed but listed, nobody did. Class: what an instance does before it knows.

After 3 s without an answer it serves all the same, which is logged (2524). Peers that don't know the records say so. Both owners write; who finds the other's record merges it. In fleets of more than 60 the reads are spread.

--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -127,6 +127,10 @@
     SegmentRefused,
     /// A segment is no longer refused.
     SegmentAllowed,
+    /// The records of requests that crash upstreams are known after a start.
+    SuspectsKnown,
+    /// Requests are accepted although the records are not known.
+    SuspectsUnavailable,
     /// A trial of a suspected request was granted, or an owner of its record could not be asked for
     /// one.
     SuspectTrial,
@@ -364,6 +368,18 @@
         Level::WARN,
         "prompt segment no longer refused",
     ),
+    row(
+        Event::SuspectsKnown,
+        2519,
+        Level::INFO,
+        "suspected requests known",
+    ),
+    row(
+        Event::SuspectsUnavailable,
+        2524,
+        Level::WARN,
+        "serving without suspected requests",
+    ),
     row(Event::QueueFormed, 2520, Level::INFO, "requests wait"),
     row(
         Event::QueueEmptied,
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -182,6 +182,9 @@
         Ok(response)
     });
     register(&mut module, "suspects", |_, service| {
+        if !service.suspects.are_known() {
+            return Err(rpc::unavailable("the records are not known here yet"));
+        }
         Ok(service.suspects.list())
     });
     register(&mut module, "origin", |params, service| {
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -112,6 +112,11 @@
             );
             return Err(refusal.retry_within(RETRY_NOT_CONFIGURED_MS, timeout_ms));
         };
+        if !self.suspects.wait_until_serving().await {
+            let why = "this instance does not know yet which requests crash upstreams";
+            let refusal = Refusal::new(Kind::NotConfigured, why);
+            return Err(refusal.retry_within(RETRY_NOT_CONFIGURED_MS, timeout_ms));
+        }
         let route = self.route(&active, &info, &head)?.clone();
         let customer = self.customer(&active, &info, &route)?;
         caller.customer = customer
--- a/crates/proxy/src/router.rs
+++ b/crates/proxy/src/router.rs
@@ -67,7 +67,7 @@
     /// Returns whether load balancers should send new connections to this instance.
     pub(crate) fn is_ready(&self) -> bool {
         let is_loaded = self.config.active().is_some() && self.upstream_list.is_loaded();
-        is_loaded && !self.is_stopping() && !self.is_link_congested()
+        is_loaded && self.suspects.may_serve() && !self.is_stopping() && !self.is_link_congested()
     }
 
     /// Returns the number of tokens that fit into the engine with an incarnation's hash; 0 if unknown.
--- a/crates/proxy/src/suspect_gossip.rs
+++ b/crates/proxy/src/suspect_gossip.rs
@@ -24,7 +24,8 @@
 /// Number of peers from which an instance needs a response when it starts: one of them may have
 /// just started, too.
 const REQUIRED_RESPONSES: usize = 2;
-/// Delay before the list of instances is checked again for peers that were not queried yet.
+/// Delay before the list of instances is checked again for peers that were not queried yet, and after a peer that
+/// did not answer or knows nothing itself.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time after which an instance stops looking for peers to query: if it has found none, it is
 /// alone.
@@ -102,13 +103,16 @@
     async fn query_startup_peers(self, network: PeerNetwork) {
         let mut startup_peers = StartupPeers::new();
         while let Some(addr) = startup_peers.next(&network.fleet).await {
-            if let Ok(records) = network.peer_clients.fetch_suspects(addr).await {
-                startup_peers.record_response();
-                if !records.is_empty() {
-                    self.log_received(addr, records.len());
-                }
-                self.merge(&network.fleet, &records);
+            let Ok(records) = network.peer_clients.fetch_suspects(addr).await else {
+                sleep(RETRY_DELAY).await;
+                continue;
+            };
+            startup_peers.record_response();
+            if !records.is_empty() {
+                self.log_received(addr, records.len());
             }
+            self.merge(&network.fleet, &records);
+            self.set_known(addr);
         }
     }
 }
--- a/crates/proxy/src/suspect_store.rs
+++ b/crates/proxy/src/suspect_store.rs
@@ -1,8 +1,8 @@
 //! Keeps records of requests that crash upstreams in the store, for a failure of all instances.
 //!
-//! The first owner of a record writes it when the request is refused, tried or cleared, which takes
-//! a few calls per day. When a fleet starts, two instances read all records and send them to the
-//! others, which takes two calls.
+//! The owners of a record write it when the request is refused, tried or cleared, which takes
+//! a few calls per day: one of them may be listed although it is gone. An instance that starts reads all
+//! records, unless another one that knows them answers first, and accepts no requests before.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 
 use kv::{Consistency, KeyValue, Precondition, Put, Store, StoreError, Txn, TxnResult};
 use suspect::{Subject, SuspectRecord};
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 
 use crate::event::Event;
 use crate::fleet::Fleet;
@@ -20,13 +20,14 @@
 
 /// Prefix of the keys of records; a key continues with the name of the subject.
 const PREFIX: &str = "oriolehitch/suspects/";
-/// The instances that would own a record with this placement key read the store for all when they
-/// start.
-const READER_PLACEMENT_KEY: u64 = 0;
-/// How long an instance waits to become one of them: it is listed only once it has registered.
-const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(3);
-/// Interval at which it checks this until then.
-const ROSTER_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of instances that read the store at once when all start together; others wait for a random time, in
+/// which they may learn the records from these.
+const READERS_AT_ONCE: usize = 60;
+/// Time for that many instances to read the store.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+/// How long an instance that knows no records yet accepts no requests: a longer outage of the store must not keep
+/// a whole fleet from serving.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -42,37 +43,34 @@
 }
 
 impl SuspectStore {
-    /// Reads the records in the store if this instance is to read them for all, then writes those
+    /// Reads the records in the store unless they are learned from another instance, then writes those
     /// that change.
     pub(crate) async fn run(mut self) {
-        if self.is_reader().await {
-            self.load().await;
+        let suspects = self.suspects.clone();
+        tokio::select! {
+            () = self.load() => suspects.set_known("store"),
+            () = suspects.wait_until_known() => {}
+            () = serve_without_records(&suspects) => {}
         }
         loop {
             self.suspects.wait_for_unsaved().await;
             for subject in self.suspects.unsaved() {
-                if self.is_first_owner(subject) {
+                if self.is_owner(subject) {
                     self.save(subject).await;
                 }
             }
         }
     }
 
-    /// Returns whether this instance reads the records for all, once that is known.
-    async fn is_reader(&self) -> bool {
-        let until = Instant::now() + REGISTRATION_TIMEOUT;
-        while Instant::now() < until {
-            let owners = self.fleet.roster().owners(READER_PLACEMENT_KEY);
-            if owners.iter().any(|m| m.id == self.fleet.incarnation()) {
-                return true;
-            }
-            sleep(ROSTER_POLL_INTERVAL).await;
-        }
-        false
+    /// Returns how long this instance waits before it reads the store.
+    fn read_delay(&self) -> Duration {
+        let rounds = (self.fleet.instance_count() / READERS_AT_ONCE) as u32;
+        READ_INTERVAL * rand::random_range(0..=rounds)
     }
 
     /// Reads all records in the store.
     async fn load(&mut self) {
+        sleep(self.read_delay()).await;
         let items = loop {
             match self.store.list(PREFIX, Consistency::Linearizable).await {
                 Ok(listing) => break listing.entries,
@@ -80,15 +78,19 @@
             }
         };
         for item in items {
-            match serde_json::from_slice::<SuspectRecord>(&item.value) {
-                Ok(record) => {
-                    self.revisions.insert(record.subject, item.revision);
-                    self.suspects.load(record);
-                }
-                Err(why) => {
-                    let detail = format_args!("key={} why={why}", item.key);
-                    self.log.event(Event::SuspectRecordInvalid, detail);
-                }
+            self.load_item(&item);
+        }
+    }
+
+    fn load_item(&mut self, item: &KeyValue) {
+        match serde_json::from_slice::<SuspectRecord>(&item.value) {
+            Ok(record) => {
+                self.revisions.insert(record.subject, item.revision);
+                self.suspects.load(record);
+            }
+            Err(why) => {
+                let detail = format_args!("key={} why={why}", item.key);
+                self.log.event(Event::SuspectRecordInvalid, detail);
             }
         }
     }
@@ -99,21 +101,19 @@
         self.store_health.wait_until_available().await;
     }
 
-    /// Returns whether this instance is the first owner of a record.
-    fn is_first_owner(&self, subject: Subject) -> bool {
+    /// Returns whether this instance is an owner of a record.
+    fn is_owner(&self, subject: Subject) -> bool {
         let owners = self.fleet.roster().owners(subject.placement_key());
-        owners
-            .first()
-            .is_none_or(|m| m.id == self.fleet.incarnation())
+        owners.is_empty() || owners.iter().any(|m| m.id == self.fleet.incarnation())
     }
 
     /// Writes the record of a request, and retries until the store has it.
     async fn save(&mut self, subject: Subject) {
-        loop {
+        while self.suspects.is_unsaved(subject) {
             let record = self.suspects.to_save(subject);
             match self.write(subject, record.as_ref()).await {
                 Ok(true) => return self.suspects.mark_saved(subject, record.as_ref()),
-                // Another instance has written it; its revision is known now.
+                // Another instance has written it; its record and its revision are known now.
                 Ok(false) => {}
                 Err(error) => {
                     let detail = format!("what=suspect why={error:?}");
@@ -166,9 +166,19 @@
                 let found = items.iter().find(|f: &&KeyValue| f.key == key);
                 let revision = found.map_or(0, |f| f.revision);
                 self.revisions.insert(subject, revision);
+                if let Some(found) = found {
+                    self.load_item(found);
+                }
                 Ok(false)
             }
             TxnResult::LeaseEnded => Ok(false),
         }
     }
 }
+
+/// Lets requests be accepted after a while although the records are not known; does not return.
+async fn serve_without_records(suspects: &Suspects) {
+    sleep(READ_TIMEOUT).await;
+    suspects.accept_without_records();
+    std::future::pending().await
+}
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -2,6 +2,7 @@
 //! instances whether a request is sent, and refuses it.
 
 use std::cmp::Reverse;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -16,12 +17,13 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use suspect::{Admission, CrashHistory, Digest, Segment, Subject, SuspectRecord, SuspectTable};
-use tokio::sync::Notify;
-use tokio::time::{sleep, Instant};
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::event::Event;
 use crate::fleet::{Fleet, Member};
 use crate::log::Log;
+use crate::peers::CALL_TIMEOUT;
 use crate::refusal::Refusal;
 use crate::suspect_gossip::PeerNetwork;
 use crate::transit::Transit;
@@ -63,6 +65,17 @@
 #[derive(Clone)]
 pub(crate) struct Suspects(Arc<Inner>);
 
+/// Whether an instance knows the records of earlier incarnations and of the other instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Records {
+    /// It has just started, and must not send anything yet.
+    Unknown,
+    /// It could not learn them in time, and accepts requests all the same.
+    Unavailable,
+    /// It has read them, or learned them from an instance that has.
+    Known,
+}
+
 struct Inner {
     clock: Clock,
     log: Arc<Log>,
@@ -73,6 +86,7 @@
     changed: Notify,
     /// Wakes the task that writes to the store.
     unsaved: Notify,
+    records: watch::Sender<Records>,
     crash_counter: Counter,
     refused_gauge: Gauge,
 }
@@ -93,6 +107,7 @@
             table: Mutex::new(SuspectTable::new(name)),
             changed: Notify::new(),
             unsaved: Notify::new(),
+            records: watch::channel(Records::Unknown).0,
             crash_counter: Counter::default(),
             refused_gauge: Gauge::default(),
         }))
@@ -104,6 +119,49 @@
         (self.0.crash_counter.clone(), self.0.refused_gauge.clone())
     }
 
+    /// Records that the records are known, and from where.
+    pub(crate) fn set_known(&self, source: impl Display) {
+        let before = self.0.records.send_replace(Records::Known);
+        if before != Records::Known {
+            let detail = format_args!("source={source} before={before:?}");
+            self.0.log.event(Event::SuspectsKnown, detail);
+        }
+    }
+
+    /// Accepts requests although the records are not known.
+    pub(crate) fn accept_without_records(&self) {
+        self.0.records.send_replace(Records::Unavailable);
+        self.0.log.event(Event::SuspectsUnavailable, "");
+    }
+
+    /// Returns whether the records are known.
+    pub(crate) fn are_known(&self) -> bool {
+        *self.0.records.borrow() == Records::Known
+    }
+
+    /// Waits until the records are known.
+    pub(crate) async fn wait_until_known(&self) {
+        let mut records = self.0.records.subscribe();
+        // Waiting can't fail: the sender is owned by this handle.
+        let _ = records.wait_for(|r| *r == Records::Known).await;
+    }
+
+    /// Returns whether requests may be accepted.
+    pub(crate) fn may_serve(&self) -> bool {
+        *self.0.records.borrow() != Records::Unknown
+    }
+
+    /// Waits for a short time until requests may be accepted; returns whether they may.
+    pub(crate) async fn wait_until_serving(&self) -> bool {
+        if self.may_serve() {
+            return true;
+        }
+        let mut records = self.0.records.subscribe();
+        let known = records.wait_for(|r| *r != Records::Unknown);
+        let in_time = timeout(CALL_TIMEOUT, known).await.is_ok();
+        in_time
+    }
+
     fn table(&self) -> MutexGuard<'_, SuspectTable> {
         self.0.table.lock().expect("lock not poisoned")
     }
@@ -466,6 +524,11 @@
         self.table().unsaved()
     }
 
+    /// Returns whether the store's record of a request is out of date.
+    pub(crate) fn is_unsaved(&self, subject: Subject) -> bool {
+        self.table().is_unsaved(subject)
+    }
+
     /// Returns the record that the store should have of a request, if any.
     pub(crate) fn to_save(&self, subject: Subject) -> Option<SuspectRecord> {
         let now = self.0.clock.now();
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -17,6 +17,8 @@
 const ADDRESSEE_HEADER: &str = "oriolehitch-incarnation";
 /// Error code of a call for another incarnation: the HTTP status 421, Misdirected Request.
 const MISDIRECTED: i32 = 421;
+/// Error code of a call that can't be answered yet: the HTTP status 503, Service Unavailable.
+const UNAVAILABLE: i32 = 503;
 
 /// The incarnation that a call is for, as its header names it.
 #[derive(Clone, Debug)]
@@ -69,6 +71,11 @@
     }
 }
 
+/// Returns the error to answer to a call that can't be answered yet.
+pub fn unavailable(why: &str) -> ErrorObject<'static> {
+    ErrorObject::owned(UNAVAILABLE, why, None::<()>)
+}
+
 fn misdirected(to: &HeaderValue, own_id: &str) -> ErrorObject<'static> {
     let text = format!("the call is for {to:?}, this is {own_id}");
     ErrorObject::owned(MISDIRECTED, text, None::<()>)
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -615,6 +615,12 @@
             .collect()
     }
 
+    /// Returns whether the store's record of a request is out of date.
+    pub fn is_unsaved(&self, subject: Subject) -> bool {
+        let entry = self.entries.get(&subject);
+        entry.map_or(self.removed.contains(&subject), |e| is_unsaved(&subject, e))
+    }
+
     /// Returns the record that the store should have of a request: only refused requests must still
     /// be known after all instances were down at once.
     pub fn to_save(&self, now: u64, subject: Subject) -> Option<SuspectRecord> {
@@ -630,8 +636,7 @@
         }
     }
 
-    /// Merges a record that was read from the store, and schedules it to be sent to all instances.
-    /// When it was written is not known, so its crashes and its last trial count as having happened
+    /// Merges a record that was read from the store. When it was written is not known, so its crashes and its last trial count as having happened
     /// now.
     pub fn load(&mut self, now: u64, mut record: SuspectRecord) {
         record.crashes.iter_mut().for_each(|c| c.ago_ms = 0);
@@ -639,7 +644,6 @@
         let subject = record.subject;
         self.entry(now, subject).merge(now, &record);
         self.mark_saved(subject, Some(&record));
-        self.schedule_update(subject, true, SEND_ROUNDS);
     }
 
     /// Returns the record of a request, for another instance.
