Upstreams: a status outside 200 to 599 is no response

Here 000 and other malformed ones were 502 already, but 101 without an upgrade and 600 to 999 reached callers as they were, directly and through another instance; on the own interface, services' statuses as well.

Cause: heads were checked for the statuses that mean something here, others were passed on. Both interfaces use one range of final statuses now; any other status is an invalid response of a request that may have run.

--- a/crates/entry/src/pipeline/service_call.rs
+++ b/crates/entry/src/pipeline/service_call.rs
@@ -6,7 +6,7 @@
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use claim::{State, StoredResponse};
-use err::{Error, Kind, Ran};
+use err::{Error, Kind, Ran, FINAL_STATUSES};
 use route::upstream;
 use tokio::sync::oneshot;
 use web::{Req, Res};
@@ -225,6 +225,9 @@
         return CallEnd::NotRun(format!("refused with status {}", res.status()));
     }
     let status = res.status().as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return CallEnd::Unknown(format!("invalid status {status}"));
+    }
     let content_type = res.headers().get("content-type");
     let content_type = content_type
         .and_then(|v| v.to_str().ok())
--- a/crates/err/src/lib.rs
+++ b/crates/err/src/lib.rs
@@ -1,10 +1,15 @@
 //! The kinds of errors, and the table of the responses to them.
 
 use std::fmt;
+use std::ops::Range;
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
+/// Statuses of final responses of upstreams: an informational one is not final, and 101 is no response to a request
+/// that asks for no change of protocol.
+pub const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Whether a failed request ran at an upstream.
 ///
 /// The names of the variants are written to the log.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use clock::wall_ms;
 use dial::SendError;
+use err::FINAL_STATUSES;
 use escrow::SentPrompt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -426,6 +427,11 @@
     };
     guard.record_received();
     let (head, body) = res.into_parts();
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        guard.end(Outcome::InvalidResponse);
+        let why = format!("upstream={upstream} invalid status {}", head.status);
+        return Err(AttemptError::Unknown(why));
+    }
     let info = ctx.router.dialect.parse_response(&ctx.info, &head);
     if let Some(load) = info.load {
         let now = ctx.router.clock.now();
