--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -157,9 +157,9 @@
             return true;
         }
         let mut records = self.0.records.subscribe();
-        let known = records.wait_for(|r| *r != Records::Unknown);
-        let in_time = timeout(CALL_TIMEOUT, known).await.is_ok();
-        in_time
+        // Waiting itself can't fail: the sender is owned by this handle.
+        let _ = timeout(CALL_TIMEOUT, records.wait_for(|r| *r != Records::Unknown)).await;
+        self.may_serve()
     }
 
     fn table(&self) -> MutexGuard<'_, SuspectTable> {
--- a/crates/suspect/src/verdicts.rs
+++ b/crates/suspect/src/verdicts.rs
@@ -100,7 +100,8 @@
     /// Returns whether the request, which does not have the segment of an entry, explains so many of its crashes
     /// that too few are left.
     fn explains(&self, entry: &Entry, crashes: &[(&String, &Crash)]) -> bool {
-        let has_segment = crashes.iter().any(|(_, c)| c.requests.contains(&self.tag));
+        let mut all = entry.crashes.values();
+        let has_segment = all.any(|crash| crash.requests.contains(&self.tag));
         let left = crashes.iter();
         let left = left.filter(|(incarnation, _)| !self.entry.crashes.contains_key(*incarnation));
         !has_segment && left.count() < min_crashes(entry)
