Suspects: no delay before the records are read at a start

Found on reading: the delay was worked out from the number of listed instances at the moment of the start, when none is listed yet, and so was always zero. Behaviour is as before.

--- a/crates/proxy/src/suspect_store.rs
+++ b/crates/proxy/src/suspect_store.rs
@@ -20,11 +20,6 @@
 
 /// Prefix of the keys of records; a key continues with the name of the subject.
 const PREFIX: &str = "oriolehitch/suspects/";
-/// Number of instances that read the store at once when all start together; others wait for a random time, in
-/// which they may learn the records from these.
-const READERS_AT_ONCE: usize = 60;
-/// Time for that many instances to read the store.
-const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// How long an instance that knows no records yet accepts no requests: a longer outage of the store must not keep
 /// a whole fleet from serving.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
@@ -62,15 +57,8 @@
         }
     }
 
-    /// Returns how long this instance waits before it reads the store.
-    fn read_delay(&self) -> Duration {
-        let rounds = (self.fleet.instance_count() / READERS_AT_ONCE) as u32;
-        READ_INTERVAL * rand::random_range(0..=rounds)
-    }
-
     /// Reads all records in the store.
     async fn load(&mut self) {
-        sleep(self.read_delay()).await;
         let items = loop {
             match self.store.list(PREFIX, Consistency::Linearizable).await {
                 Ok(listing) => break listing.entries,
