Suspects: only the first owner deletes a forgotten record; others forget the removal

Found on reading the change. Since every instance reads the records at its start and both owners write, an owner that had heard nothing of a subject for an hour would have deleted a record that the other one still needs, and instances that write nothing would have kept each removal for good and woken their writer at each update.

Wording: log messages of 2519 and 2524, a few comments.

--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -372,13 +372,13 @@
         Event::SuspectsKnown,
         2519,
         Level::INFO,
-        "suspected requests known",
+        "records of suspected requests known",
     ),
     row(
         Event::SuspectsUnavailable,
         2524,
         Level::WARN,
-        "serving without suspected requests",
+        "records of suspected requests unavailable",
     ),
     row(Event::QueueFormed, 2520, Level::INFO, "requests wait"),
     row(
--- a/crates/proxy/src/suspect_store.rs
+++ b/crates/proxy/src/suspect_store.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use crate::event::Event;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Member};
 use crate::log::Log;
 use crate::store_health::StoreHealth;
 use crate::suspects::Suspects;
@@ -50,8 +50,10 @@
         loop {
             self.suspects.wait_for_unsaved().await;
             for subject in self.suspects.unsaved() {
-                if self.is_owner(subject) {
+                if self.is_writer(subject) {
                     self.save(subject).await;
+                } else {
+                    self.suspects.forget_removed(subject);
                 }
             }
         }
@@ -70,6 +72,7 @@
         }
     }
 
+    /// Merges a record that was read from the store.
     fn load_item(&mut self, item: &KeyValue) {
         match serde_json::from_slice::<SuspectRecord>(&item.value) {
             Ok(record) => {
@@ -89,10 +92,16 @@
         self.store_health.wait_until_available().await;
     }
 
-    /// Returns whether this instance is an owner of a record.
-    fn is_owner(&self, subject: Subject) -> bool {
+    /// Returns whether this instance writes the record of a subject. Both owners do, but only the first one deletes
+    /// a record because it has heard nothing of the subject for long.
+    fn is_writer(&self, subject: Subject) -> bool {
         let owners = self.fleet.roster().owners(subject.placement_key());
-        owners.is_empty() || owners.iter().any(|m| m.id == self.fleet.incarnation())
+        let own = |m: &Arc<Member>| m.id == self.fleet.incarnation();
+        if self.suspects.is_removed(subject) {
+            owners.first().is_none_or(own)
+        } else {
+            owners.is_empty() || owners.iter().any(own)
+        }
     }
 
     /// Writes the record of a request, and retries until the store has it.
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -119,7 +119,7 @@
         (self.0.crash_counter.clone(), self.0.refused_gauge.clone())
     }
 
-    /// Records that the records are known, and from where.
+    /// Marks the records as known, and logs from where.
     pub(crate) fn set_known(&self, source: impl Display) {
         let before = self.0.records.send_replace(Records::Known);
         if before != Records::Known {
@@ -524,6 +524,16 @@
         self.table().unsaved()
     }
 
+    /// Returns whether a subject was forgotten here although the store has a record of it.
+    pub(crate) fn is_removed(&self, subject: Subject) -> bool {
+        self.table().is_removed(subject)
+    }
+
+    /// Leaves the record of a forgotten subject in the store to another instance.
+    pub(crate) fn forget_removed(&self, subject: Subject) {
+        self.table().forget_removed(subject);
+    }
+
     /// Returns whether the store's record of a request is out of date.
     pub(crate) fn is_unsaved(&self, subject: Subject) -> bool {
         self.table().is_unsaved(subject)
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -615,6 +615,16 @@
             .collect()
     }
 
+    /// Returns whether a subject was removed from the table although the store has a record of it.
+    pub fn is_removed(&self, subject: Subject) -> bool {
+        self.removed.contains(&subject) && !self.entries.contains_key(&subject)
+    }
+
+    /// Leaves the record of a removed subject in the store to another instance.
+    pub fn forget_removed(&mut self, subject: Subject) {
+        self.removed.remove(&subject);
+    }
+
     /// Returns whether the store's record of a request is out of date.
     pub fn is_unsaved(&self, subject: Subject) -> bool {
         let entry = self.entries.get(&subject);
@@ -636,8 +646,8 @@
         }
     }
 
-    /// Merges a record that was read from the store. When it was written is not known, so its crashes and its last trial count as having happened
-    /// now.
+    /// Merges a record that was read from the store. When it was written is not known, so its crashes
+    /// and its last trial count as having happened now.
     pub fn load(&mut self, now: u64, mut record: SuspectRecord) {
         record.crashes.iter_mut().for_each(|c| c.ago_ms = 0);
         record.trial_ago_ms = 0;
--- a/crates/suspect/src/verdicts.rs
+++ b/crates/suspect/src/verdicts.rs
@@ -85,8 +85,9 @@
     refused
 }
 
-/// Returns whether one of the requests with a segment was present at nearly all of its crashes: then that
-/// request may crash upstreams for another reason. Several requests hardly all do.
+/// Returns whether one request with a segment was present at all of its crashes but a coincidence: then that
+/// request as a whole may crash upstreams. That several requests with the segment do so, each for a reason
+/// of its own, is unlikely.
 fn is_explained_by_own_request(crashes: &[(&String, &Crash)]) -> bool {
     let tags = crashes.iter().flat_map(|(_, crash)| &crash.requests);
     let mut tags = tags.copied();
--- a/crates/suspect/tests/explanations.rs
+++ b/crates/suspect/tests/explanations.rs
@@ -172,3 +172,20 @@
     let withdrawn = table.take_verdicts(now).withdrawn;
     assert_eq!(withdrawn, vec![(fatal(), Withdrawal::Survived)]);
 }
+
+/// Guards against removals that are kept forever at instances that don't write the record.
+#[test]
+fn removal_that_another_instance_writes_is_forgotten() {
+    const DAY_MS: u64 = 24 * 3_600_000;
+    let mut table = new_table();
+    for n in 0..4 {
+        crash(&mut table, n, &[(&format!("a{n}"), &[fatal()])]);
+    }
+    let subject = Subject::Segment(fatal());
+    let record = table.to_save(START, subject);
+    table.mark_saved(subject, record.as_ref());
+    table.next_page(START + DAY_MS, 1);
+    assert!(table.is_removed(subject) && table.has_unsaved());
+    table.forget_removed(subject);
+    assert!(!table.is_removed(subject) && !table.has_unsaved());
+}
